--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -27,6 +27,8 @@
     pub key: KeyId,
     /// Its size.
     pub units: u32,
+    /// Bytes that a read asks for, where its client says so.
+    pub length: Option<usize>,
     /// What a write brings.
     pub body: Bytes,
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use heathward::net::discovery;
 use heathward::net::http::{self, Front};
 use heathward::net::node::{self, HttpLink, Pool};
+use heathward::net::nvme::{self, Map, NvmeLink, Subsystem};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -21,7 +22,7 @@
 const LOOK: Duration = Duration::from_millis(5);
 
 fn main() -> ExitCode {
-    let config = match config::load() {
+    let config = match config::load(std::env::args().skip(1)) {
         Ok(config) => config,
         Err(wrong) => {
             eprintln!("heathward: {wrong}");
@@ -40,7 +41,7 @@
 }
 
 async fn run(config: Config) -> std::io::Result<()> {
-    let Config { listen, discovery, seed, sockets, known, deployment } = config;
+    let Config { listen, discovery, seed, sockets, known, deployment, nvme } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut report = signal(SignalKind::user_defined1())?;
     let listener = TcpListener::bind(listen).await?;
@@ -48,7 +49,13 @@
     // Half of the descriptors for nodes, an eighth spare, the rest for clients.
     let pool = Pool::new(deployment.idle, sockets / 2, (sockets / 32).max(2));
     let connect = Duration::from_micros(deployment.connect.max(1));
+    let nvme = nvme.map(Arc::new);
+    let map = nvme.clone();
     let dial = move |member: &Member, core: mpsc::Sender<Message>| {
+        if let Some((map, target)) = map.as_ref().and_then(|map| Some((map, target(map, member)?))) {
+            let link = NvmeLink::new(member.address, &target.subsystem, map.clone(), connect);
+            return node::spawn(link, pool.clone(), core);
+        }
         node::spawn(HttpLink::new(member.address, connect), pool.clone(), core)
     };
     let core = core::start(deployment.clone(), seed, Box::new(dial)).map_err(std::io::Error::other)?;
@@ -58,6 +65,12 @@
     let (stop, stopping) = watch::channel(false);
     let front = Front::new(core.clone(), deployment.clone());
     let most = sockets - sockets / 2 - sockets / 8;
+    if let Some(map) = nvme {
+        let listener = TcpListener::bind(map.listen).await?;
+        let subsystem = Subsystem::new(map, deployment.clone(), core.clone(), seed);
+        // The spare eighth, but for what the program itself needs.
+        tokio::spawn(nvme::serve(listener, subsystem, sockets / 8 - sockets / 32, stopping.clone()));
+    }
     tokio::spawn(http::serve(listener, front, most, stopping));
     loop {
         tokio::select! {
@@ -79,6 +92,11 @@
     Ok(())
 }
 
+/// What the file says of a storage node that is a target.
+fn target<'a>(map: &'a Map, member: &Member) -> Option<&'a nvme::Target> {
+    map.targets.iter().find(|target| *target.node == *member.id)
+}
+
 async fn print(core: &Core) {
     if let Some(counters) = core.counters().await {
         eprintln!("heathward: counters {counters}");
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,10 +1,11 @@
-//! The program's configuration: the JSON file that `GW_CONFIG` names.
+//! The program's configuration: the JSON file that `GW_CONFIG` names, and the one behind `--nvme`.
 
 use std::net::SocketAddr;
 
 use miniserde::json::{self, Value};
 
 use super::discovery;
+use super::nvme::Map;
 use crate::core::News;
 use crate::settings::{Deployment, Named, Tree, Wrong};
 use crate::ListKind;
@@ -28,13 +29,27 @@
     pub known: News,
     /// The settings.
     pub deployment: Deployment,
+    /// The NVMe front, where it is on.
+    pub nvme: Option<Map>,
 }
 
-/// Reads the file that the environment names.
-pub fn load() -> Result<Config, Wrong> {
+/// Reads the file that the environment names, and the one that the arguments may.
+pub fn load(mut arguments: impl Iterator<Item = String>) -> Result<Config, Wrong> {
     let path = std::env::var("GW_CONFIG").map_err(|_| Wrong::missing("GW_CONFIG"))?;
-    let text = std::fs::read_to_string(&path);
-    parse(&text.map_err(|e| Wrong { field: "GW_CONFIG".to_owned(), why: format!("{path}: {e}") })?)
+    let mut config = parse(&read("GW_CONFIG", &path)?)?;
+    while let Some(argument) = arguments.next() {
+        if argument != "--nvme" {
+            return Err(Wrong::value("argument", &argument));
+        }
+        let path = arguments.next().ok_or_else(|| Wrong::missing("--nvme FILE"))?;
+        config.nvme = Some(Map::parse(&read("--nvme", &path)?, &config.deployment)?);
+    }
+    Ok(config)
+}
+
+fn read(field: &str, path: &str) -> Result<String, Wrong> {
+    let text = std::fs::read_to_string(path);
+    text.map_err(|e| Wrong { field: field.to_owned(), why: format!("{path}: {e}") })
 }
 
 /// Decodes a configuration.
@@ -64,5 +79,6 @@
         sockets,
         known: News { kind: ListKind::Saved, ..known },
         deployment,
+        nvme: None,
     })
 }
--- a/src/net/http/decode.rs
+++ b/src/net/http/decode.rs
@@ -56,6 +56,7 @@
         volume: VolumeId(volume),
         key: KeyId(key),
         units,
+        length: None,
         body,
     };
     Ok(Call {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,3 +4,4 @@
 pub mod discovery;
 pub mod http;
 pub mod node;
+pub mod nvme;
--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -34,6 +34,8 @@
 }
 
 impl Connection for HttpConnection {
+    const SOCKETS: u32 = 1;
+
     fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         self.over = self.over || self.driver.as_mut().poll(cx).is_ready();
         if self.over {
@@ -132,11 +134,11 @@
             Some(connection) => connection,
             None => match timeout_at(connect_by.min(attempt.until), HttpConnection::open(address)).await {
                 Ok(Some(connection)) => connection,
-                Err(_) if attempt.until < connect_by => return lost(End::TimedOut),
-                _ => return lost(End::NotConnected),
+                Err(_) if attempt.until < connect_by => return Done::lost(End::TimedOut),
+                _ => return Done::lost(End::NotConnected),
             },
         };
-        let Ok(request) = encode(&attempt, address) else { return lost(End::Moot) };
+        let Ok(request) = encode(&attempt, address) else { return Done::lost(End::Moot) };
         connection.written.begin(attempt.work.body.len());
         let tried = async {
             if !connection.ready().await {
@@ -152,17 +154,13 @@
             // Guards against taking a connection that had grown stale for a node that is down: the node has
             // not had the request, so that this is still the same attempt.
             Ok(_) if reused && !connection.written.whole() => {}
-            Ok(_) if !connection.written.whole() => return lost(End::NotConnected),
-            Ok(_) => return lost(End::Reset),
-            Err(_) => return lost(End::TimedOut),
+            Ok(_) if !connection.written.whole() => return Done::lost(End::NotConnected),
+            Ok(_) => return Done::lost(End::Reset),
+            Err(_) => return Done::lost(End::TimedOut),
         }
     }
 }
 
-fn lost<C>(end: End) -> Done<C> {
-    Done { end, body: Bytes::new(), idle: None }
-}
-
 fn encode(attempt: &Attempt, address: SocketAddr) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let Work { call, class, write, target, once, body, .. } = &*attempt.work;
     let left = attempt.until.saturating_duration_since(Instant::now()).as_millis();
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -28,6 +28,9 @@
 
 /// A connection to a node that can carry another attempt.
 pub trait Connection: Send + 'static {
+    /// Descriptors that one holds.
+    const SOCKETS: u32;
+
     /// Ready once the far side has closed it, or it can't be used any more.
     fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()>;
 }
@@ -50,12 +53,19 @@
     pub idle: Option<C>,
 }
 
+impl<C> Done<C> {
+    /// An attempt that brought nothing back and whose connection is closed.
+    pub fn lost(end: End) -> Self {
+        Self { end, body: Bytes::new(), idle: None }
+    }
+}
+
 /// The figures for connections to nodes, which all nodes' actors share.
 #[derive(Clone, Debug)]
 pub struct Pool {
     /// Idle connections are kept that long.
     idle: Duration,
-    /// Connections to all nodes together, so that clients always find descriptors.
+    /// Descriptors of connections to all nodes together, so that clients always find descriptors.
     open: Arc<Semaphore>,
     /// Idle ones for each node.
     most_idle: usize,
@@ -134,11 +144,11 @@
     fn begin(&mut self, attempt: Attempt) {
         let (idle, permit) = match self.idle.pop_back() {
             Some(Idle { link, permit, .. }) => (Some(link), Some(permit)),
-            None => (None, self.pool.open.clone().try_acquire_owned().ok()),
+            None => (None, self.pool.open.clone().try_acquire_many_owned(C::SOCKETS).ok()),
         };
         if permit.is_none() {
             // No descriptor for it: it never ran, and that says nothing about the node.
-            let done = Done { end: End::Moot, body: Bytes::new(), idle: None };
+            let done = Done::lost(End::Moot);
             return self.running.push(Box::pin(async move { (attempt, done, None) }));
         }
         let trying = self.link.call(Job { attempt: attempt.clone(), idle });
--- /dev/null
+++ b/src/net/nvme/controller.rs
@@ -0,0 +1,610 @@
+//! The front that NVMe hosts connect to: a connection is a queue, a queue is an actor.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{abortable, AbortHandle, Aborted, BoxFuture};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::time::{sleep_until, timeout_at, Instant};
+use tower::Service;
+
+use super::command::{Blocks, Body, Command, Completion, Connect, ConnectData, Sgl, Status};
+use super::identify::{self, CAP, CC, CSTS, IN_CAPSULE, VS};
+use super::map::Map;
+use super::pdu::{Fatal, Pdu, MOST_DATA};
+use super::wire::{Broken, Wire};
+use crate::core::{Answer, Call, Core, Work};
+use crate::settings::Deployment;
+use crate::{Effect, KeyId};
+
+/// A host has so long to open a queue, and to take in why its connection ends.
+const HANDSHAKE: Duration = Duration::from_secs(5);
+/// A pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Aborts that wait for a queue at most.
+const MAILBOX: usize = 16;
+/// Any controller will do, says a host.
+const ANY: u16 = 0xffff;
+/// Controller ids from here on are reserved.
+const LAST_ID: u16 = 0xfff0;
+
+/// An abort on its way to the queue of its command; the reply says whether the command was ended.
+type AbortOne = (u16, oneshot::Sender<bool>);
+
+/// The front's one subsystem, which its queues share.
+pub struct Subsystem {
+    map: Arc<Map>,
+    deployment: Arc<Deployment>,
+    core: Core,
+    /// Ids of calls start at a random number, so that a restart repeats none.
+    calls: Mutex<fastrand::Rng>,
+    controllers: Mutex<HashMap<u16, Arc<Controller>>>,
+}
+
+struct Controller {
+    id: u16,
+    host: String,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    configuration: u32,
+    keep_alive: bool,
+    /// The ways to its I/O queues; a queue whose way is dropped ends.
+    queues: HashMap<u16, mpsc::Sender<AbortOne>>,
+}
+
+/// No code panics while it holds one of these locks for longer than a look-up.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Subsystem {
+    /// The subsystem before that core.
+    pub fn new(map: Arc<Map>, deployment: Arc<Deployment>, core: Core, seed: u64) -> Arc<Self> {
+        let (calls, controllers) = (Mutex::new(fastrand::Rng::with_seed(seed)), Mutex::default());
+        Arc::new(Self { map, deployment, core, calls, controllers })
+    }
+
+    /// A new controller for a host; `None` if no id is free.
+    fn controller(&self, host: String, keep_alive: bool) -> Option<Arc<Controller>> {
+        let mut controllers = lock(&self.controllers);
+        let id = (1..LAST_ID).find(|id| !controllers.contains_key(id))?;
+        let state = Mutex::new(State { keep_alive, ..State::default() });
+        let controller = Arc::new(Controller { id, host, state });
+        controllers.insert(id, controller.clone());
+        Some(controller)
+    }
+
+    /// The typed request behind a read or a write whose last byte has just come.
+    fn call(&self, write: bool, blocks: Blocks, body: Bytes) -> Result<Call, Status> {
+        let namespace = self.map.namespace(blocks.nsid).ok_or(Status::INVALID_NAMESPACE)?;
+        let class = if write { &self.map.write } else { &self.map.read };
+        let settings = &self.deployment.settings.classes[class.id.0 as usize];
+        let call = format!("{:016x}", lock(&self.calls).u64(..));
+        let keyed = settings.effect == Effect::Keyed;
+        let work = Work {
+            class: class.name.clone(),
+            write,
+            target: format!("/{}/{:016x}/{:016x}", class.name, namespace.volume.0, blocks.first).into(),
+            once: keyed.then(|| call.as_str().into()),
+            call: call.into(),
+            volume: namespace.volume,
+            key: KeyId(blocks.first),
+            units: self.map.units(blocks.count),
+            length: Some(blocks.count as usize * self.map.block as usize),
+            body,
+        };
+        Ok(Call {
+            class: class.id,
+            plan: namespace.plan,
+            shard: Some(namespace.shard(blocks.first)),
+            hosts: namespace.hosts,
+            repeat: false,
+            deadline: Instant::now() + Duration::from_micros(settings.deadline),
+            work: Arc::new(work),
+        })
+    }
+
+    /// Checks the blocks of a command; gives back the bytes they hold.
+    fn check(&self, Blocks { nsid, first, count }: Blocks) -> Result<usize, Status> {
+        let namespace = self.map.namespace(nsid).ok_or(Status::INVALID_NAMESPACE)?;
+        let size = count as usize * self.map.block as usize;
+        if size > MOST_DATA {
+            return Err(Status::INVALID_FIELD);
+        }
+        let end = first.checked_add(u64::from(count)).ok_or(Status::LBA_RANGE)?;
+        if end > namespace.blocks {
+            Err(Status::LBA_RANGE)
+        } else {
+            Ok(size)
+        }
+    }
+
+    fn delays(&self) -> [u16; 3] {
+        identify::delays(self.deployment.settings.max_retry_after)
+    }
+
+    /// How a command ends with that answer.
+    fn status(&self, write: bool, answer: &Result<Answer, Aborted>) -> Status {
+        match answer {
+            Err(Aborted) | Ok(Answer::Failed { late: true, .. }) => Status::ABORTED,
+            Ok(Answer::Served(_)) => Status::SUCCESS,
+            Ok(Answer::Refused { retry_after }) => {
+                Status { delay: identify::delay_for(*retry_after, self.delays()), ..Status::INTERRUPTED }
+            }
+            Ok(Answer::Failed { ran: true, .. }) if write => Status::INTERNAL.last(),
+            Ok(Answer::Failed { .. }) => Status::INTERNAL,
+        }
+    }
+}
+
+/// Accepts connections, at most `most` at a time, until the task is dropped. Once `stopping` turns true,
+/// queues close as soon as nothing is open on them.
+pub async fn serve(
+    listener: TcpListener,
+    subsystem: Arc<Subsystem>,
+    most: usize,
+    stopping: watch::Receiver<bool>,
+) {
+    let room = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep_until(Instant::now() + ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (subsystem, stopping) = (subsystem.clone(), stopping.clone());
+        tokio::spawn(async move {
+            carry(stream, subsystem, stopping).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn carry(stream: TcpStream, subsystem: Arc<Subsystem>, mut stopping: watch::Receiver<bool>) {
+    let Ok(wire) = Wire::new(stream) else { return };
+    let mut queue = Queue {
+        subsystem,
+        wire,
+        role: Role::New { initialised: false, by: Instant::now() + HANDSHAKE },
+        size: 1,
+        head: 0,
+        mailbox: None,
+        open: HashMap::new(),
+        running: FuturesUnordered::new(),
+        transfers: HashMap::new(),
+        aborts: FuturesUnordered::new(),
+    };
+    if let Err(Broken::Fatal(fatal)) = queue.run(&mut stopping).await {
+        // Commands that are open end with their queue; the host is told why.
+        queue.running.clear();
+        let _ = timeout_at(Instant::now() + HANDSHAKE, queue.wire.terminate(fatal)).await;
+    }
+}
+
+enum Role {
+    /// Until it has connected, which must be by then.
+    New { initialised: bool, by: Instant },
+    /// The admin queue; a host that has said nothing by then is gone.
+    Admin { controller: Arc<Controller>, keep_alive: Duration, alive_by: Option<Instant> },
+    /// An I/O queue.
+    Io { controller: Arc<Controller>, queue: u16 },
+}
+
+/// A write whose data is still to come.
+struct Transfer {
+    blocks: Blocks,
+    data: BytesMut,
+    size: usize,
+}
+
+/// A read or a write that the core has answered, or that was aborted.
+struct Finished {
+    cid: u16,
+    /// For a read, the bytes that it asks for.
+    read: Option<usize>,
+    answer: Result<Answer, Aborted>,
+}
+
+struct Queue {
+    subsystem: Arc<Subsystem>,
+    wire: Wire,
+    role: Role,
+    /// Entries.
+    size: u16,
+    head: u16,
+    /// Aborts from the admin queue; ends with the controller.
+    mailbox: Option<mpsc::Receiver<AbortOne>>,
+    /// Open reads and writes; one whose data is still to come has no handle yet.
+    open: HashMap<u16, Option<AbortHandle>>,
+    running: FuturesUnordered<BoxFuture<'static, Finished>>,
+    /// By command, which also names the transfer.
+    transfers: HashMap<u16, Transfer>,
+    /// Aborts that other queues are carrying out.
+    aborts: FuturesUnordered<BoxFuture<'static, (u16, bool)>>,
+}
+
+impl Drop for Queue {
+    fn drop(&mut self) {
+        match &self.role {
+            Role::New { .. } => {}
+            Role::Admin { controller, .. } => {
+                lock(&controller.state).queues.clear();
+                lock(&self.subsystem.controllers).remove(&controller.id);
+            }
+            Role::Io { controller, queue } => {
+                lock(&controller.state).queues.remove(queue);
+            }
+        }
+    }
+}
+
+impl Queue {
+    /// Carries the queue to its end. Commands beyond its size wait in the socket.
+    async fn run(&mut self, stopping: &mut watch::Receiver<bool>) -> Result<(), Broken> {
+        loop {
+            if *stopping.borrow_and_update() && self.done() {
+                return Ok(());
+            }
+            let by = match &self.role {
+                Role::New { by, .. } => Some(*by),
+                Role::Admin { alive_by, .. } => *alive_by,
+                Role::Io { .. } => None,
+            };
+            let room = self.running.len() < usize::from(self.size);
+            tokio::select! {
+                biased;
+                Some(finished) = self.running.next(), if !self.running.is_empty() => {
+                    self.finish(finished).await?;
+                }
+                Some((cid, ended)) = self.aborts.next(), if !self.aborts.is_empty() => {
+                    self.complete(cid, u64::from(!ended), Status::SUCCESS).await?;
+                }
+                abort = receive(&mut self.mailbox) => match abort {
+                    Some((cid, reply)) => self.abort(cid, reply).await?,
+                    // The controller is gone, or reset.
+                    None => return Ok(()),
+                },
+                pdu = self.wire.next(), if room => self.take(pdu?).await?,
+                () = sleep_until(by.unwrap_or_else(Instant::now)), if by.is_some() => return Ok(()),
+                changed = stopping.changed() => changed.map_err(|_| Broken::Closed)?,
+            }
+        }
+    }
+
+    /// Nothing is open on it; for an admin queue, on the whole controller.
+    fn done(&self) -> bool {
+        match &self.role {
+            Role::Admin { controller, .. } => lock(&controller.state).queues.is_empty(),
+            _ => self.open.is_empty(),
+        }
+    }
+
+    async fn take(&mut self, pdu: Pdu) -> Result<(), Broken> {
+        match (&mut self.role, pdu) {
+            (Role::New { initialised, .. }, Pdu::IcReq { pfv, hpda, .. }) if !*initialised => {
+                // Version 1.0 of the format is 0; digests that a host asks for are simply not granted.
+                if pfv != 0 {
+                    return Err(Broken::Fatal(Fatal::parameter(8)));
+                }
+                if hpda > 31 {
+                    return Err(Broken::Fatal(Fatal::header(10)));
+                }
+                *initialised = true;
+                self.wire.align(hpda);
+                let max_h2c = MOST_DATA as u32;
+                Ok(self.wire.send(&[Pdu::IcResp { pfv: 0, cpda: 0, digests: 0, max_h2c }]).await?)
+            }
+            (Role::New { initialised: false, .. }, _) => Err(Broken::Fatal(Fatal::SEQUENCE)),
+            (_, Pdu::Capsule { command, data }) => self.command(command, &data).await,
+            (_, Pdu::H2cData { cid, ttag, offset, last, data }) => {
+                self.data(cid, ttag, offset, last, &data).await
+            }
+            // The host ends the connection over an error of ours.
+            (_, Pdu::TermReq { by_host: true, .. }) => Err(Broken::Closed),
+            _ => Err(Broken::Fatal(Fatal::SEQUENCE)),
+        }
+    }
+
+    async fn complete(&mut self, cid: u16, result: u64, status: Status) -> Result<(), Broken> {
+        let completion = Completion { result, head: self.head, cid, status };
+        Ok(self.wire.send(&[Pdu::Response(completion)]).await?)
+    }
+
+    /// Sends data to the host and completes the command.
+    async fn give(&mut self, cid: u16, data: Bytes) -> Result<(), Broken> {
+        let completion = Completion { result: 0, head: self.head, cid, status: Status::SUCCESS };
+        let data = Pdu::C2hData { cid, offset: 0, last: true, data };
+        Ok(self.wire.send(&[data, Pdu::Response(completion)]).await?)
+    }
+
+    async fn command(&mut self, command: Command, data: &Bytes) -> Result<(), Broken> {
+        self.head = (self.head + 1) % self.size;
+        if let Role::Admin { keep_alive, alive_by, .. } = &mut self.role {
+            *alive_by = alive_by.map(|_| Instant::now() + *keep_alive);
+        }
+        let cid = command.cid;
+        let ended = if self.open.contains_key(&cid) {
+            Err(Status::CID_CONFLICT)
+        } else if !command.sound {
+            Err(Status::INVALID_FIELD)
+        } else {
+            match &self.role {
+                Role::New { .. } => self.connect(&command, data),
+                Role::Admin { controller, .. } => {
+                    let controller = controller.clone();
+                    return self.admin(&controller, &command).await;
+                }
+                Role::Io { .. } => return self.io(&command, data).await,
+            }
+        };
+        match ended {
+            Ok(result) => self.complete(cid, result, Status::SUCCESS).await,
+            Err(status) => self.complete(cid, 0, status).await,
+        }
+    }
+
+    /// The one command that a new queue takes; gives back the controller's id.
+    fn connect(&mut self, command: &Command, data: &Bytes) -> Result<u64, Status> {
+        let Body::Connect(Connect { format, queue, size, keep_alive }) = command.body else {
+            return Err(Status::SEQUENCE);
+        };
+        if format != 0 {
+            return Err(Status::CONNECT_FORMAT);
+        }
+        let names = ConnectData::decode(in_capsule(command.sgl, data)?).ok_or(Status::SGL_LENGTH)?;
+        let map = &self.subsystem.map;
+        if names.subsystem != map.subsystem || size == 0 || size >= map.depth {
+            return Err(Status::CONNECT_PARAMETER);
+        }
+        let (id, role) = if queue == 0 {
+            if names.controller != ANY {
+                return Err(Status::CONNECT_PARAMETER);
+            }
+            let controller = self.subsystem.controller(names.host, keep_alive > 0);
+            let controller = controller.ok_or(Status::CONNECT_BUSY)?;
+            let keep_alive = Duration::from_millis(keep_alive.into());
+            let alive_by = (!keep_alive.is_zero()).then(|| Instant::now() + keep_alive);
+            (controller.id, Role::Admin { controller, keep_alive, alive_by })
+        } else {
+            let controller = lock(&self.subsystem.controllers).get(&names.controller).cloned();
+            let controller = controller.filter(|c| c.host == names.host && queue <= map.queues);
+            let controller = controller.ok_or(Status::CONNECT_PARAMETER)?;
+            let mut state = lock(&controller.state);
+            if state.configuration & 1 == 0 || state.queues.contains_key(&queue) {
+                return Err(Status::SEQUENCE);
+            }
+            let (way, mailbox) = mpsc::channel(MAILBOX);
+            state.queues.insert(queue, way);
+            self.mailbox = Some(mailbox);
+            drop(state);
+            (controller.id, Role::Io { controller, queue })
+        };
+        self.role = role;
+        self.size = size + 1;
+        Ok(u64::from(id))
+    }
+
+    async fn admin(&mut self, controller: &Controller, command: &Command) -> Result<(), Broken> {
+        let (map, cid) = (self.subsystem.map.clone(), command.cid);
+        let ended = match command.body {
+            Body::PropertyGet { wide, offset } => match (offset, wide) {
+                (CAP, true) => Ok(identify::capabilities(map.depth)),
+                (VS, false) => Ok(identify::VERSION.into()),
+                (CC, false) => Ok(lock(&controller.state).configuration.into()),
+                (CSTS, false) => Ok(lock(&controller.state).csts().into()),
+                _ => Err(Status::INVALID_FIELD),
+            },
+            Body::PropertySet { wide: false, offset: CC, value } => {
+                lock(&controller.state).configure(value as u32);
+                Ok(0)
+            }
+            Body::Identify { nsid, cns } => {
+                let page = match cns {
+                    0 => {
+                        let namespace = map.namespace(nsid).ok_or(Status::INVALID_NAMESPACE);
+                        namespace.map(|namespace| identify::namespace(&map, namespace))
+                    }
+                    1 => {
+                        let keep_alive = lock(&controller.state).keep_alive;
+                        Ok(identify::controller(&map, controller.id, self.subsystem.delays(), keep_alive))
+                    }
+                    2 if nsid < 0xffff_fffe => Ok(identify::active(&map, nsid)),
+                    2 => Err(Status::INVALID_NAMESPACE),
+                    _ => Err(Status::INVALID_FIELD),
+                };
+                match page {
+                    Ok(page) if command.sgl.length() as usize == page.len() => {
+                        return self.give(cid, page).await;
+                    }
+                    Ok(_) => Err(Status::SGL_LENGTH),
+                    Err(status) => Err(status),
+                }
+            }
+            // Queues to send and to complete, from 0: they come in pairs here.
+            Body::SetFeatures { feature: 0x07, value }
+                if value & 0xffff != 0xffff && value >> 16 != 0xffff =>
+            {
+                let granted = u64::from((value & 0xffff).min(value >> 16).min(u32::from(map.queues) - 1));
+                Ok(granted << 16 | granted)
+            }
+            Body::SetFeatures { .. } | Body::PropertySet { .. } => Err(Status::INVALID_FIELD),
+            Body::KeepAlive => Ok(0),
+            Body::Abort { queue, cid: victim } => {
+                // Commands of the admin queue are over by the time that an abort of them comes.
+                let way = lock(&controller.state).queues.get(&queue).cloned();
+                self.aborts.push(Box::pin(async move {
+                    let (reply, ended) = oneshot::channel();
+                    let asked = match way {
+                        Some(way) => way.send((victim, reply)).await.is_ok(),
+                        None => false,
+                    };
+                    (cid, asked && ended.await.unwrap_or(false))
+                }));
+                return Ok(());
+            }
+            Body::Connect(_) => Err(Status::SEQUENCE),
+            Body::Read(_) | Body::Write(_) | Body::OtherFabrics(_) | Body::Other(_) => {
+                Err(Status::INVALID_OPCODE)
+            }
+        };
+        match ended {
+            Ok(result) => self.complete(cid, result, Status::SUCCESS).await,
+            Err(status) => self.complete(cid, 0, status).await,
+        }
+    }
+
+    async fn io(&mut self, command: &Command, data: &Bytes) -> Result<(), Broken> {
+        let cid = command.cid;
+        let checked = match command.body {
+            Body::Read(blocks) | Body::Write(blocks) => self.subsystem.check(blocks),
+            Body::Connect(_) => Err(Status::SEQUENCE),
+            _ => Err(Status::INVALID_OPCODE),
+        };
+        let begun = match (command.body, command.sgl, checked) {
+            (_, _, Err(status)) => Err(status),
+            (_, sgl, Ok(size)) if sgl.length() as usize != size => match sgl {
+                Sgl::Other(_) => Err(Status::SGL_KIND),
+                _ => Err(Status::SGL_LENGTH),
+            },
+            (Body::Read(blocks), Sgl::Transport { .. }, Ok(size)) => {
+                self.subsystem.call(false, blocks, Bytes::new()).map(|call| self.begin(cid, Some(size), call))
+            }
+            (Body::Read(_), ..) => Err(Status::SGL_KIND),
+            (Body::Write(blocks), sgl @ Sgl::InCapsule { .. }, Ok(_)) => in_capsule(sgl, data)
+                .and_then(|data| self.subsystem.call(true, blocks, Bytes::copy_from_slice(data)))
+                .map(|call| self.begin(cid, None, call)),
+            (Body::Write(blocks), _, Ok(size)) => {
+                self.open.insert(cid, None);
+                self.transfers.insert(cid, Transfer { blocks, data: BytesMut::new(), size });
+                let ask = Pdu::R2t { cid, ttag: cid, offset: 0, length: size as u32 };
+                return Ok(self.wire.send(&[ask]).await?);
+            }
+            _ => Err(Status::INVALID_OPCODE),
+        };
+        match begun {
+            Ok(()) => Ok(()),
+            Err(status) => self.complete(cid, 0, status).await,
+        }
+    }
+
+    /// Data of a write. It comes in order, as a host is given one transfer for each command.
+    async fn data(
+        &mut self,
+        cid: u16,
+        ttag: u16,
+        offset: u32,
+        last: bool,
+        data: &[u8],
+    ) -> Result<(), Broken> {
+        let transfer = self.transfers.get_mut(&cid).ok_or(Broken::Fatal(Fatal::header(8)))?;
+        if ttag != cid {
+            return Err(Broken::Fatal(Fatal::header(10)));
+        }
+        let end = transfer.data.len() + data.len();
+        if offset as usize != transfer.data.len() || end > transfer.size || last != (end == transfer.size) {
+            return Err(Broken::Fatal(Fatal::RANGE));
+        }
+        transfer.data.extend_from_slice(data);
+        if !last {
+            return Ok(());
+        }
+        let Some(Transfer { blocks, data, .. }) = self.transfers.remove(&cid) else { return Ok(()) };
+        if !self.open.contains_key(&cid) {
+            // Aborted while its data was on the way, and completed then.
+            return Ok(());
+        }
+        match self.subsystem.call(true, blocks, data.freeze()) {
+            Ok(call) => {
+                self.begin(cid, None, call);
+                Ok(())
+            }
+            Err(status) => {
+                self.open.remove(&cid);
+                self.complete(cid, 0, status).await
+            }
+        }
+    }
+
+    fn begin(&mut self, cid: u16, read: Option<usize>, call: Call) {
+        let (answer, handle) = abortable(self.subsystem.core.clone().call(call));
+        self.open.insert(cid, Some(handle));
+        self.running.push(Box::pin(async move {
+            // A core that has stopped promises nothing.
+            let answer = answer.await.map(|a| a.unwrap_or(Answer::Failed { ran: true, late: false }));
+            Finished { cid, read, answer }
+        }));
+    }
+
+    async fn finish(&mut self, Finished { cid, read, answer }: Finished) -> Result<(), Broken> {
+        self.open.remove(&cid);
+        match (read, &answer) {
+            (Some(size), Ok(Answer::Served(body))) => {
+                let mut data = BytesMut::from(&body[..body.len().min(size)]);
+                // What was never written reads as zeros.
+                data.resize(size, 0);
+                self.give(cid, data.freeze()).await
+            }
+            _ => {
+                let status = self.subsystem.status(read.is_none(), &answer);
+                self.complete(cid, 0, status).await
+            }
+        }
+    }
+
+    async fn abort(&mut self, cid: u16, reply: oneshot::Sender<bool>) -> Result<(), Broken> {
+        let found = self.open.get(&cid).cloned();
+        // The admin queue may be gone meanwhile.
+        let _ = reply.send(found.is_some());
+        match found {
+            Some(Some(running)) => running.abort(),
+            Some(None) => {
+                self.open.remove(&cid);
+                return self.complete(cid, 0, Status::ABORTED).await;
+            }
+            None => {}
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Ready while enabled; shut down as soon as that is asked.
+    fn csts(&self) -> u32 {
+        let down = self.configuration >> 14 & 0b11 != 0;
+        self.configuration & 1 | if down { 0b10 << 2 } else { 0 }
+    }
+
+    fn configure(&mut self, value: u32) {
+        self.configuration = value;
+        let down = value >> 14 & 0b11 != 0;
+        if value & 1 == 0 || down {
+            self.queues.clear();
+        }
+    }
+}
+
+/// The data of a command that brings it in its capsule.
+fn in_capsule(sgl: Sgl, data: &Bytes) -> Result<&[u8], Status> {
+    match sgl {
+        Sgl::InCapsule { offset: 0, length } if length as usize == data.len() && data.len() <= IN_CAPSULE => {
+            Ok(data)
+        }
+        Sgl::InCapsule { offset: 0, .. } => Err(Status::SGL_LENGTH),
+        Sgl::InCapsule { .. } => Err(Status::SGL_OFFSET),
+        Sgl::Transport { .. } | Sgl::Other(_) => Err(Status::SGL_KIND),
+    }
+}
+
+async fn receive(mailbox: &mut Option<mpsc::Receiver<AbortOne>>) -> Option<AbortOne> {
+    match mailbox {
+        Some(mailbox) => mailbox.recv().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/src/net/nvme/map.rs
@@ -0,0 +1,196 @@
+//! The file that ties namespaces to volumes: `deploy/nvme.json`.
+
+use std::net::SocketAddr;
+
+use miniserde::{json, Deserialize};
+
+use super::command::Blocks;
+use super::pdu::MOST_DATA;
+use crate::settings::{Deployment, Wrong};
+use crate::{ClassId, KeyId, PlanId, ShardId, VolumeId};
+
+/// As the file has it.
+#[derive(Deserialize)]
+struct File {
+    listen: String,
+    subsystem: String,
+    queues: u16,
+    depth: u16,
+    block: u32,
+    unit_blocks: u32,
+    read: String,
+    write: String,
+    namespaces: Vec<FileNamespace>,
+    targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+struct FileNamespace {
+    nsid: u32,
+    volume: String,
+    plan: String,
+    hosts: u32,
+    blocks: u64,
+    stripe: u64,
+    shards: Vec<u32>,
+}
+
+/// A storage node that is itself a target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+pub struct Target {
+    /// Its name in the list of nodes.
+    pub node: String,
+    /// Its subsystem.
+    pub subsystem: String,
+}
+
+/// A namespace is a volume.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Namespace {
+    /// Its number.
+    pub nsid: u32,
+    /// The volume.
+    pub volume: VolumeId,
+    /// The volume's plan.
+    pub plan: PlanId,
+    /// Through how many hosts it works.
+    pub hosts: u32,
+    /// Its size.
+    pub blocks: u64,
+    /// So many blocks in a row lie on one shard.
+    pub stripe: u64,
+    /// The shards, in turn.
+    pub shards: Vec<ShardId>,
+}
+
+/// A class that an opcode stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Class {
+    /// Its place in the settings.
+    pub id: ClassId,
+    /// Its name.
+    pub name: Box<str>,
+}
+
+/// What the file says, checked against the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Map {
+    /// Where hosts connect.
+    pub listen: SocketAddr,
+    /// The front's own subsystem.
+    pub subsystem: String,
+    /// I/O queues of a controller at most.
+    pub queues: u16,
+    /// Entries of a queue at most.
+    pub depth: u16,
+    /// Bytes of a block: a power of two.
+    pub block: u32,
+    /// Blocks that count as one unit.
+    pub unit_blocks: u32,
+    /// The class of reads.
+    pub read: Class,
+    /// The class of writes.
+    pub write: Class,
+    /// The namespaces, by number.
+    pub namespaces: Vec<Namespace>,
+    /// Storage nodes that are targets.
+    pub targets: Vec<Target>,
+}
+
+impl Map {
+    /// Decodes the file.
+    pub fn parse(text: &str, deployment: &Deployment) -> Result<Self, Wrong> {
+        let broken =
+            |_| Wrong { field: "nvme".to_owned(), why: "not JSON, or a field is missing".to_owned() };
+        let file: File = json::from_str(text).map_err(broken)?;
+        let class = |field: &str, name: &str, write: bool| {
+            let at = deployment.classes.iter().position(|c| c == name);
+            let at = at.filter(|at| deployment.writes[*at] == write);
+            let at = at.ok_or_else(|| Wrong::value(field, name))?;
+            Ok(Class { id: ClassId(at as u16), name: name.into() })
+        };
+        let (read, write) = (class("read", &file.read, false)?, class("write", &file.write, true)?);
+        let fits = |sound: bool, field: &str, value: u64| {
+            if sound {
+                Ok(())
+            } else {
+                Err(Wrong::value(field, &value.to_string()))
+            }
+        };
+        let block = file.block;
+        fits(block.is_power_of_two() && (512..=4096).contains(&block), "block", block.into())?;
+        fits(file.queues > 0, "queues", file.queues.into())?;
+        fits((2..=1024).contains(&file.depth), "depth", file.depth.into())?;
+        let units = (MOST_DATA as u32 / block).div_ceil(file.unit_blocks.max(1));
+        let most = deployment.settings.most_units;
+        fits(file.unit_blocks > 0 && units <= most, "unit_blocks", file.unit_blocks.into())?;
+        let mut namespaces = Vec::new();
+        for (at, from) in file.namespaces.into_iter().enumerate() {
+            let field = |name: &str| format!("namespaces.{at}.{name}");
+            let plan = deployment.plans.iter().position(|p| *p == from.plan);
+            let plan = plan.ok_or_else(|| Wrong::value(&field("plan"), &from.plan))?;
+            let volume = u64::from_str_radix(&from.volume, 16);
+            let volume = volume.map_err(|_| Wrong::value(&field("volume"), &from.volume))?;
+            fits((1..0xffff_ffff).contains(&from.nsid), &field("nsid"), from.nsid.into())?;
+            fits(from.hosts > 0, &field("hosts"), from.hosts.into())?;
+            fits(from.blocks > 0, &field("blocks"), from.blocks)?;
+            fits(from.stripe > 0, &field("stripe"), from.stripe)?;
+            fits(!from.shards.is_empty(), &field("shards"), 0)?;
+            namespaces.push(Namespace {
+                nsid: from.nsid,
+                volume: VolumeId(volume),
+                plan: PlanId(plan as u16),
+                hosts: from.hosts,
+                blocks: from.blocks,
+                stripe: from.stripe,
+                shards: from.shards.into_iter().map(ShardId).collect(),
+            });
+        }
+        namespaces.sort_by_key(|n| n.nsid);
+        let twice = namespaces.windows(2).find(|pair| pair[0].nsid == pair[1].nsid);
+        twice.map_or(Ok(()), |pair| Err(Wrong::value("namespaces.nsid", &pair[0].nsid.to_string())))?;
+        let subsystem = file.subsystem;
+        if !subsystem.starts_with("nqn.") || subsystem.len() > 223 {
+            return Err(Wrong::value("subsystem", &subsystem));
+        }
+        Ok(Self {
+            listen: file.listen.parse().map_err(|_| Wrong::value("listen", &file.listen))?,
+            subsystem,
+            queues: file.queues,
+            depth: file.depth,
+            block,
+            unit_blocks: file.unit_blocks,
+            read,
+            write,
+            namespaces,
+            targets: file.targets,
+        })
+    }
+
+    /// The namespace of that number.
+    pub fn namespace(&self, nsid: u32) -> Option<&Namespace> {
+        self.namespaces.iter().find(|n| n.nsid == nsid)
+    }
+
+    /// The units of so many blocks.
+    pub fn units(&self, blocks: u32) -> u32 {
+        blocks.div_ceil(self.unit_blocks).max(1)
+    }
+
+    /// The blocks of a piece of data: it begins at the block that its key names. `None` for a volume that is
+    /// no namespace, or one past its end.
+    pub fn blocks(&self, volume: VolumeId, key: KeyId, count: u32) -> Option<Blocks> {
+        let namespace = self.namespaces.iter().find(|n| n.volume == volume)?;
+        let end = key.0.checked_add(u64::from(count))?;
+        let sound = count > 0 && end <= namespace.blocks;
+        sound.then_some(Blocks { nsid: namespace.nsid, first: key.0, count })
+    }
+}
+
+impl Namespace {
+    /// The shard that holds a block.
+    pub fn shard(&self, block: u64) -> ShardId {
+        let turn = block / self.stripe % self.shards.len() as u64;
+        self.shards[turn as usize]
+    }
+}
--- /dev/null
+++ b/src/net/nvme/mod.rs
@@ -0,0 +1,20 @@
+//! NVMe over TCP, the subset that a scheduler needs, from the public specifications.
+//!
+//! `pdu` is the codec of the transport, `command` that of commands and completions, `wire` a socket that
+//! carries them. `controller` is the front that hosts connect to; `initiator` carries attempts to storage
+//! nodes that are targets themselves. `map` is the file that ties namespaces to volumes.
+
+mod command;
+mod controller;
+mod identify;
+mod initiator;
+mod map;
+mod pdu;
+mod wire;
+
+pub use command::{Blocks, Body, Command, Completion, Connect, ConnectData, Sgl, Status, CONNECT_DATA};
+pub use controller::{serve, Subsystem};
+pub use initiator::{NvmeConnection, NvmeLink};
+pub use map::{Map, Namespace, Target};
+pub use pdu::{Fatal, Pdu, MOST_DATA};
+pub use wire::{Broken, Wire};
--- /dev/null
+++ b/src/net/nvme/pdu.rs
@@ -0,0 +1,253 @@
+//! The transport's PDUs: bytes to typed values and back. Digests are never negotiated.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+use super::command::{Command, Completion};
+
+/// Data in one PDU, and in one command, at most: what a storage node takes as a body.
+pub const MOST_DATA: usize = 64 * 1024;
+/// Length of the header that all PDUs begin with.
+const COMMON: usize = 8;
+/// Header lengths: connection set-up, command capsule, everything that moves data or ends a connection.
+const IC: usize = 128;
+const CAPSULE: usize = 72;
+const RESPONSE: usize = 24;
+const DATA: usize = 24;
+/// Data starts at the latest here: the alignment a host may ask for goes up to 128 bytes.
+const MOST_OFFSET: usize = 128;
+/// The part of a broken PDU that a termination carries.
+const MOST_ECHO: usize = 128;
+
+const LAST: u8 = 1 << 2;
+const DIGESTS: u8 = 0b11;
+
+/// One PDU.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pdu {
+    /// A host opens a connection.
+    IcReq {
+        /// Version of the PDU format.
+        pfv: u16,
+        /// Alignment of data that the host wants, in dwords from 0.
+        hpda: u8,
+        /// Digests that it wants.
+        digests: u8,
+        /// R2Ts for one command at a time, from 0.
+        max_r2t: u32,
+    },
+    /// A controller accepts it.
+    IcResp {
+        /// Version of the PDU format.
+        pfv: u16,
+        /// Alignment of data that the controller wants, in dwords from 0.
+        cpda: u8,
+        /// Digests in use.
+        digests: u8,
+        /// Data in one H2CData at most.
+        max_h2c: u32,
+    },
+    /// A side ends the connection over a fatal error.
+    TermReq {
+        /// The host does; else the controller.
+        by_host: bool,
+        /// Why.
+        fatal: Fatal,
+        /// The head of the PDU at fault.
+        echo: Bytes,
+    },
+    /// A command, perhaps with its data.
+    Capsule {
+        /// The command.
+        command: Command,
+        /// Data in the capsule.
+        data: Bytes,
+    },
+    /// A command's completion.
+    Response(Completion),
+    /// Data from host to controller.
+    H2cData {
+        /// The command.
+        cid: u16,
+        /// The transfer, as the R2T named it.
+        ttag: u16,
+        /// Where it belongs.
+        offset: u32,
+        /// The last of its transfer.
+        last: bool,
+        /// The data.
+        data: Bytes,
+    },
+    /// Data from controller to host.
+    C2hData {
+        /// The command.
+        cid: u16,
+        /// Where it belongs.
+        offset: u32,
+        /// The last of its command.
+        last: bool,
+        /// The data.
+        data: Bytes,
+    },
+    /// The controller is ready for a part of a command's data.
+    R2t {
+        /// The command.
+        cid: u16,
+        /// Names the transfer.
+        ttag: u16,
+        /// From where.
+        offset: u32,
+        /// How much.
+        length: u32,
+    },
+}
+
+/// A fatal transport error: its status code, and for header errors the offset of the field at fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fatal {
+    /// Fatal error status.
+    pub status: u16,
+    /// Fatal error information.
+    pub info: u32,
+}
+
+impl Fatal {
+    /// A field of a PDU's header makes no sense.
+    pub const fn header(offset: u32) -> Self {
+        Self { status: 1, info: offset }
+    }
+
+    /// A PDU came out of turn.
+    pub const SEQUENCE: Self = Self { status: 2, info: 0 };
+    /// Data outside its transfer.
+    pub const RANGE: Self = Self { status: 4, info: 0 };
+
+    /// A parameter that is not supported.
+    pub const fn parameter(offset: u32) -> Self {
+        Self { status: 6, info: offset }
+    }
+}
+
+impl Pdu {
+    /// Takes the next PDU off the front of `buffer`, once it is there whole.
+    pub fn decode(buffer: &mut BytesMut) -> Result<Option<Self>, Fatal> {
+        let [kind, flags, hlen, pdo, p0, p1, p2, p3, ..] = buffer[..] else { return Ok(None) };
+        let (plen, pdo) = (u32::from_le_bytes([p0, p1, p2, p3]) as usize, usize::from(pdo));
+        // Header length, and whether data may follow.
+        let (head, carries) = match kind {
+            0x00 | 0x01 => (IC, false),
+            0x02 | 0x03 => (DATA, true),
+            0x04 => (CAPSULE, true),
+            0x05 => (RESPONSE, false),
+            0x06 | 0x07 => (DATA, true),
+            0x09 => (DATA, false),
+            _ => return Err(Fatal::header(0)),
+        };
+        if flags & DIGESTS != 0 && kind >= 0x04 {
+            return Err(Fatal::header(1));
+        }
+        if usize::from(hlen) != head {
+            return Err(Fatal::header(2));
+        }
+        let most = if carries { head.max(MOST_OFFSET) + MOST_DATA } else { head };
+        if plen < head || plen > most {
+            return Err(Fatal::header(4));
+        }
+        // A termination's data follows its header at once; it names no offset.
+        let start = if plen == head || kind < 0x04 { head } else { pdo };
+        if start < head || start > plen || start > head.max(MOST_OFFSET) {
+            return Err(Fatal::header(3));
+        }
+        if buffer.len() < plen {
+            buffer.reserve(plen - buffer.len());
+            return Ok(None);
+        }
+        let whole = buffer.split_to(plen).freeze();
+        let data = whole.slice(start..);
+        let mut rest = &whole[COMMON..head];
+        let last = flags & LAST != 0;
+        Ok(Some(match kind {
+            0x00 => {
+                let (pfv, hpda, digests) = (rest.get_u16_le(), rest.get_u8(), rest.get_u8());
+                Self::IcReq { pfv, hpda, digests, max_r2t: rest.get_u32_le() }
+            }
+            0x01 => {
+                let (pfv, cpda, digests) = (rest.get_u16_le(), rest.get_u8(), rest.get_u8());
+                Self::IcResp { pfv, cpda, digests, max_h2c: rest.get_u32_le() }
+            }
+            0x02 | 0x03 => {
+                let fatal = Fatal { status: rest.get_u16_le(), info: rest.get_u32_le() };
+                Self::TermReq { by_host: kind == 0x02, fatal, echo: data }
+            }
+            0x04 => Self::Capsule { command: Command::decode(rest), data },
+            0x05 => Self::Response(Completion::decode(rest)),
+            _ => {
+                let (cid, ttag) = (rest.get_u16_le(), rest.get_u16_le());
+                let (offset, length) = (rest.get_u32_le(), rest.get_u32_le());
+                match kind {
+                    0x09 => Self::R2t { cid, ttag, offset, length },
+                    _ if length as usize != data.len() => return Err(Fatal::header(16)),
+                    0x06 => Self::H2cData { cid, ttag, offset, last, data },
+                    _ => Self::C2hData { cid, offset, last, data },
+                }
+            }
+        }))
+    }
+
+    /// Appends the PDU; data starts at a multiple of `align` bytes.
+    pub fn encode(&self, out: &mut BytesMut, align: usize) {
+        let nothing = Bytes::new();
+        let (kind, flags, head, data) = match self {
+            Self::IcReq { .. } => (0x00, 0, IC, &nothing),
+            Self::IcResp { .. } => (0x01, 0, IC, &nothing),
+            Self::TermReq { by_host, echo, .. } => (if *by_host { 0x02 } else { 0x03 }, 0, DATA, echo),
+            Self::Capsule { data, .. } => (0x04, 0, CAPSULE, data),
+            Self::Response(_) => (0x05, 0, RESPONSE, &nothing),
+            Self::H2cData { last, data, .. } => (0x06, if *last { LAST } else { 0 }, DATA, data),
+            Self::C2hData { last, data, .. } => (0x07, if *last { LAST } else { 0 }, DATA, data),
+            Self::R2t { .. } => (0x09, 0, DATA, &nothing),
+        };
+        let places = kind >= 0x04 && !data.is_empty();
+        let start = if places { head.next_multiple_of(align.max(1)) } else { head };
+        let from = out.len();
+        out.put_u8(kind);
+        out.put_u8(flags);
+        out.put_u8(head as u8);
+        out.put_u8(if places { start as u8 } else { 0 });
+        out.put_u32_le((start + data.len()) as u32);
+        match self {
+            Self::IcReq { pfv, hpda: align, digests, max_r2t: figure }
+            | Self::IcResp { pfv, cpda: align, digests, max_h2c: figure } => {
+                out.put_u16_le(*pfv);
+                out.put_u8(*align);
+                out.put_u8(*digests);
+                out.put_u32_le(*figure);
+            }
+            Self::TermReq { fatal, .. } => {
+                out.put_u16_le(fatal.status);
+                out.put_u32_le(fatal.info);
+            }
+            Self::Capsule { command, .. } => command.encode(out),
+            Self::Response(completion) => completion.encode(out),
+            Self::H2cData { cid, ttag, offset, .. } => put_transfer(out, *cid, *ttag, *offset, data.len()),
+            Self::C2hData { cid, offset, .. } => put_transfer(out, *cid, 0, *offset, data.len()),
+            Self::R2t { cid, ttag, offset, length } => {
+                put_transfer(out, *cid, *ttag, *offset, *length as usize);
+            }
+        }
+        out.resize(from + start, 0);
+        out.put_slice(data);
+    }
+
+    /// The controller's termination over a broken PDU, of which `buffer` holds the head.
+    pub fn terminate(fatal: Fatal, buffer: &[u8]) -> Self {
+        let echo = Bytes::copy_from_slice(&buffer[..buffer.len().min(MOST_ECHO)]);
+        Self::TermReq { by_host: false, fatal, echo }
+    }
+}
+
+fn put_transfer(out: &mut BytesMut, cid: u16, ttag: u16, offset: u32, length: usize) {
+    out.put_u16_le(cid);
+    out.put_u16_le(ttag);
+    out.put_u32_le(offset);
+    out.put_u32_le(length as u32);
+}
