Test the network code: tables for the parsers, a test on sockets for each rule

Seen: the front, node actors, discovery and the program's end had no tests. Now tests/net has stand-in nodes and clients on ports that the system chooses; the program prints where it listens, so that tests and newcomers need no fixed port. Ruled out by the tests: a stale idle connection counted as a node that is down, a write that may have run called refused, two attempts at once, a burst to a node cold at 24%.

--- a/src/main.rs
+++ b/src/main.rs
@@ -45,6 +45,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut report = signal(SignalKind::user_defined1())?;
     let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
     let deployment = Arc::new(deployment);
     // Half of the descriptors for nodes, an eighth spare, the rest for clients.
     let pool = Pool::new(deployment.idle, sockets / 2, (sockets / 32).max(2));
@@ -72,6 +73,7 @@
         tokio::spawn(nvme::serve(listener, subsystem, sockets / 8 - sockets / 32, stopping.clone()));
     }
     tokio::spawn(http::serve(listener, front, most, stopping));
+    eprintln!("heathward: listening on {address}");
     loop {
         tokio::select! {
             _ = report.recv() => print(&core).await,
--- /dev/null
+++ b/tests/net/http.rs
@@ -0,0 +1,262 @@
+//! One test on real sockets for each rule, over the platform's HTTP.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use heathward::core::{Counters, Message};
+use heathward::net::discovery;
+use heathward::End;
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+use crate::support::*;
+
+fn count(counters: &Counters, end: End) -> u64 {
+    let at = Counters::ENDS.iter().position(|(known, _)| *known == end).unwrap();
+    counters.ends[at]
+}
+
+#[tokio::test]
+async fn a_request_passes_on_unchanged_and_its_answer_comes_back() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    for class in ["consulta", "pedido"] {
+        let body = if class == "pedido" { "a write" } else { "" };
+        assert_eq!(rig.ask(&request(class, 9, 0, 900, body)).await.2, b"hello", "{class}");
+        let seen = log.all().pop().unwrap();
+        let method = if class == "pedido" { "PUT" } else { "GET" };
+        let line = format!("{method} /{class}/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1\r\n");
+        assert!(seen.head.starts_with(&line), "{}", seen.head);
+        assert_eq!((seen.call.as_str(), seen.body.as_slice()), ("0000000000000009", body.as_bytes()));
+        let small = seen.head.to_lowercase();
+        assert_eq!(header(&small, "idempotency-key"), (class == "pedido").then_some("k9"));
+        let budget: u32 = header(&small, "x-budget-ms").unwrap().parse().unwrap();
+        assert!((1..=900).contains(&budget), "{budget}");
+    }
+    assert_eq!(count(&rig.counters().await, End::Served), 2);
+}
+
+/// The table of the protocol page: what comes back, how the attempt ended, how often it was tried in all, and
+/// what the client is told. Guards against a repeat of what may have run elsewhere than at an error, and
+/// against "refused" for a write that may have run.
+#[rstest]
+#[case::served("consulta", Does::Serve, End::Served, 1, 200)]
+#[case::error_read("consulta", Does::Error, End::Error, 3, 503)]
+#[case::error_write("pedido", Does::Error, End::Error, 3, 502)]
+#[case::full("pedido", Does::Reject, End::Full, 1, 503)]
+#[case::reset_read("consulta", Does::Reset, End::Reset, 1, 503)]
+#[case::reset_write("pedido", Does::Reset, End::Reset, 1, 502)]
+#[case::cut("consulta", Does::Cut, End::Reset, 1, 503)]
+#[tokio::test]
+async fn what_comes_back_decides_what_may_follow(
+    #[case] class: &str,
+    #[case] does: Does,
+    #[case] end: End,
+    #[case] tries: u64,
+    #[case] status: u16,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[does], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let (told, head, _) = rig.ask(&request(class, 1, 0, 1400, "")).await;
+    assert_eq!(told, status, "{head}");
+    assert_eq!(header(&head, "retry-after").is_some(), status == 503, "{head}");
+    let counters = rig.counters().await;
+    assert!(count(&counters, end) == tries && counters.sent == tries, "{counters}");
+    assert_eq!(counters.served + counters.refused + counters.failed, 1, "{counters}");
+    log.check_one_at_a_time();
+}
+
+#[tokio::test]
+async fn a_keyed_repeat_goes_to_its_shard_within_the_window() {
+    let log = Log::default();
+    let first = http_node(0, &[Does::Error, Does::Serve], &log).await;
+    let second = http_node(1, &[Does::Serve], &log).await;
+    let members = [member("s0", first, 0, "in_service", 0), member("s1", second, 1, "in_service", 0)];
+    let rig = rig(&members, None).await;
+    assert_eq!(rig.ask(&request("pedido", 5, 0, 1400, "w")).await.0, 200);
+    let seen = log.all();
+    assert_eq!(seen.iter().map(|s| (s.node, s.call.as_str())).collect::<Vec<_>>(), [(0, &*seen[0].call); 2]);
+    assert!(seen[1].at - seen[0].at < Duration::from_millis(2500));
+    log.check_one_at_a_time();
+}
+
+/// Guards against taking a connection that broke under a request for one that had carried it, and the other
+/// way round: whether the last byte was written decides.
+#[tokio::test]
+async fn broken_before_the_last_byte_never_ran() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::HangUp], &log).await;
+    let (_kept, nobody) = nobody();
+    let members = [member("s0", node, 0, "in_service", 0), member("s1", nobody, 1, "in_service", 0)];
+    let rig = rig(&members, None).await;
+    let (status, ..) = rig.ask(&request("pedido", 2, 1, 900, "w")).await;
+    assert_eq!(status, 503);
+    assert_eq!(count(&rig.counters().await, End::NotConnected), 1);
+    // The node closes with the request unread, after all of it was written: it may have run.
+    let (status, ..) = rig.ask(&request("pedido", 3, 0, 900, "w")).await;
+    assert_eq!(status, 502);
+    assert_eq!(count(&rig.counters().await, End::Reset), 1);
+}
+
+/// Guards against a node's closing of an idle connection being taken for a node that is down: it would be
+/// held for cold, and starve.
+#[tokio::test]
+async fn a_connection_closed_while_idle_costs_no_attempt() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::ServeThenClose], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    for call in 0..20 {
+        assert_eq!(rig.ask(&request("consulta", call, 0, 900, "")).await.0, 200);
+        tokio::time::sleep(Duration::from_millis(call.into())).await;
+    }
+    let counters = rig.counters().await;
+    assert_eq!(count(&counters, End::NotConnected) + count(&counters, End::Reset), 0, "{counters}");
+}
+
+#[tokio::test]
+async fn a_silent_node_is_given_up_and_the_answer_comes_by_the_deadline() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let asked = Instant::now();
+    let (status, ..) = rig.ask(&request("pedido", 2, 0, 300, "w")).await;
+    // A write that may have run is never called refused.
+    assert!(matches!(status, 502 | 504), "{status}");
+    assert!(asked.elapsed() >= Duration::from_millis(250), "{:?}", asked.elapsed());
+    rig.until(|c| count(c, End::TimedOut) == 1).await;
+    let by = Instant::now() + PATIENCE;
+    while log.open.lock().unwrap().values().any(|n| *n > 0) {
+        assert!(Instant::now() < by, "given up, but its connection is open");
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_is_told_to_the_module_and_gets_no_answer() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    stream.write_all(request("consulta", 2, 0, 900, "").as_bytes()).await.unwrap();
+    rig.until(|c| c.sent == 1).await;
+    drop(stream);
+    let counters = rig.until(|c| c.gone == 1).await;
+    assert_eq!(counters.served + counters.refused + counters.failed, 0, "{counters}");
+}
+
+#[tokio::test]
+async fn a_node_that_drains_gets_nothing_new() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
+    let entry = member("s0", node, 0, "terminating", 0);
+    let change = format!(r#"{{"revision":8,"complete":false,"members":[{entry}]}}"#);
+    rig.core.mailbox().send(Message::News(discovery::parse(&change).unwrap())).await.unwrap();
+    for call in 2..10 {
+        assert_eq!(rig.ask(&request("consulta", call, 0, 900, "")).await.0, 503);
+    }
+    assert_eq!(log.all().len(), 1);
+}
+
+/// A node that starts at 24% of its capacity: 24 units within any 0.5 s are always borne, and it warms within
+/// 6 s. Guards against a burst right after the start, also by a scheduler that has just started itself.
+#[tokio::test]
+async fn a_cold_node_is_not_pushed_over() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let rig = rig(&[member("s0", node, 0, "in_service", born)], None).await;
+    let begun = Instant::now();
+    let mut asks = tokio::task::JoinSet::new();
+    for call in 0..120 {
+        let text = request("consulta", call, 0, 900, "");
+        let front = rig.front;
+        asks.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(u64::from(call) * 10)).await;
+            let mut stream = TcpStream::connect(front).await.unwrap();
+            stream.write_all(text.as_bytes()).await.unwrap();
+            answer(&mut stream).await.0
+        });
+    }
+    let told = asks.join_all().await;
+    assert!(told.iter().all(|status| matches!(status, 200 | 503 | 504)), "{told:?}");
+    let sent: Vec<_> = log.all().iter().map(|seen| seen.at).collect();
+    assert!(!sent.is_empty());
+    // What it bears at the end of the run, were it as cold as can be: an upper bound for every window. A
+    // window of half the length leaves room for a machine that delays what was sent in order.
+    let age = begun.elapsed().as_secs_f64().min(6.0) / 6.0;
+    let bears = 24.0 * (0.24 + 0.76 * age) / 0.24;
+    for from in &sent {
+        let window = sent.iter().filter(|at| *at >= from && **at < *from + Duration::from_millis(250));
+        assert!(window.count() as f64 * 2.0 <= bears, "more than {bears} units within the window");
+    }
+}
+
+#[rstest]
+#[case::class(("X-Call-Class: consulta", "X-Call-Class: nada"))]
+#[case::class_in_path(("/consulta/", "/pedido/"))]
+#[case::plan(("X-Plan: prioritario", "X-Plan: oro"))]
+#[case::path(("/7f3a9c21e0b4d655", ""))]
+#[case::digits(("7f3a9c21e0b4d655", "7f3a9c21e0b4d65z"))]
+#[case::budget(("X-Budget-Ms: 900", "X-Budget-Ms: soon"))]
+#[case::no_id(("X-Call-Id: 0000000000000001\r\n", ""))]
+#[case::io(("units=2", "units=-2"))]
+#[case::shard(("shard=0", "shard=99999999999"))]
+#[case::method(("GET", "DELETE"))]
+#[tokio::test]
+async fn a_malformed_request_is_told_so_at_once_and_counted(#[case] (from, to): (&str, &str)) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let text = request("consulta", 1, 0, 900, "");
+    assert!(text.contains(from));
+    assert_eq!(rig.ask(&text.replacen(from, to, 1)).await.0, 400);
+    assert_eq!(rig.until(|c| c.malformed == 1).await.taken, 0);
+    assert_eq!(rig.ask(&text).await.0, 200, "and goes on serving");
+}
+
+#[tokio::test]
+async fn a_body_over_the_limit_is_turned_away() {
+    let rig = rig(&[], None).await;
+    let text = request("pedido", 1, 0, 900, &"x".repeat(64 * 1024 + 1));
+    assert_eq!(rig.ask(&text).await.0, 400);
+}
+
+#[tokio::test]
+async fn it_is_ready_once_it_has_a_list() {
+    let rig = rig(&[], None).await;
+    let ask = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    rig.until(|c| c.lists == 1).await;
+    assert_eq!(rig.ask(ask).await.0, 503);
+    let (_, address) = listen().await;
+    let entry = member("s0", address, 0, "in_service", 0);
+    let list = format!(r#"{{"revision":8,"complete":true,"members":[{entry}]}}"#);
+    rig.core.mailbox().send(Message::News(discovery::parse(&list).unwrap())).await.unwrap();
+    assert_eq!(rig.ask(ask).await.0, 200);
+}
+
+/// A watch brings a broken line, a change, and then nothing: the line is dropped, the silent watch is opened
+/// anew from the version that was heard last.
+#[tokio::test]
+async fn a_silent_watch_is_opened_anew_and_a_broken_line_dropped() {
+    let rig = rig(&[], None).await;
+    let (listener, address) = listen().await;
+    tokio::spawn(discovery::follow(address, 7, rig.core.mailbox()));
+    let entry = member("s0", address, 0, "in_service", 0).replace('\n', "");
+    let line = format!("{{\"revision\":9,\"complete\":false,\"members\":[{entry}]}}\n");
+    let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
+    let (head, ..) = read_message(&mut watch).await.unwrap();
+    assert!(head.starts_with("get /v1/servers?watch=1&after=7 "), "{head}");
+    let lines = format!("{{\"revision\":8,\"members\":3}}\n{line}");
+    let answer = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let text = format!("{answer}{:x}\r\n{lines}\r\n", lines.len());
+    watch.write_all(text.as_bytes()).await.unwrap();
+    assert_eq!(rig.until(|c| c.lists == 2).await.lists, 2);
+    let (mut again, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
+    let (head, ..) = read_message(&mut again).await.unwrap();
+    assert!(head.starts_with("get /v1/servers?watch=1&after=9 "), "{head}");
+}
--- /dev/null
+++ b/tests/net/parsers.rs
@@ -0,0 +1,226 @@
+//! Tables of cases for the parsers. Bytes are written out by hand, from the specifications' tables.
+
+use bytes::{Bytes, BytesMut};
+use heathward::net::discovery;
+use heathward::net::http::retry_after;
+use heathward::net::node::Written;
+use heathward::net::nvme::{
+    Blocks, Body, Command, Completion, Connect, ConnectData, Fatal, Map, Pdu, Sgl, Status, MOST_DATA,
+};
+use heathward::settings::Deployment;
+use heathward::{KeyId, ListKind, NodeState, ShardId, VolumeId};
+use rstest::rstest;
+
+use crate::support::*;
+
+#[rstest]
+#[case::whole("GET / HTTP/1.1\r\na: b\r\n\r\n", 0, true)]
+#[case::head_cut("GET / HTTP/1.1\r\na: b\r\n\r", 0, false)]
+#[case::body_cut("PUT / HTTP/1.1\r\n\r\nabc", 4, false)]
+#[case::body("PUT / HTTP/1.1\r\n\r\nabcd", 4, true)]
+#[case::odd_ends("PUT / HTTP/1.1\r\r\n\r\n", 0, true)]
+#[case::nothing("", 0, false)]
+fn bytes_on_the_socket_tell_whether_a_request_is_whole(
+    #[case] bytes: &str,
+    #[case] body: usize,
+    #[case] whole: bool,
+    #[values(1, 3, 1000)] piece: usize,
+) {
+    let written = Written::default();
+    for _ in 0..2 {
+        written.begin(body);
+        bytes.as_bytes().chunks(piece).for_each(|part| written.note(part));
+        assert_eq!(written.whole(), whole);
+    }
+}
+
+#[rstest]
+#[case(1, "0.001")]
+#[case(75_000, "0.075")]
+#[case(2_000_000, "2.000")]
+fn retry_hints_are_decimal_seconds(#[case] span: u64, #[case] text: &str) {
+    assert_eq!(retry_after(span), text);
+}
+
+const ENTRY: &str = r#"{"revision":43,"complete":false,"members":[{"id":"s-5be2a07c","host_port":"10.1.0.18:8080",
+    "locality":"a","flavor":"m2","cell":3,"phase":"terminating","size":1.0,"up_since_ms":12.5,"new":[]}]}"#;
+
+#[rstest]
+#[case::not_json(ENTRY, "{", false)]
+#[case::no_revision("\"revision\":43,", "", false)]
+#[case::negative_cell("\"cell\":3", "\"cell\":-3", false)]
+#[case::no_port("10.1.0.18:8080", "10.1.0.18", false)]
+#[case::phase("terminating", "asleep", false)]
+#[case::no_zone("\"locality\":\"a\",", "", true)]
+#[case::whole_number("12.5", "12", true)]
+#[case::same("", "", true)]
+fn lines_of_discovery(#[case] from: &str, #[case] to: &str, #[case] sound: bool) {
+    let news = discovery::parse(&ENTRY.replacen(from, to, 1));
+    assert_eq!(news.is_ok(), sound, "{news:?}");
+    if let Ok(news) = news {
+        assert_eq!((news.revision, news.kind, news.members.len()), (43, ListKind::Changes, 1));
+        let member = &news.members[0];
+        assert_eq!((member.state, member.shard), (NodeState::Draining, ShardId(3)));
+        assert!(matches!(member.started, Some(12_000 | 12_500)));
+    }
+}
+
+/// A PDU of 128 bytes in all, or of 24 bytes and data.
+fn pdu(start: &[u8], size: usize) -> Vec<u8> {
+    let mut bytes = start.to_vec();
+    bytes.resize(size, 0);
+    bytes
+}
+
+fn capsule(sqe: &[(usize, &[u8])]) -> Vec<u8> {
+    let mut bytes = pdu(&[4, 0, 72, 0, 72, 0, 0, 0], 72);
+    bytes[9] = 0x40;
+    sqe.iter().for_each(|(at, value)| bytes[8 + at..8 + at + value.len()].copy_from_slice(value));
+    bytes
+}
+
+const BLOCKS: Blocks = Blocks { nsid: 3, first: 0x0102_0304_0506, count: 8 };
+
+#[rstest]
+#[case::ic_req(
+    pdu(&[0, 0, 128, 0, 128, 0, 0, 0, 0, 0, 4, 0, 2, 0, 0, 0], 128),
+    Pdu::IcReq { pfv: 0, hpda: 4, digests: 0, max_r2t: 2 }
+)]
+#[case::ic_resp(
+    pdu(&[1, 0, 128, 0, 128, 0, 0, 0, 0, 0, 1, 0, 0, 0, 1, 0], 128),
+    Pdu::IcResp { pfv: 0, cpda: 1, digests: 0, max_h2c: 65536 }
+)]
+#[case::read(
+    capsule(&[(0, &[2]), (2, &[7, 1]), (4, &[3]), (33, &[0x10]), (39, &[0x5a]),
+        (40, &[6, 5, 4, 3, 2, 1]), (48, &[7])]),
+    Pdu::Capsule {
+        command: Command::new(0x107, Sgl::Transport { length: 4096 }, Body::Read(BLOCKS)), data: Bytes::new()
+    }
+)]
+#[case::abort(
+    capsule(&[(0, &[8]), (39, &[0x5a]), (40, &[5, 0, 9, 1])]),
+    Pdu::Capsule {
+        command: Command::new(0, Sgl::Transport { length: 0 }, Body::Abort { queue: 5, cid: 0x109 }),
+        data: Bytes::new()
+    }
+)]
+#[case::property_set(
+    capsule(&[(0, &[0x7f]), (39, &[0x5a]), (44, &[0x14]), (48, &[1, 0, 0x46])]),
+    Pdu::Capsule {
+        command: Command::new(0, Sgl::Transport { length: 0 },
+            Body::PropertySet { wide: false, offset: 0x14, value: 0x46_0001 }),
+        data: Bytes::new()
+    }
+)]
+#[case::connect(
+    capsule(&[(0, &[0x7f]), (4, &[1]), (33, &[4]), (39, &[1]), (42, &[1]), (44, &[31]), (48, &[0xe8, 3])]),
+    Pdu::Capsule {
+        command: Command::new(0, Sgl::InCapsule { offset: 0, length: 1024 },
+            Body::Connect(Connect { format: 0, queue: 1, size: 31, keep_alive: 1000 })),
+        data: Bytes::new()
+    }
+)]
+#[case::response(
+    pdu(&[5, 0, 24, 0, 24, 0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0, 7, 1, 0x42, 0xa0], 24),
+    Pdu::Response(Completion {
+        result: 9, head: 6, cid: 0x107,
+        status: Status { delay: 2, final_: true, ..Status::INTERRUPTED }
+    })
+)]
+#[case::h2c_data(
+    [pdu(&[6, 4, 24, 24, 27, 0, 0, 0, 7, 1, 2, 0, 0, 16, 0, 0, 3], 24), b"abc".to_vec()].concat(),
+    Pdu::H2cData { cid: 0x107, ttag: 2, offset: 4096, last: true, data: Bytes::from_static(b"abc") }
+)]
+#[case::c2h_data(
+    [pdu(&[7, 0, 24, 24, 27, 0, 0, 0, 7, 1, 0, 0, 0, 0, 0, 0, 3], 24), b"abc".to_vec()].concat(),
+    Pdu::C2hData { cid: 0x107, offset: 0, last: false, data: Bytes::from_static(b"abc") }
+)]
+#[case::r2t(
+    pdu(&[9, 0, 24, 0, 24, 0, 0, 0, 7, 1, 2, 0, 0, 0, 0, 0, 0, 2], 24),
+    Pdu::R2t { cid: 0x107, ttag: 2, offset: 0, length: 512 }
+)]
+#[case::term(
+    [pdu(&[3, 0, 24, 0, 28, 0, 0, 0, 1, 0, 4], 24), vec![1, 2, 3, 4]].concat(),
+    Pdu::TermReq { by_host: false, fatal: Fatal::header(4), echo: Bytes::from_static(&[1, 2, 3, 4]) }
+)]
+fn pdus_both_ways(#[case] bytes: Vec<u8>, #[case] pdu: Pdu) {
+    let mut input = BytesMut::new();
+    for byte in &bytes {
+        assert_eq!(Pdu::decode(&mut input), Ok(None), "not whole after {} bytes", input.len());
+        input.extend_from_slice(&[*byte]);
+    }
+    assert_eq!(Pdu::decode(&mut input), Ok(Some(pdu.clone())));
+    assert!(input.is_empty());
+    let mut output = BytesMut::new();
+    pdu.encode(&mut output, 4);
+    assert_eq!(output, bytes);
+}
+
+#[rstest]
+#[case::kind(&[8, 0, 24, 0, 24, 0, 0, 0], Fatal::header(0))]
+#[case::digest(&[4, 1, 72, 0, 72, 0, 0, 0], Fatal::header(1))]
+#[case::head(&[4, 0, 71, 0, 72, 0, 0, 0], Fatal::header(2))]
+#[case::data_before_head(&[6, 0, 24, 23, 48, 0, 0, 0], Fatal::header(3))]
+#[case::data_past_end(&[6, 0, 24, 200, 48, 0, 0, 0], Fatal::header(3))]
+#[case::short(&[0, 0, 128, 0, 127, 0, 0, 0], Fatal::header(4))]
+#[case::long(&[4, 0, 72, 72, 0, 0, 0, 1], Fatal::header(4))]
+#[case::data_on_r2t(&[9, 0, 24, 24, 25, 0, 0, 0], Fatal::header(4))]
+fn malformed_pdus_are_fatal_as_soon_as_their_head_is_there(#[case] bytes: &[u8], #[case] fatal: Fatal) {
+    assert_eq!(Pdu::decode(&mut BytesMut::from(bytes)), Err(fatal));
+}
+
+#[test]
+fn data_is_aligned_as_the_far_side_wants() {
+    let data = Bytes::from(vec![7; MOST_DATA]);
+    let pdu = Pdu::C2hData { cid: 1, offset: 0, last: true, data };
+    for align in [4, 24, 32, 128] {
+        let mut bytes = BytesMut::new();
+        pdu.encode(&mut bytes, align);
+        assert!(usize::from(bytes[3]) % align == 0 && bytes[3] >= 24);
+        assert_eq!(Pdu::decode(&mut bytes), Ok(Some(pdu.clone())));
+    }
+}
+
+#[test]
+fn names_of_a_connect_both_ways() {
+    let names = ConnectData { controller: 0xffff, subsystem: "nqn.a".to_owned(), host: "nqn.b".to_owned() };
+    let bytes = names.encode();
+    assert_eq!((bytes.len(), &bytes[16..18], &bytes[256..262]), (1024, &[255, 255][..], &b"nqn.a\0"[..]));
+    assert_eq!(ConnectData::decode(&bytes), Some(names));
+    assert_eq!(ConnectData::decode(&bytes[..1023]), None);
+}
+
+fn deployment() -> Deployment {
+    let text = config_text("127.0.0.1:1", "127.0.0.1:2", "");
+    heathward::net::config::parse(&text).unwrap().deployment
+}
+
+/// The deployment's own file: guards against one that only the tests could read.
+#[rstest]
+#[case::same("", "", None)]
+#[case::class("\"read\": \"consulta\"", "\"read\": \"pedido\"", Some("read"))]
+#[case::no_class("\"write\": \"pedido\"", "\"write\": \"nada\"", Some("write"))]
+#[case::block("\"block\": 512", "\"block\": 500", Some("block"))]
+#[case::units("\"unit_blocks\": 16", "\"unit_blocks\": 1", Some("unit_blocks"))]
+#[case::plan("\"plan\": \"basico\"", "\"plan\": \"oro\"", Some("namespaces.1.plan"))]
+#[case::nsid("\"nsid\": 2", "\"nsid\": 1", Some("namespaces.nsid"))]
+#[case::volume("00000003b4d60022", "volume", Some("namespaces.1.volume"))]
+#[case::shards("[3, 4]", "[]", Some("namespaces.1.shards"))]
+#[case::listen("127.0.0.1:4420", "here", Some("listen"))]
+#[case::subsystem("nqn.2026", "2026", Some("subsystem"))]
+#[case::missing("\"depth\": 32,", "", Some("nvme"))]
+fn the_map_of_namespaces(#[case] from: &str, #[case] to: &str, #[case] wrong: Option<&str>) {
+    let text = include_str!("../../deploy/nvme.json");
+    assert!(text.contains(from));
+    let map = Map::parse(&text.replacen(from, to, 1), &deployment());
+    assert_eq!(map.as_ref().err().map(|wrong| wrong.field.as_str()), wrong);
+    if let Ok(map) = map {
+        let namespace = map.namespace(2).unwrap();
+        assert_eq!([0, 255, 256, 512].map(|block| namespace.shard(block).0), [3, 3, 4, 3]);
+        assert_eq!([1, 16, 17, 128].map(|blocks| map.units(blocks)), [1, 1, 2, 8]);
+        let (volume, end) = (VolumeId(0x3_b4d6_0022), namespace.blocks);
+        assert_eq!(map.blocks(volume, KeyId(5), 8), Some(Blocks { nsid: 2, first: 5, count: 8 }));
+        assert_eq!(map.blocks(volume, KeyId(end - 7), 8), None, "past the end");
+        assert_eq!(map.blocks(VolumeId(1), KeyId(5), 8), None, "no namespace");
+    }
+}
--- /dev/null
+++ b/tests/net/process.rs
@@ -0,0 +1,106 @@
+//! The program itself: what it says of a wrong configuration, and how it ends.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, Instant};
+
+use crate::support::*;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn start(config: &PathBuf, arguments: &[&str]) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+    command.env("GW_CONFIG", config).args(arguments).stderr(Stdio::piped()).stdout(Stdio::null());
+    command.spawn().unwrap()
+}
+
+/// Waits for the line that says where it listens.
+fn listening(mut child: Child) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+    let mut lines = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    lines.read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("heathward: listening on ").expect(&line).parse().unwrap();
+    (child, lines, address)
+}
+
+#[rstest]
+#[case::json("{", "{ ", "configuration")]
+#[case::listen("127.0.0.1:1", "somewhere", "listen")]
+#[case::seed("8c1f30d27a5be964", "none", "seed")]
+#[case::sockets("\"sockets\":256", "\"sockets\":3", "limits.sockets")]
+#[case::known("\"complete\":true", "\"complete\":7", "known")]
+#[case::repeat("guarded", "sometimes", "settings.lanes.1.repeat")]
+#[case::aim("\"aimMs\":150", "\"aimMs\":-150", "settings.lanes.0.aimMs")]
+#[case::hosts("\"balancers\":1", "\"balancers\":0", "hosts")]
+fn a_wrong_configuration_ends_it_with_one_line_that_names_the_field(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] field: &str,
+) {
+    let sound = config_text("127.0.0.1:1", "127.0.0.1:2", "");
+    let text = if from == "{" { "{".to_owned() } else { sound.replacen(from, to, 1) };
+    let path = file(&format!("wrong-{field}"), &text);
+    let output = start(&path, &[]).wait_with_output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.lines().count() == 1 && said.contains(field), "{said}");
+}
+
+/// Guards against losing what is open at a planned restart, and against refusing those who still come.
+#[tokio::test]
+async fn after_sigterm_it_answers_what_it_has_and_what_still_comes_then_ends() {
+    let log = Log::default();
+    let slow = http_node(0, &[Does::Silent], &log).await;
+    let quick = http_node(1, &[Does::Serve], &log).await;
+    let members = [member("s0", slow, 0, "in_service", 0), member("s1", quick, 1, "in_service", 0)];
+    let path = file("ends", &config_text("127.0.0.1:0", "127.0.0.1:1", &members.join(",")));
+    let (mut child, mut log_lines, address) = listening(start(&path, &[]));
+    let by = Instant::now() + PATIENCE;
+    let mut open = TcpStream::connect(address).await.unwrap();
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    idle.write_all(request("consulta", 1, 1, 900, "").as_bytes()).await.unwrap();
+    assert_eq!(answer(&mut idle).await.0, 200);
+    open.write_all(request("consulta", 2, 0, 900, "").as_bytes()).await.unwrap();
+    while log.all().len() < 2 {
+        assert!(Instant::now() < by, "it never sends");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let kill = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(kill.success());
+    // An idle connection is closed, a new one served, the open request answered.
+    assert!(read_message(&mut idle).await.is_none());
+    let mut new = TcpStream::connect(address).await.unwrap();
+    new.write_all(request("consulta", 3, 1, 900, "").as_bytes()).await.unwrap();
+    let (status, head, _) = answer(&mut new).await;
+    assert_eq!((status, header(&head, "connection")), (200, Some("close")));
+    assert!(matches!(answer(&mut open).await.0, 503 | 504));
+    let mut said = String::new();
+    log_lines.read_to_string(&mut said).unwrap();
+    assert!(child.wait().unwrap().success(), "{said}");
+    let last = said.lines().last().unwrap();
+    assert!(last.contains("counters taken=3 ") && last.contains(" served=2 refused=1 "), "{said}");
+}
+
+/// The counters come on SIGUSR1, while it runs.
+#[tokio::test]
+async fn the_counters_come_on_request() {
+    let path = file("counts", &config_text("127.0.0.1:0", "127.0.0.1:1", ""));
+    let (mut child, mut log_lines, _) = listening(start(&path, &[]));
+    Command::new("kill").args(["-USR1", &child.id().to_string()]).status().unwrap();
+    let mut line = String::new();
+    log_lines.read_line(&mut line).unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(line.contains("counters taken=0 malformed=0"), "{line}");
+}
