--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 mod api;
 mod choice;
 pub mod core;
+pub mod load;
 pub mod net;
 pub mod settings;
 mod state;
--- a/tests/net/parsers.rs
+++ b/tests/net/parsers.rs
@@ -1,6 +1,9 @@
 //! Tables of cases for the parsers. Bytes are written out by hand, from the specifications' tables.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
+use heathward::load::{access_log, har, Recorded, Rules};
 use heathward::net::discovery;
 use heathward::net::http::retry_after;
 use heathward::net::node::Written;
@@ -10,6 +13,7 @@
 use heathward::settings::Deployment;
 use heathward::{KeyId, ListKind, NodeState, ShardId, VolumeId};
 use rstest::rstest;
+use tokio::time::Instant;
 
 use crate::support::*;
 
@@ -225,3 +229,94 @@
         assert_eq!(map.blocks(VolumeId(1), KeyId(5), 8), None, "no namespace");
     }
 }
+
+fn rules() -> Rules {
+    let text =
+        r#"{"read":"consulta","write":"pedido","plan":"basico","unit_bytes":4096,"shards":9,"hosts":2}"#;
+    Rules::parse(text, Arc::new(deployment())).unwrap()
+}
+
+/// What a source's entry becomes: time, class, volume, data, units, shard.
+fn told(recorded: &Recorded) -> (u64, u16, u64, u64, u32, u64) {
+    let call = recorded.taken_at(Instant::now());
+    let shard = u64::from(call.shard.unwrap().0);
+    (recorded.at, call.class.0, call.work.volume.0, call.work.key.0, call.work.units, shard)
+}
+
+const HAR: &str = r#"{"log":{"version":"1.2","entries":[
+    {"startedDateTime":"2026-12-01T08:00:00.250Z",
+     "request":{"method":"PUT","url":"http://a.example/pedido/0000000000000007/0000000000000015?v=1",
+                "bodySize":9000,"postData":{"mimeType":"text/plain","text":"w"}},
+     "response":{"status":200,"content":{"size":0}}},
+    {"startedDateTime":"2026-12-01T09:00:01+01:00",
+     "request":{"method":"GET","url":"https://a.example/stock.html#top","bodySize":-1},
+     "response":{"status":200,"content":{"size":1e9}}}]}}"#;
+
+#[rstest]
+#[case::same("", "", [Ok(()), Ok(())])]
+#[case::time("T08:00:00.250Z", "T08:00", [Err("startedDateTime"), Ok(())])]
+#[case::before_1970("2026-12-01T09", "1926-12-01T09", [Ok(()), Err("startedDateTime")])]
+#[case::method("\"PUT\"", "\"CONNECT\"", [Err("method"), Ok(())])]
+#[case::no_method("\"method\":\"GET\",", "", [Ok(()), Err("request.method: missing")])]
+#[case::address("https://", "data:", [Ok(()), Err("request.url")])]
+#[case::size("1e9", "\"all\"", [Ok(()), Err("response.content.size")])]
+fn entries_of_a_har_file(#[case] from: &str, #[case] to: &str, #[case] each: [Result<(), &str>; 2]) {
+    let found = har(&HAR.replacen(from, to, 1), &rules());
+    assert_eq!(found.len(), 2);
+    for ((found, expected), place) in found.iter().zip(&each).zip(1..) {
+        match (found, expected) {
+            (Ok(_), Ok(())) => {}
+            (Err(skipped), Err(why)) => {
+                assert!(skipped.place == place && skipped.why.contains(why), "{skipped}")
+            }
+            other => panic!("{place}: {other:?}"),
+        }
+    }
+    if each == [Ok(()), Ok(())] {
+        let [write, read] = [&found[0], &found[1]].map(|found| told(found.as_ref().unwrap()));
+        assert_eq!(write, (1_796_112_000_250_000, 1, 7, 0x15, 3, 0x15 % 9));
+        assert_eq!((read.0, read.1, read.4, read.5), (1_796_112_001_000_000, 0, 8, read.3 % 9));
+        assert_eq!(&*found[0].as_ref().unwrap().taken_at(Instant::now()).work.body, b"w");
+    }
+}
+
+#[rstest]
+#[case::not_json("{", "not JSON")]
+#[case::no_log("{}", "no list")]
+#[case::no_entries(r#"{"log":{"entries":3}}"#, "no list")]
+fn a_file_that_is_no_har(#[case] text: &str, #[case] why: &str) {
+    let found = har(text, &rules());
+    assert!(
+        matches!(&found[..], [Err(skipped)] if skipped.place == 0 && skipped.why.contains(why)),
+        "{found:?}"
+    );
+}
+
+#[rstest]
+#[case::common(r#"10.0.0.9 - ana [01/Dec/2026:09:00:01 +0100] "GET /stock.html?a=b HTTP/1.1" 200 5000"#, Ok((0, 2)))]
+#[case::combined(
+    r#"10.0.0.9 - - [01/Dec/2026:08:00:01 +0000] "PUT /o/1 HTTP/1.0" 204 - "http://x/" "curl \"7\"""#, Ok((1, 1))
+)]
+#[case::quote(r#"h - - [01/Dec/2026:08:00:01 +0000] "GET /a\"b HTTP/1.1" 200 1"#, Ok((0, 1)))]
+#[case::no_host("", Err("nothing"))]
+#[case::no_time(r#"h - - "GET / HTTP/1.1" 200 1"#, Err("no time"))]
+#[case::month(r#"h - - [01/Foo/2026:08:00:01 +0000] "GET / HTTP/1.1" 200 1"#, Err("time"))]
+#[case::request(r#"h - - [01/Dec/2026:08:00:01 +0000] "-" 408 -"#, Err("request"))]
+#[case::open(r#"h - - [01/Dec/2026:08:00:01 +0000] "GET / HTTP/1.1 200 1"#, Err("no end"))]
+#[case::status(r#"h - - [01/Dec/2026:08:00:01 +0000] "GET / HTTP/1.1" ok 1"#, Err("status"))]
+#[case::size(r#"h - - [01/Dec/2026:08:00:01 +0000] "GET / HTTP/1.1" 200 many"#, Err("size"))]
+#[case::target(r#"h - - [01/Dec/2026:08:00:01 +0000] "GET http://x/ HTTP/1.1" 200 1"#, Err("target"))]
+fn lines_of_an_access_log(#[case] line: &str, #[case] expected: Result<(u16, u32), &str>) {
+    let found = access_log(&format!("\n{line}\n"), &rules());
+    match (found.first(), expected) {
+        (Some(Ok(recorded)), Ok((class, units))) => {
+            let (at, of, _, _, size, _) = told(recorded);
+            assert_eq!((at, of, size), (1_796_112_001_000_000, class, units));
+        }
+        (Some(Err(skipped)), Err(why)) => {
+            assert!(skipped.place == 2 && skipped.why.contains(why), "{skipped}");
+        }
+        (None, Err("nothing")) => {}
+        other => panic!("{other:?}"),
+    }
+}
