--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -54,6 +54,14 @@
     }
 }
 
+impl fmt::Display for Recorded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Work { target, write, units, .. } = &*self.call.work;
+        let (ms, kind) = (self.at / 1000, if *write { "write" } else { "read" });
+        write!(f, "{ms} {kind} {target} units={units} budget_ms={}", self.budget / 1000)
+    }
+}
+
 /// What an entry of any source says.
 struct Entry<'a> {
     at: Micros,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! The scheduler as a program: configuration, start, SIGTERM, counters.
+//! The scheduler as a program: configuration, start, the end after SIGTERM or SIGINT, counters.
 #![forbid(unsafe_code)]
 
 use std::process::ExitCode;
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use heathward::core::{self, Core, Member, Message};
-use heathward::net::config::{self, Config};
+use heathward::load::{self, Rules};
+use heathward::net::config::{self, Config, Source};
 use heathward::net::discovery;
 use heathward::net::http::{self, Front};
 use heathward::net::node::{self, HttpLink, Pool};
@@ -29,6 +30,10 @@
             return ExitCode::from(2);
         }
     };
+    if let Some((source, rules)) = &config.source {
+        list(source, rules);
+        return ExitCode::SUCCESS;
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ran = runtime.and_then(|runtime| runtime.block_on(run(config)));
     match ran {
@@ -40,9 +45,24 @@
     }
 }
 
+/// Writes what a source of load asks for, a line each, and what was skipped of it.
+fn list(source: &Source, rules: &Rules) {
+    let found = match source {
+        Source::Har(text) => load::har(text, rules),
+        Source::AccessLog(text) => load::access_log(text, rules),
+    };
+    for entry in found {
+        match entry {
+            Ok(recorded) => println!("{recorded}"),
+            Err(skipped) => eprintln!("heathward: skipped {skipped}"),
+        }
+    }
+}
+
 async fn run(config: Config) -> std::io::Result<()> {
-    let Config { listen, discovery, seed, sockets, known, deployment, nvme } = config;
+    let Config { listen, discovery, seed, sockets, known, deployment, nvme, .. } = config;
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut report = signal(SignalKind::user_defined1())?;
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
@@ -78,6 +98,7 @@
         tokio::select! {
             _ = report.recv() => print(&core).await,
             _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
         }
     }
     // Nothing marks a change: whoever listens has it now, or is gone.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,12 +1,14 @@
-//! The program's configuration: the JSON file that `GW_CONFIG` names, and the one behind `--nvme`.
+//! The program's configuration: the JSON file that `GW_CONFIG` names, and those that its arguments name.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use miniserde::json::{self, Value};
 
 use super::discovery;
 use super::nvme::Map;
 use crate::core::News;
+use crate::load::Rules;
 use crate::settings::{Deployment, Named, Tree, Wrong};
 use crate::ListKind;
 
@@ -31,19 +33,41 @@
     pub deployment: Deployment,
     /// The NVMe front, where it is on.
     pub nvme: Option<Map>,
+    /// A source of load that is to be listed, not served, and its rules.
+    pub source: Option<(Source, Rules)>,
+}
+
+/// The text of a source of load, by its form.
+pub enum Source {
+    /// A HAR file.
+    Har(String),
+    /// An access log.
+    AccessLog(String),
 }
 
 /// Reads the file that the environment names, and the one that the arguments may.
 pub fn load(mut arguments: impl Iterator<Item = String>) -> Result<Config, Wrong> {
     let path = std::env::var("GW_CONFIG").map_err(|_| Wrong::missing("GW_CONFIG"))?;
     let mut config = parse(&read("GW_CONFIG", &path)?)?;
+    let (mut source, mut rules) = (None, None);
     while let Some(argument) = arguments.next() {
-        if argument != "--nvme" {
-            return Err(Wrong::value("argument", &argument));
+        let mut value = || arguments.next().ok_or_else(|| Wrong::missing(&argument));
+        match argument.as_str() {
+            "--nvme" => config.nvme = Some(Map::parse(&read("--nvme", &value()?)?, &config.deployment)?),
+            "--har" => source = Some(Source::Har(read("--har", &value()?)?)),
+            "--access-log" => source = Some(Source::AccessLog(read("--access-log", &value()?)?)),
+            "--rules" => rules = Some(read("--rules", &value()?)?),
+            _ => return Err(Wrong::value("argument", &argument)),
         }
-        let path = arguments.next().ok_or_else(|| Wrong::missing("--nvme FILE"))?;
-        config.nvme = Some(Map::parse(&read("--nvme", &path)?, &config.deployment)?);
     }
+    config.source = match (source, rules) {
+        (None, None) => None,
+        (None, Some(_)) => return Err(Wrong::missing("--har or --access-log")),
+        (Some(_), None) => return Err(Wrong::missing("--rules")),
+        (Some(source), Some(rules)) => {
+            Some((source, Rules::parse(&rules, Arc::new(config.deployment.clone()))?))
+        }
+    };
     Ok(config)
 }
 
@@ -80,5 +104,6 @@
         known: News { kind: ListKind::Saved, ..known },
         deployment,
         nvme: None,
+        source: None,
     })
 }
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -17,7 +17,7 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
-use tokio::time::Instant;
+use tokio::time::{sleep_until, timeout_at, Instant};
 use tower::{Service, ServiceExt};
 
 use super::{decode, retry_after, Bad, BODY_LIMIT};
@@ -27,6 +27,9 @@
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// A client has so long to bring the body that its head has announced: one that stops would hold a place.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
 /// The platform's front as a tower service.
 #[derive(Clone)]
 pub struct Front {
@@ -46,7 +49,8 @@
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
-        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+        let body = timeout_at(Instant::now() + BODY_TIME, Limited::new(body, BODY_LIMIT).collect()).await;
+        let Ok(Ok(body)) = body else {
             return self.bad(Bad("body"));
         };
         let call = match decode(&self.deployment, &head, body.to_bytes(), Instant::now()) {
@@ -113,7 +117,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(_) => {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                sleep_until(Instant::now() + ACCEPT_PAUSE).await;
                 continue;
             }
         };
--- a/tests/net/process.rs
+++ b/tests/net/process.rs
@@ -104,3 +104,17 @@
     child.wait().unwrap();
     assert!(line.contains("counters taken=0 malformed=0"), "{line}");
 }
+
+#[test]
+fn a_source_of_load_is_listed_and_what_was_skipped_is_said() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/examples");
+    let config = PathBuf::from(examples).join("config.json");
+    let (log, rules) = (format!("{examples}/access.log"), format!("{examples}/rules.json"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+    command.env("GW_CONFIG", config).args(["--access-log", &log, "--rules", &rules]);
+    let output = command.output().unwrap();
+    let (listed, said) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    assert!(output.status.success(), "{said}");
+    assert!(listed.lines().count() == 2 && listed.contains("write /pedido/0000000000000007/"), "{listed}");
+    assert!(said.lines().count() == 1 && said.contains("entry 3"), "{said}");
+}
