NVMe queues: end with the program, hold no more than their size, count what makes no sense

Seen by a new test: after SIGTERM the admin queue never closed (Queue::run in src/net/nvme/controller.rs was not woken when the last I/O queue ended), so that the program would have waited to its last moment. Also: a host that sent more writes than its queue holds made the front keep a transfer for each (Queue::io); such a queue now ends with a sequence error. Aborts at a time are bounded as Identify says. Malformed commands and PDUs are counted. A keyed repeat past its window has a test on sockets.

--- a/src/net/nvme/command.rs
+++ b/src/net/nvme/command.rs
@@ -281,6 +281,8 @@
     pub const LBA_RANGE: Self = Self::generic(0x80).last();
     /// The namespace can't be used yet.
     pub const NOT_READY: Self = Self::generic(0x82);
+    /// Too many aborts at a time.
+    pub const ABORT_LIMIT: Self = Self { kind: 1, ..Self::generic(0x03) };
     /// A Connect in a format that is not supported.
     pub const CONNECT_FORMAT: Self = Self { kind: 1, ..Self::generic(0x80) }.last();
     /// No controller is free.
--- a/src/net/nvme/controller.rs
+++ b/src/net/nvme/controller.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{abortable, AbortHandle, Aborted, BoxFuture};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
 use tokio::time::{sleep_until, timeout_at, Instant};
 use tower::Service;
 
@@ -49,6 +49,8 @@
     id: u16,
     host: String,
     state: Mutex<State>,
+    /// Tells the admin queue that an I/O queue has ended: at the program's end it waits for that.
+    ended: Notify,
 }
 
 #[derive(Default)]
@@ -76,7 +78,7 @@
         let mut controllers = lock(&self.controllers);
         let id = (1..LAST_ID).find(|id| !controllers.contains_key(id))?;
         let state = Mutex::new(State { keep_alive, ..State::default() });
-        let controller = Arc::new(Controller { id, host, state });
+        let controller = Arc::new(Controller { id, host, state, ended: Notify::new() });
         controllers.insert(id, controller.clone());
         Some(controller)
     }
@@ -183,6 +185,7 @@
     };
     if let Err(Broken::Fatal(fatal)) = queue.run(&mut stopping).await {
         // Commands that are open end with their queue; the host is told why.
+        queue.subsystem.core.malformed();
         queue.running.clear();
         let _ = timeout_at(Instant::now() + HANDSHAKE, queue.wire.terminate(fatal)).await;
     }
@@ -240,24 +243,24 @@
             }
             Role::Io { controller, queue } => {
                 lock(&controller.state).queues.remove(queue);
+                controller.ended.notify_one();
             }
         }
     }
 }
 
 impl Queue {
-    /// Carries the queue to its end. Commands beyond its size wait in the socket.
+    /// Carries the queue to its end.
     async fn run(&mut self, stopping: &mut watch::Receiver<bool>) -> Result<(), Broken> {
         loop {
             if *stopping.borrow_and_update() && self.done() {
                 return Ok(());
             }
-            let by = match &self.role {
-                Role::New { by, .. } => Some(*by),
-                Role::Admin { alive_by, .. } => *alive_by,
-                Role::Io { .. } => None,
+            let (by, others) = match &self.role {
+                Role::New { by, .. } => (Some(*by), None),
+                Role::Admin { alive_by, controller, .. } => (*alive_by, Some(controller.clone())),
+                Role::Io { .. } => (None, None),
             };
-            let room = self.running.len() < usize::from(self.size);
             tokio::select! {
                 biased;
                 Some(finished) = self.running.next(), if !self.running.is_empty() => {
@@ -271,8 +274,9 @@
                     // The controller is gone, or reset.
                     None => return Ok(()),
                 },
-                pdu = self.wire.next(), if room => self.take(pdu?).await?,
+                pdu = self.wire.next() => self.take(pdu?).await?,
                 () = sleep_until(by.unwrap_or_else(Instant::now)), if by.is_some() => return Ok(()),
+                () = another_ended(others.as_deref()) => {}
                 changed = stopping.changed() => changed.map_err(|_| Broken::Closed)?,
             }
         }
@@ -436,6 +440,7 @@
             }
             Body::SetFeatures { .. } | Body::PropertySet { .. } => Err(Status::INVALID_FIELD),
             Body::KeepAlive => Ok(0),
+            Body::Abort { .. } if self.aborts.len() >= identify::ABORTS => Err(Status::ABORT_LIMIT),
             Body::Abort { queue, cid: victim } => {
                 // Commands of the admin queue are over by the time that an abort of them comes.
                 let way = lock(&controller.state).queues.get(&queue).cloned();
@@ -467,6 +472,10 @@
             Body::Connect(_) => Err(Status::SEQUENCE),
             _ => Err(Status::INVALID_OPCODE),
         };
+        // Guards memory: a host that keeps to its queue's size never has as many open.
+        if self.open.len() >= usize::from(self.size) {
+            return Err(Broken::Fatal(Fatal::SEQUENCE));
+        }
         let begun = match (command.body, command.sgl, checked) {
             (_, _, Err(status)) => Err(status),
             (_, sgl, Ok(size)) if sgl.length() as usize != size => match sgl {
@@ -490,7 +499,10 @@
         };
         match begun {
             Ok(()) => Ok(()),
-            Err(status) => self.complete(cid, 0, status).await,
+            Err(status) => {
+                self.subsystem.core.malformed();
+                self.complete(cid, 0, status).await
+            }
         }
     }
 
@@ -608,3 +620,10 @@
         None => std::future::pending().await,
     }
 }
+
+async fn another_ended(controller: Option<&Controller>) {
+    match controller {
+        Some(controller) => controller.ended.notified().await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/net/nvme/identify.rs
+++ b/src/net/nvme/identify.rs
@@ -10,6 +10,8 @@
 const PAGE: usize = 4096;
 /// Data in a capsule at most.
 pub const IN_CAPSULE: usize = 8192;
+/// Aborts at a time at most.
+pub const ABORTS: usize = 4;
 /// Version 1.4 of the specification.
 pub const VERSION: u32 = 0x0001_0400;
 /// Delays are told in tenths of a second.
@@ -59,7 +61,7 @@
         put(128 + 2 * at, &delay.to_le_bytes());
     }
     // Aborts at a time, from 0.
-    put(258, &[3]);
+    put(258, &[ABORTS as u8 - 1]);
     // Keep-alive in steps of 100 ms.
     put(320, &u16::from(keep_alive).to_le_bytes());
     // Queue entries of 64 and 16 bytes.
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -83,6 +83,18 @@
     log.check_one_at_a_time();
 }
 
+/// The node's error comes after the window in which it would drop a repeat: there is none.
+#[tokio::test]
+async fn a_keyed_repeat_past_the_window_is_not_sent() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::LateError], &log).await;
+    let member = member("s0", node, 0, "in_service", 0);
+    let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member).replace("2500.0", "100.0");
+    let rig = rig_of(&text, None).await;
+    assert_eq!(rig.ask(&request("pedido", 5, 0, 1400, "w")).await.0, 502);
+    assert_eq!((log.all().len(), rig.counters().await.sent), (1, 1));
+}
+
 /// Guards against taking a connection that broke under a request for one that had carried it, and the other
 /// way round: whether the last byte was written decides.
 #[tokio::test]
--- a/tests/net/nvme.rs
+++ b/tests/net/nvme.rs
@@ -45,7 +45,7 @@
     rig: Rig,
     log: Log,
     address: SocketAddr,
-    _stop: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
     _kept: tokio::net::TcpSocket,
 }
 
@@ -67,7 +67,7 @@
     let (listener, address) = listen().await;
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(serve(listener, subsystem, 16, stopping));
-    Mixed { rig, log, address, _stop: stop, _kept: kept }
+    Mixed { rig, log, address, stop, _kept: kept }
 }
 
 /// A target that keeps what is written to it. The call's id is not on this wire; the block stands for it.
@@ -168,7 +168,7 @@
             data.resize(size, 0);
             Some((Status::SUCCESS, Some(Pdu::C2hData { cid, offset: 0, last: true, data: data.freeze() })))
         }
-        Does::Error => Some((Status::INTERNAL, None)),
+        Does::Error | Does::LateError => Some((Status::INTERNAL, None)),
         Does::Reject => Some((Status::NOT_READY, None)),
         Does::Silent => {
             // Until the scheduler closes.
@@ -494,6 +494,39 @@
     assert!(timeout(PATIENCE, admin.next()).await.expect("in time").is_err());
 }
 
+/// At the program's end a queue closes once its commands are answered, an idle one at once.
+#[tokio::test]
+async fn after_sigterm_queues_close_as_soon_as_nothing_is_open() {
+    let mixed = mixed(&[Does::Silent], 0).await;
+    let (mut idle, mut busy) = (Host::connect(mixed.address).await, Host::connect(mixed.address).await);
+    let (body, sgl) = read_of(1, 256, SMALL);
+    busy.io.send(&[capsule(3, body, sgl, Bytes::new())]).await.unwrap();
+    mixed.rig.until(|c| c.sent == 1).await;
+    mixed.stop.send_replace(true);
+    assert!(timeout(PATIENCE, idle.io.next()).await.expect("in time").is_err());
+    assert_eq!(mixed.rig.counters().await.refused, 0, "the other still waits");
+    let status = finish(&mut busy.io, 3, Bytes::new()).await.0.status;
+    assert_eq!(Status { delay: 0, ..status }, Status::INTERRUPTED);
+    for queue in [&mut busy.io, &mut busy.admin, &mut idle.admin] {
+        assert!(timeout(PATIENCE, queue.next()).await.expect("in time").is_err());
+    }
+}
+
+/// Guards memory against a host that does not keep to its queue's size.
+#[tokio::test]
+async fn more_commands_than_the_queue_holds_end_it() {
+    let mixed = mixed(&[Does::Silent], 0).await;
+    let mut host = Host::connect(mixed.address).await;
+    let asks: Vec<Pdu> =
+        (0..33).map(|cid| capsule(cid, WRITE, Sgl::Transport { length: 512 }, Bytes::new())).collect();
+    host.io.send(&asks).await.unwrap();
+    for _ in 0..32 {
+        assert!(matches!(next_pdu(&mut host.io).await, Pdu::R2t { .. }));
+    }
+    let Pdu::TermReq { fatal, .. } = next_pdu(&mut host.io).await else { panic!("no reason") };
+    assert_eq!((fatal, mixed.rig.until(|c| c.malformed == 1).await.taken), (Fatal::SEQUENCE, 0));
+}
+
 /// Malformed PDUs end the connection with the reason; the front goes on for others.
 #[rstest]
 #[case::no_ic(true, vec![4, 0, 72, 0, 72, 0, 0, 0], 72, Fatal::SEQUENCE)]
--- a/tests/net/support.rs
+++ b/tests/net/support.rs
@@ -55,12 +55,17 @@
     )
 }
 
+/// How late [`Does::LateError`] is.
+pub const LATE: Duration = Duration::from_millis(200);
+
 /// What a node does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Does {
     Serve,
     ServeThenClose,
     Error,
+    /// An error after [`LATE`].
+    LateError,
     Reject,
     /// Reads it all and never answers.
     Silent,
@@ -190,9 +195,12 @@
         let Some((small, head, body)) = read_message(&mut stream).await else { return };
         let call = header(&small, "x-call-id").unwrap().to_owned();
         log.note(number, &head, &call, &body);
+        if does == Does::LateError {
+            sleep(LATE).await;
+        }
         let answer = match does {
             Does::Serve | Does::ServeThenClose => "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
-            Does::Error => "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
+            Does::Error | Does::LateError => "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
             Does::Reject => "HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
             Does::Cut => "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
             Does::Silent => {
@@ -220,8 +228,11 @@
 }
 
 pub async fn rig(members: &[String], nvme: Option<Arc<Map>>) -> Rig {
-    let text = config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(","));
-    let Config { seed, known, deployment, .. } = config::parse(&text).unwrap();
+    rig_of(&config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(",")), nvme).await
+}
+
+pub async fn rig_of(text: &str, nvme: Option<Arc<Map>>) -> Rig {
+    let Config { seed, known, deployment, .. } = config::parse(text).unwrap();
     let deployment = Arc::new(deployment);
     let pool = Pool::new(deployment.idle, 64, 4);
     let connect = Duration::from_micros(deployment.connect);
