--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,11 @@
-//! heathward makes the decisions of a host-side I/O scheduler for a shared disk pool.
+//! heathward is a host-side I/O scheduler for a shared disk pool: its decisions, and the program round them.
 //!
-//! A host hands it [`Event`]s with the current time; it answers with [`Action`]s. It does no I/O, reads no
-//! clock, starts no thread and keeps no global state. All decisions are in `src/choice.rs`; the types that
-//! cross its border are in `src/api.rs`.
+//! The decision module is [`Scheduler`]: a host hands it [`Event`]s with the current time; it answers with
+//! [`Action`]s. It does no I/O, reads no clock, starts no thread and keeps no global state. All decisions
+//! are in `src/choice.rs`; the types that cross its border are in `src/api.rs`.
+//!
+//! Round it, [`core`] drives the module for real requests, [`net`] has the wires, [`load`] reads recorded
+//! requests, and [`settings`] reads what a deployment says.
 //!
 //! ```
 //! use heathward::*;
--- a/src/net/http/decode.rs
+++ b/src/net/http/decode.rs
@@ -85,7 +85,7 @@
     for pair in value.split(',') {
         let (name, value) = pair.trim().split_once('=')?;
         match name {
-            "units" => units = Some(value.parse().ok()?),
+            "units" => units = Some(value.parse().ok().filter(|units| *units > 0)?),
             "shard" => shard = Some(value.parse::<i64>().ok()?),
             "hosts" => hosts = Some(value.parse().ok()?),
             _ => {}
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -217,6 +217,7 @@
 #[case::budget(("X-Budget-Ms: 900", "X-Budget-Ms: soon"))]
 #[case::no_id(("X-Call-Id: 0000000000000001\r\n", ""))]
 #[case::io(("units=2", "units=-2"))]
+#[case::no_units(("units=2", "units=0"))]
 #[case::shard(("shard=0", "shard=99999999999"))]
 #[case::method(("GET", "DELETE"))]
 #[tokio::test]
