Say where the NVMe front listens, test that the program turns it on; always tell keep-alive support

Seen in review: Identify told keep-alive support only to hosts that had asked for it at Connect, so that no host could learn of it first (src/net/nvme/identify.rs, controller).

--- a/src/main.rs
+++ b/src/main.rs
@@ -88,6 +88,7 @@
     let most = sockets - sockets / 2 - sockets / 8;
     if let Some(map) = nvme {
         let listener = TcpListener::bind(map.listen).await?;
+        eprintln!("heathward: NVMe front listening on {}", listener.local_addr()?);
         let subsystem = Subsystem::new(map, deployment.clone(), core.clone(), seed);
         // The spare eighth, but for what the program itself needs.
         tokio::spawn(nvme::serve(listener, subsystem, sockets / 8 - sockets / 32, stopping.clone()));
--- a/src/net/nvme/controller.rs
+++ b/src/net/nvme/controller.rs
@@ -56,7 +56,6 @@
 #[derive(Default)]
 struct State {
     configuration: u32,
-    keep_alive: bool,
     /// The ways to its I/O queues; a queue whose way is dropped ends.
     queues: HashMap<u16, mpsc::Sender<AbortOne>>,
 }
@@ -74,10 +73,10 @@
     }
 
     /// A new controller for a host; `None` if no id is free.
-    fn controller(&self, host: String, keep_alive: bool) -> Option<Arc<Controller>> {
+    fn controller(&self, host: String) -> Option<Arc<Controller>> {
         let mut controllers = lock(&self.controllers);
         let id = (1..LAST_ID).find(|id| !controllers.contains_key(id))?;
-        let state = Mutex::new(State { keep_alive, ..State::default() });
+        let state = Mutex::default();
         let controller = Arc::new(Controller { id, host, state, ended: Notify::new() });
         controllers.insert(id, controller.clone());
         Some(controller)
@@ -371,7 +370,7 @@
             if names.controller != ANY {
                 return Err(Status::CONNECT_PARAMETER);
             }
-            let controller = self.subsystem.controller(names.host, keep_alive > 0);
+            let controller = self.subsystem.controller(names.host);
             let controller = controller.ok_or(Status::CONNECT_BUSY)?;
             let keep_alive = Duration::from_millis(keep_alive.into());
             let alive_by = (!keep_alive.is_zero()).then(|| Instant::now() + keep_alive);
@@ -415,10 +414,7 @@
                         let namespace = map.namespace(nsid).ok_or(Status::INVALID_NAMESPACE);
                         namespace.map(|namespace| identify::namespace(&map, namespace))
                     }
-                    1 => {
-                        let keep_alive = lock(&controller.state).keep_alive;
-                        Ok(identify::controller(&map, controller.id, self.subsystem.delays(), keep_alive))
-                    }
+                    1 => Ok(identify::controller(&map, controller.id, self.subsystem.delays())),
                     2 if nsid < 0xffff_fffe => Ok(identify::active(&map, nsid)),
                     2 => Err(Status::INVALID_NAMESPACE),
                     _ => Err(Status::INVALID_FIELD),
--- a/src/net/nvme/identify.rs
+++ b/src/net/nvme/identify.rs
@@ -45,7 +45,7 @@
 }
 
 /// The controller.
-pub fn controller(map: &Map, id: u16, delays: [u16; 3], keep_alive: bool) -> Bytes {
+pub fn controller(map: &Map, id: u16, delays: [u16; 3]) -> Bytes {
     let mut page = BytesMut::zeroed(PAGE);
     let mut put = |at: usize, value: &[u8]| page[at..at + value.len()].copy_from_slice(value);
     put(4, b"0                   ");
@@ -63,7 +63,7 @@
     // Aborts at a time, from 0.
     put(258, &[ABORTS as u8 - 1]);
     // Keep-alive in steps of 100 ms.
-    put(320, &u16::from(keep_alive).to_le_bytes());
+    put(320, &1u16.to_le_bytes());
     // Queue entries of 64 and 16 bytes.
     put(512, &[0x66, 0x44]);
     put(514, &map.depth.to_le_bytes());
--- a/tests/net/process.rs
+++ b/tests/net/process.rs
@@ -6,10 +6,11 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 
+use heathward::net::nvme::{Pdu, Wire};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::support::*;
 
@@ -28,10 +29,35 @@
 /// Waits for the line that says where it listens.
 fn listening(mut child: Child) -> (Child, BufReader<ChildStderr>, SocketAddr) {
     let mut lines = BufReader::new(child.stderr.take().unwrap());
+    let address = told(&mut lines, "heathward: listening on ");
+    (child, lines, address)
+}
+
+fn told(lines: &mut impl BufRead, what: &str) -> SocketAddr {
     let mut line = String::new();
     lines.read_line(&mut line).unwrap();
-    let address = line.trim().strip_prefix("heathward: listening on ").expect(&line).parse().unwrap();
-    (child, lines, address)
+    line.trim().strip_prefix(what).expect(&line).parse().unwrap()
+}
+
+/// The NVMe front is off unless the program is pointed at its file.
+#[tokio::test]
+async fn the_second_front_listens_where_its_file_says() {
+    let config = file("nvme-config", &config_text("127.0.0.1:0", "127.0.0.1:1", ""));
+    let (mut off, ..) = listening(start(&config, &[]));
+    off.kill().unwrap();
+    let map = include_str!("../../deploy/nvme.json").replace("127.0.0.1:4420", "127.0.0.1:0");
+    let map = file("nvme-map", &map);
+    let mut child = start(&config, &["--nvme", map.to_str().unwrap()]);
+    let mut lines = BufReader::new(child.stderr.take().unwrap());
+    let address = told(&mut lines, "heathward: NVMe front listening on ");
+    let mut wire = Wire::new(TcpStream::connect(address).await.unwrap()).unwrap();
+    wire.send(&[Pdu::IcReq { pfv: 0, hpda: 0, digests: 3, max_r2t: 0 }]).await.unwrap();
+    let answer = timeout(PATIENCE, wire.next()).await.expect("in time").unwrap();
+    child.kill().unwrap();
+    for mut child in [off, child] {
+        child.wait().unwrap();
+    }
+    assert!(matches!(answer, Pdu::IcResp { digests: 0, .. }), "{answer:?}");
 }
 
 #[rstest]
