--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
 /// Span in seconds over which a volume's use is averaged: shows a surge, not a second's chance; 4 did worse.
 const USE_SPAN: f64 = 2.0;
 /// Attempts in a row that time out, and periods without a word, after which a node is silent and not paused.
-const SILENT: (u32, u64) = (3, 8);
+const SILENT: (u32, u64) = (3, 7);
 /// Length of a turn at a cold node in windows of its rule, one of them lost, and the part of a window that
 /// stays free at each end for clocks and ways that differ.
 const COLD_SLOT: Micros = 4;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -299,7 +299,7 @@
 /// Incident ie1244d: the same single attempts made hosts take well nodes for restarted ones.
 #[test]
 fn one_time_out_is_no_silence_but_three_in_a_row_are() {
-    // The last: a pause shorter than 8 periods makes a burst of three time out together, and is none either.
+    // The last: a pause shorter than 7 periods makes a burst of three time out together, and is none either.
     for (lost, after, warm) in [(1, 1_300_000, true), (3, 1_300_000, false), (3, 600_000, true)] {
         let mut set = settings();
         set.cold_units = 4.0;
