--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use heathward::load::{self, Rules};
 use heathward::net::config::{self, Config, Source};
 use heathward::net::discovery;
-use heathward::net::http::{self, Front};
+use heathward::net::http::{self, Front, Room};
 use heathward::net::node::{self, HttpLink, Pool};
 use heathward::net::nvme::{self, Map, NvmeLink, Subsystem};
 use tokio::net::TcpListener;
@@ -93,7 +93,7 @@
         // The spare eighth, but for what the program itself needs.
         tokio::spawn(nvme::serve(listener, subsystem, sockets / 8 - sockets / 32, stopping.clone()));
     }
-    tokio::spawn(http::serve(listener, front, most, stopping));
+    tokio::spawn(http::serve(listener, front, Room::new(most), stopping));
     eprintln!("heathward: listening on {address}");
     loop {
         tokio::select! {
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -1,7 +1,9 @@
 //! The front's server: connections, the service on them, and the end after SIGTERM.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -9,26 +11,30 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout_at, Instant};
 use tower::{Service, ServiceExt};
 
-use super::{decode, retry_after, Bad, BODY_LIMIT};
+use super::room::{Guest, Phase, Room, Seat};
+use super::{decode, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT};
 use crate::core::{Answer, Core};
 use crate::settings::Deployment;
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// A client has so long to bring the body that its head has announced: one that stops would hold a place.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// What a client is told whose request does not come to its end in time.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Bytes that are thrown away at a time of what comes after the last answer.
+const WASTE: usize = 64 * 1024;
 
 /// The platform's front as a tower service.
 #[derive(Clone)]
@@ -43,19 +49,30 @@
         Self { core, deployment }
     }
 
-    async fn answer(mut self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Answers a request whose last byte must have come at `by`.
+    async fn answer(mut self, request: Request<Incoming>, by: Instant) -> Response<Full<Bytes>> {
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
             let ready = self.core.status().ready;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
-        let body = timeout_at(Instant::now() + BODY_TIME, Limited::new(body, BODY_LIMIT).collect()).await;
-        let Ok(Ok(body)) = body else {
-            return self.bad(Bad("body"));
+        // A body with two lengths may hide another request. Clients here tell the length, so that none needs
+        // the other way; and of two that stand in the head, hyper may show only one.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return self.refuse(StatusCode::LENGTH_REQUIRED, "transfer-encoding");
+        }
+        // Told from its length, before any of it is read.
+        if body.size_hint().lower() > BODY_LIMIT as u64 {
+            return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body");
+        }
+        let body = match timeout_at(by, Limited::new(body, BODY_LIMIT).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return self.refuse(StatusCode::BAD_REQUEST, "body"),
+            Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "body"),
         };
-        let call = match decode(&self.deployment, &head, body.to_bytes(), Instant::now()) {
+        let call = match decode(&self.deployment, &head, body, Instant::now()) {
             Ok(call) => call,
-            Err(bad) => return self.bad(bad),
+            Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
         };
         let answer = match self.core.ready().await {
             Ok(core) => core.call(call).await,
@@ -64,9 +81,12 @@
         encode(answer.unwrap_or(Answer::Failed { ran: true, late: false }))
     }
 
-    fn bad(&self, Bad(part): Bad) -> Response<Full<Bytes>> {
+    /// Turns away what makes no sense. What else comes on that connection can't be trusted either.
+    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<Full<Bytes>> {
         self.core.malformed();
-        plain(StatusCode::BAD_REQUEST, part)
+        let mut response = plain(status, part);
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        response
     }
 }
 
@@ -88,11 +108,18 @@
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("text/plain"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
-impl Service<Request<Incoming>> for Front {
+/// The front as one connection sees it.
+#[derive(Clone)]
+struct Visit {
+    front: Front,
+    guest: Arc<Guest>,
+}
+
+impl Service<Request<Incoming>> for Visit {
     type Response = Response<Full<Bytes>>;
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
@@ -102,18 +129,20 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.answer(request).await) })
+        let Self { front, guest } = self.clone();
+        let by = guest.begin();
+        Box::pin(async move {
+            let answer = front.answer(request, by).await;
+            guest.enter(Phase::Idle(Instant::now()));
+            Ok(answer)
+        })
     }
 }
 
-/// Accepts connections, at most `most` at a time, until the task is dropped. Once `stopping` turns true,
-/// connections are closed between requests, and new ones carry a single request.
-pub async fn serve(listener: TcpListener, front: Front, most: usize, stopping: watch::Receiver<bool>) {
-    let room = Arc::new(Semaphore::new(most));
+/// Accepts connections until the task is dropped. Once `stopping` turns true, connections are closed between
+/// requests, and new ones carry a single request.
+pub async fn serve(listener: TcpListener, front: Front, room: Room, stopping: watch::Receiver<bool>) {
     loop {
-        // Waits here while all are taken: the backlog keeps what comes meanwhile.
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(_) => {
@@ -121,33 +150,129 @@
                 continue;
             }
         };
-        let (front, stopping) = (front.clone(), stopping.clone());
-        tokio::spawn(async move {
-            carry(stream, front, stopping).await;
-            drop(permit);
-        });
+        // With none to spare, the newcomer's connection is closed at once.
+        if let Some(seat) = room.enter(Instant::now()) {
+            tokio::spawn(carry(stream, front.clone(), seat, stopping.clone()));
+        }
     }
 }
 
-async fn carry(stream: TcpStream, front: Front, mut stopping: watch::Receiver<bool>) {
+/// How a connection's requests came to an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Over {
+    /// By what passed on it.
+    Done,
+    /// Its time in a phase is over.
+    Overdue,
+    /// It has to make way.
+    Leave,
+    /// The program ends.
+    Stop,
+}
+
+async fn carry(stream: TcpStream, front: Front, seat: Seat, mut stopping: watch::Receiver<bool>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let last = *stopping.borrow_and_update();
+    let guest = seat.guest.clone();
+    let mut last = *stopping.borrow_and_update();
+    let io = TokioIo::new(Heard { stream, guest: guest.clone() });
+    let visit = TowerToHyperService::new(Visit { front, guest: guest.clone() });
     let mut builder = http1::Builder::new();
-    builder.keep_alive(!last);
-    let connection = builder.serve_connection(TokioIo::new(stream), TowerToHyperService::new(front));
-    let mut connection = pin!(connection);
-    tokio::select! {
-        // A client that breaks off ends its connection; what it asked is dropped, and the core hears of it.
-        _ = connection.as_mut() => return,
-        changed = stopping.changed(), if !last => {
-            if changed.is_err() {
+    builder.keep_alive(!last).max_buf_size(HEAD_LIMIT);
+    let mut connection = builder.serve_connection(io, visit);
+    loop {
+        let mut overdue = pin!(sleep_until(Instant::now()));
+        let mut leave = pin!(guest.leave.notified());
+        let mut stop = pin!(stopping.changed());
+        let over = poll_fn(|cx| {
+            // A client that breaks off ends its connection; what it asked is dropped, and the core hears of it.
+            if connection.poll_without_shutdown(cx).is_ready() {
+                return Poll::Ready(Over::Done);
+            }
+            if leave.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Over::Leave);
+            }
+            // A connection that nothing has come on yet is not closed: its first request may be on its way.
+            if !last && !matches!(guest.phase(), Phase::Silent(_)) && stop.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Over::Stop);
+            }
+            let Some(until) = guest.phase().until() else { return Poll::Pending };
+            if overdue.deadline() != until {
+                overdue.as_mut().reset(until);
+            }
+            overdue.as_mut().poll(cx).map(|()| Over::Overdue)
+        })
+        .await;
+        match over {
+            Over::Stop => {
+                last = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            Over::Done => break,
+            Over::Overdue if matches!(guest.phase(), Phase::Asking(_)) => {
+                let mut stream = connection.into_parts().io.into_inner().stream;
+                // A few bytes, of which nothing else has been written: they find room, or the client is gone.
+                if stream.try_write(TOO_SLOW).is_ok() {
+                    part(&mut stream, &guest).await;
+                }
                 return;
             }
+            Over::Overdue | Over::Leave => return,
+        }
+    }
+    part(&mut connection.into_parts().io.into_inner().stream, &guest).await;
+}
+
+/// Ends a connection so that its client can read what it was last told: says that no more comes, and takes in
+/// what is still on its way. A connection closed over unread bytes is reset, which may overtake the answer.
+async fn part(stream: &mut TcpStream, guest: &Guest) {
+    let phase = Phase::Parting(Instant::now());
+    guest.enter(phase);
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut waste = vec![0; WASTE];
+    let read = async { while stream.read(&mut waste).await.is_ok_and(|size| size > 0) {} };
+    let by = phase.until().unwrap_or_else(Instant::now);
+    tokio::select! {
+        // Whether it has closed by then or not, it had its time.
+        _ = timeout_at(by, read) => {}
+        () = guest.leave.notified() => {}
+    }
+}
+
+/// A client's stream, which takes note that bytes have come.
+struct Heard {
+    stream: TcpStream,
+    guest: Arc<Guest>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.guest.heard();
         }
+        polled
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
-    connection.as_mut().graceful_shutdown();
-    // As above.
-    let _ = connection.await;
 }
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -2,13 +2,18 @@
 
 mod decode;
 mod front;
+mod room;
 
 pub use decode::{decode, retry_after, Bad};
 pub use front::{serve, Front};
+pub use room::Room;
 
 /// No body holds more.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
+/// No head holds more.
+pub const HEAD_LIMIT: usize = 16 * 1024;
+
 /// Names of headers, as clients and storage nodes know them.
 pub mod headers {
     /// The request's id.
--- /dev/null
+++ b/src/net/http/room.rs
@@ -0,0 +1,166 @@
+//! Who is connected: what each connection is at, until when it may stay there, and who makes way for a newcomer.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A request's last byte comes this long after its client has connected, or after its first byte on a
+/// connection that has carried others. Clients that do not keep to it are owed an end within 3 s.
+const REQUEST: Duration = Duration::from_millis(2500);
+/// A connection without a request is kept so long, and for the second time as long as all find room.
+const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
+/// A client that has been answered for the last time may take so long to read that and close.
+const PARTING: Duration = Duration::from_secs(1);
+/// Whoever connects to ask has begun to by then: before, silence is no sign of one who never will.
+const SETTLED: Duration = Duration::from_millis(50);
+/// The same for a request that has begun and does not end.
+const DRAGGING: Duration = Duration::from_millis(700);
+
+/// What a connection is at, and since when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing has come yet.
+    Silent(Instant),
+    /// A request is coming.
+    Asking(Instant),
+    /// A request is being worked on.
+    Busy(Instant),
+    /// Between requests.
+    Idle(Instant),
+    /// The last answer is given; the client reads it.
+    Parting(Instant),
+}
+
+impl Phase {
+    /// When it ends at the latest; an answer has its own deadline.
+    pub fn until(self) -> Option<Instant> {
+        match self {
+            Self::Silent(since) | Self::Asking(since) => Some(since + REQUEST),
+            Self::Busy(_) => None,
+            Self::Idle(since) => Some(since + IDLE.1),
+            Self::Parting(since) => Some(since + PARTING),
+        }
+    }
+
+    /// How dispensable a connection in this phase is, the least of all first; `None` if it stays.
+    fn dispensable(self, now: Instant) -> Option<(u8, Instant)> {
+        let (rank, since, after) = match self {
+            Self::Parting(since) => (0, since, SETTLED),
+            // Its client just opens another; the first request of a silent one may be on its way.
+            Self::Idle(since) => (1, since, IDLE.0),
+            Self::Silent(since) => (2, since, SETTLED),
+            Self::Asking(since) => (3, since, DRAGGING),
+            Self::Busy(_) => return None,
+        };
+        (now.saturating_duration_since(since) >= after).then_some((rank, since))
+    }
+}
+
+/// One connection's entry.
+#[derive(Debug)]
+pub struct Guest {
+    phase: Mutex<Phase>,
+    /// Told when it has to make way.
+    pub leave: Notify,
+}
+
+/// Nobody panics while holding one of these locks for a look-up.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Guest {
+    /// What it is at.
+    pub fn phase(&self) -> Phase {
+        *lock(&self.phase)
+    }
+
+    /// It is at that from now on.
+    pub fn enter(&self, phase: Phase) {
+        *lock(&self.phase) = phase;
+    }
+
+    /// Bytes have come. The first request is timed from its connection on.
+    pub fn heard(&self) {
+        let mut phase = lock(&self.phase);
+        match *phase {
+            Phase::Silent(since) => *phase = Phase::Asking(since),
+            Phase::Idle(_) => *phase = Phase::Asking(Instant::now()),
+            Phase::Asking(_) | Phase::Busy(_) | Phase::Parting(_) => {}
+        }
+    }
+
+    /// A request's head is there; gives back when the rest must be.
+    pub fn begin(&self) -> Instant {
+        let mut phase = lock(&self.phase);
+        let since = match *phase {
+            Phase::Silent(since) | Phase::Asking(since) => since,
+            _ => Instant::now(),
+        };
+        *phase = Phase::Busy(since);
+        since + REQUEST
+    }
+}
+
+#[derive(Debug, Default)]
+struct Seats {
+    next: u64,
+    taken: BTreeMap<u64, Arc<Guest>>,
+}
+
+/// The connections that the front holds. It never stops taking new ones: when it is full, the one that can
+/// best be spared makes way, so that those who hold a connection and say nothing keep nobody out.
+#[derive(Clone, Debug)]
+pub struct Room {
+    most: Arc<AtomicUsize>,
+    seats: Arc<Mutex<Seats>>,
+}
+
+/// A place in the room, free again once dropped.
+#[derive(Debug)]
+pub struct Seat {
+    room: Room,
+    number: u64,
+    /// Its entry.
+    pub guest: Arc<Guest>,
+}
+
+impl Room {
+    /// A room for so many.
+    pub fn new(most: usize) -> Self {
+        Self { most: Arc::new(AtomicUsize::new(most)), seats: Arc::default() }
+    }
+
+    /// From now on it is for so many; who is there stays.
+    pub fn resize(&self, most: usize) {
+        self.most.store(most, Ordering::Relaxed);
+    }
+
+    /// A place for a newcomer; `None` if all are taken by those who can't be spared.
+    pub fn enter(&self, now: Instant) -> Option<Seat> {
+        let mut seats = lock(&self.seats);
+        if seats.taken.len() >= self.most.load(Ordering::Relaxed) {
+            let spared =
+                |(number, guest): (&u64, &Arc<Guest>)| Some((guest.phase().dispensable(now)?, *number));
+            let (_, number) = seats.taken.iter().filter_map(spared).min()?;
+            if let Some(guest) = seats.taken.remove(&number) {
+                guest.leave.notify_one();
+            }
+        }
+        let number = seats.next;
+        seats.next += 1;
+        let guest = Arc::new(Guest { phase: Mutex::new(Phase::Silent(now)), leave: Notify::new() });
+        seats.taken.insert(number, guest.clone());
+        Some(Seat { room: self.clone(), number, guest })
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        lock(&self.room.seats).taken.remove(&self.number);
+    }
+}
