--- a/src/api.rs
+++ b/src/api.rs
@@ -181,6 +181,11 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// Length of the design's period: half of the shortest aim.
+    pub(crate) fn period(&self) -> Micros {
+        (self.classes.iter().map(|c| c.aim).min().unwrap_or(2) / 2).max(1)
+    }
+
     /// Refuses settings that make no sense.
     pub fn check(&self) -> Result<(), SettingsError> {
         let sound = |x: &f64| x.is_finite() && *x >= 0.0;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,7 +40,7 @@
 const PRIOR_GAIN: f64 = 0.2;
 /// Units a second of a volume's share, in usual rates of its weight; .5, 1 and 2 are alike within noise.
 const SHARE_RATES: f64 = 0.5;
-/// Largest requests that the stores of all a volume's hosts hold together; 2 and 6 did no better.
+/// Largest requests in the stores of all a volume's hosts together; 2 and 6 did no better.
 const BURST_PART: f64 = 1.5;
 /// Span in seconds over which a volume's use is averaged: shows a surge, not a second's chance; 4 did worse.
 const USE_SPAN: f64 = 2.0;
@@ -93,7 +93,7 @@
     /// A scheduler for one host; `seed` is its only source of chance.
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
-        let period = (set.classes.iter().map(|c| c.aim).min().unwrap_or(2) / 2).max(1);
+        let period = set.period();
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
             period,
@@ -114,6 +114,14 @@
         })
     }
 
+    /// Goes on with other settings, or with the old ones where these make no sense. Classes and plans keep
+    /// their places; what is open keeps the times that it was given.
+    pub fn resettle(&mut self, set: Settings) -> Result<(), SettingsError> {
+        set.check()?;
+        (self.period, self.set) = (set.period(), set);
+        Ok(())
+    }
+
     /// Takes one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.born.is_none() {
@@ -159,8 +167,7 @@
         }
     }
 
-    /// Forgets volumes and nodes that are neither open, listed nor recent. A volume's limit stays
-    /// until its store is full again, so that none is given back.
+    /// Forgets volumes and nodes neither open, listed nor recent; a volume's limit once its store is full.
     fn sweep(&mut self, now: Micros) {
         let old = now.saturating_sub(LOOKBACK);
         self.volumes.retain(|_, v| {
@@ -173,8 +180,7 @@
 
     // ---- Periods -------------------------------------------------------------------------------------
 
-    /// Closes the periods of a node that have passed since it was last touched. Beyond those that count as
-    /// recent and the idle cut, empty ones have nothing to tell.
+    /// Closes a node's periods that have passed; empty ones past the recent and the idle cut tell nothing.
     fn close_periods(&mut self, now: Micros, node_id: NodeId) {
         let Some(node) = self.nodes.get_mut(&node_id) else { return };
         let (mean, period) = (self.set.mean_units, self.period);
@@ -453,16 +459,12 @@
         }
     }
 
-    /// Gives the turn to the first of an ordered key, once the key has rested.
     fn next_in_line(&mut self, now: Micros, key: KeyId, out: &mut Vec<Action>) {
         let Some((line, rest)) = self.lines.queues.get(&key) else { return };
         if *rest > now {
             return;
         }
-        let Some(&id) = line.front() else {
-            self.lines.queues.remove(&key);
-            return;
-        };
+        let Some(&id) = line.front() else { return drop(self.lines.queues.remove(&key)) };
         if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.stage == Stage::InLine) {
             job.stage = Stage::Held(None);
             self.admit(now, id, out);
@@ -796,7 +798,6 @@
         self.held.loose.remove(&place);
     }
 
-    /// Drops what is answered and has nothing out; the next of its key gets the turn.
     fn drop_if_done(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         if job.stage != Stage::Over {
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,6 +1,6 @@
 //! The module's actor: drives it as the adapter does, and sees to it that each call gets one answer.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::{Answer, Attempt, Call, Clock, Counters, Ended, Member, News};
-use crate::settings::Deployment;
+use crate::settings::{Deployment, Wrong};
 use crate::*;
 
 /// Messages that wait for the module's actor at most; whoever brings more waits.
@@ -25,6 +25,10 @@
 /// The module's clock counts whole microseconds: its deadline may come this much before the call's.
 const ROUNDING: Duration = Duration::from_millis(1);
 
+/// A node that is no longer listed keeps its number for so long: one that comes back is the same to the
+/// module, which forgets it as late.
+const FORGET: Duration = Duration::from_secs(60);
+
 /// What the module's actor is told.
 pub enum Message {
     /// A front has taken a request.
@@ -44,6 +48,8 @@
     Ended(Ended),
     /// Discovery has news.
     News(News),
+    /// The deployment's settings have changed; the reply says whether they stand.
+    Settings(Arc<Deployment>, oneshot::Sender<Result<(), Wrong>>),
     /// Somebody asks for the counters.
     Report(oneshot::Sender<Counters>),
 }
@@ -78,6 +84,7 @@
     mailbox: mpsc::Sender<Message>,
     next: Arc<AtomicU64>,
     status: watch::Receiver<Status>,
+    deployment: watch::Receiver<Arc<Deployment>>,
 }
 
 impl Core {
@@ -91,6 +98,19 @@
         *self.status.borrow()
     }
 
+    /// The settings as they stand now.
+    pub fn deployment(&self) -> Arc<Deployment> {
+        self.deployment.borrow().clone()
+    }
+
+    /// Goes on with other settings, or with the old ones where these make no sense.
+    pub async fn settle(&self, deployment: Arc<Deployment>) -> Result<(), Wrong> {
+        let gone = || Wrong { field: "settings".to_owned(), why: Gone.to_string() };
+        let (reply, answer) = oneshot::channel();
+        self.mailbox.send(Message::Settings(deployment, reply)).await.map_err(|_| gone())?;
+        answer.await.unwrap_or_else(|_| Err(gone()))
+    }
+
     /// Counts a request that a front turned away.
     pub fn malformed(&self) {
         // Only a count: not worth waiting for when the mailbox is full.
@@ -149,6 +169,7 @@
     let scheduler = Scheduler::new(deployment.settings.clone(), seed)?;
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (status, watched) = watch::channel(Status::default());
+    let (deployment, settings) = watch::channel(deployment);
     let actor = Actor {
         scheduler,
         deployment,
@@ -161,12 +182,14 @@
         wakes: BTreeSet::new(),
         events: VecDeque::new(),
         ids: HashMap::new(),
-        nodes: Vec::new(),
+        nodes: BTreeMap::new(),
+        next: 0,
+        revision: 0,
         zones: Vec::new(),
         counters: Counters::default(),
     };
     tokio::spawn(actor.run(messages));
-    Ok(Core { mailbox, next: Arc::new(AtomicU64::new(1)), status: watched })
+    Ok(Core { mailbox, next: Arc::new(AtomicU64::new(1)), status: watched, deployment: settings })
 }
 
 /// A request that owes an answer, or whose attempt is still out.
@@ -185,11 +208,16 @@
     member: Member,
     /// `None` once the list has dropped the node.
     mailbox: Option<mpsc::Sender<Attempt>>,
+    /// When it was last listed.
+    listed: Instant,
+    /// The list's version that told of it last, and the one that told that it drains or is gone.
+    revision: u64,
+    drained: Option<u64>,
 }
 
 struct Actor {
     scheduler: Scheduler,
-    deployment: Arc<Deployment>,
+    deployment: watch::Sender<Arc<Deployment>>,
     clock: Clock,
     dial: Dial,
     mailbox: mpsc::WeakSender<Message>,
@@ -201,7 +229,11 @@
     /// Events that the module's own actions have brought about.
     events: VecDeque<Event>,
     ids: HashMap<Box<str>, NodeId>,
-    nodes: Vec<Node>,
+    nodes: BTreeMap<NodeId, Node>,
+    /// Number of the next new node.
+    next: u32,
+    /// The list's version.
+    revision: u64,
     zones: Vec<Box<str>>,
     counters: Counters,
 }
@@ -237,6 +269,10 @@
             Message::Malformed => self.counters.malformed += 1,
             Message::Ended(ended) => self.ended(ended),
             Message::News(news) => self.news(news),
+            Message::Settings(deployment, reply) => {
+                // Whoever asked may have left.
+                let _ = reply.send(self.resettle(deployment));
+            }
             Message::Report(reply) => {
                 // Whoever asked may have left.
                 let _ = reply.send(self.counters.clone());
@@ -310,7 +346,7 @@
             // Discovery's actor follows the list by itself, whatever the mode.
             Action::Subscribe => {}
             Action::Log { text, node } => {
-                let node = node.and_then(|n| self.nodes.get(n.0 as usize)).map_or("", |n| &n.member.id);
+                let node = node.and_then(|n| self.nodes.get(&n)).map_or("", |n| &n.member.id);
                 eprintln!("heathward: {text} {node}");
             }
         }
@@ -342,14 +378,15 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         let number = open.sends;
         open.sends += 1;
-        let class = &self.deployment.settings.classes[open.call.class.0 as usize];
+        let deployment = self.deployment.borrow();
+        let class = &deployment.settings.classes[open.call.class.0 as usize];
         let mut until = give_up.map_or(open.call.deadline, |span| now + Duration::from_micros(span));
         until = until.min(open.call.deadline);
         if let (Some(ran), Effect::Keyed) = (open.ran, class.effect) {
             until = until.min(ran + Duration::from_micros(class.window));
         }
         let sound = open.reply.is_some() && open.out.is_none() && now < until;
-        let mailbox = self.nodes.get(node.0 as usize).and_then(|n| n.mailbox.as_ref());
+        let mailbox = self.nodes.get(&node).and_then(|n| n.mailbox.as_ref());
         let attempt = Attempt { request, number, node, until, work: open.call.work.clone() };
         if sound && mailbox.is_some_and(|mailbox| mailbox.try_send(attempt).is_ok()) {
             open.out = Some((number, now));
@@ -385,39 +422,84 @@
         self.feed(Event::Outcome(outcome));
     }
 
+    /// Open requests go by the places of their class and plan, so that these stay as they are.
+    fn resettle(&mut self, deployment: Arc<Deployment>) -> Result<(), Wrong> {
+        let old = self.deployment.borrow().clone();
+        let names =
+            |field: &str| Wrong { field: field.to_owned(), why: "names may only be added".to_owned() };
+        if !deployment.classes.starts_with(&old.classes) {
+            return Err(names("settings.lanes"));
+        }
+        if !deployment.plans.starts_with(&old.plans) {
+            return Err(names("settings.contracts"));
+        }
+        let resettled = self.scheduler.resettle(deployment.settings.clone());
+        resettled.map_err(|e| Wrong { field: "settings".to_owned(), why: e.to_string() })?;
+        self.deployment.send_replace(deployment);
+        Ok(())
+    }
+
     fn news(&mut self, news: News) {
+        let (revision, whole) = (news.revision, matches!(news.kind, ListKind::Whole | ListKind::Saved));
+        if news.kind == ListKind::Saved && revision < self.revision {
+            // A list that was saved before what discovery has told since.
+            return;
+        }
+        self.revision = revision;
         self.counters.lists += 1;
         let mut listed = BTreeSet::new();
         let mut entries = Vec::new();
         for member in news.members {
-            let entry = self.entry(member);
+            let Some(entry) = self.entry(member, revision, whole) else { continue };
             listed.insert(entry.node);
             entries.push(entry);
         }
-        if matches!(news.kind, ListKind::Whole | ListKind::Saved) {
-            for (at, node) in self.nodes.iter_mut().enumerate() {
-                if !listed.contains(&NodeId(at as u32)) {
+        if whole {
+            for (id, node) in &mut self.nodes {
+                if !listed.contains(id) {
                     node.mailbox = None;
                 }
             }
         }
         self.feed(Event::List { kind: news.kind, entries });
-        let ready = self.nodes.iter().any(|n| n.mailbox.is_some());
+        let now = Instant::now();
+        self.nodes.retain(|_, node| {
+            node.listed = if node.mailbox.is_some() { now } else { node.listed };
+            now < node.listed + FORGET
+        });
+        self.ids.retain(|_, id| self.nodes.contains_key(id));
+        let ready = self.nodes.values().any(|n| n.mailbox.is_some());
         self.status.send_if_modified(|s| std::mem::replace(&mut s.ready, ready) != ready);
     }
 
-    /// Books a listed node under its number and opens or ends the way to it.
-    fn entry(&mut self, member: Member) -> ListEntry {
+    /// Books a listed node under its number and opens or ends the way to it. `None` if it says less than is
+    /// known: while two watches stand, the slower one must take back nothing, and no drain above all.
+    fn entry(&mut self, mut member: Member, revision: u64, whole: bool) -> Option<ListEntry> {
         let zone = self.zones.iter().position(|z| *z == member.zone).unwrap_or_else(|| {
             self.zones.push(member.zone.clone());
             self.zones.len() - 1
         });
-        let next = NodeId(self.nodes.len() as u32);
-        let node = *self.ids.entry(member.id.clone()).or_insert(next);
-        if node == next {
-            self.nodes.push(Node { member: member.clone(), mailbox: None });
+        let node = *self.ids.entry(member.id.clone()).or_insert(NodeId(self.next));
+        self.next = self.next.max(node.0 + 1);
+        let fresh = || Node {
+            member: member.clone(),
+            mailbox: None,
+            listed: Instant::now(),
+            revision,
+            drained: None,
+        };
+        let slot = self.nodes.entry(node).or_insert_with(fresh);
+        if revision < slot.revision && !whole {
+            return None;
+        }
+        if member.state != NodeState::Ready {
+            slot.drained = Some(revision);
+        } else if slot.drained > Some(revision) && member.started <= slot.member.started {
+            member.state = slot.member.state;
+        } else {
+            slot.drained = None;
         }
-        let slot = &mut self.nodes[node.0 as usize];
+        slot.revision = revision;
         let moved = slot.member.address != member.address;
         if member.state == NodeState::Gone {
             slot.mailbox = None;
@@ -427,7 +509,7 @@
         }
         let (shard, state, started) = (member.shard, member.state, member.started);
         slot.member = member;
-        ListEntry { node, shard, zone: zone as u32, state, started }
+        Some(ListEntry { node, shard, zone: zone as u32, state, started })
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
-//! The scheduler as a program: configuration, start, the end after SIGTERM or SIGINT, counters.
+//! The scheduler as a program: configuration, start, other configurations, the end, counters.
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,11 +11,13 @@
 use heathward::net::config::{self, Config, Source};
 use heathward::net::discovery;
 use heathward::net::http::{self, Front, Room};
-use heathward::net::node::{self, HttpLink, Pool};
+use heathward::net::node::{self, Figures, HttpLink, Pool};
 use heathward::net::nvme::{self, Map, NvmeLink, Subsystem};
+use heathward::settings::{Deployment, Wrong};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
 /// Clients still come on new connections for up to 0.4 s after SIGTERM.
@@ -59,49 +62,115 @@
     }
 }
 
+/// What another configuration changes while the program runs.
+struct Service {
+    core: Core,
+    room: Room,
+    figures: watch::Sender<Figures>,
+    discovery: watch::Sender<SocketAddr>,
+    stopping: watch::Receiver<bool>,
+    listen: SocketAddr,
+    accepting: AbortHandle,
+}
+
+/// An eighth of the descriptors is spare. Three are for connections to nodes, of which what each node keeps
+/// idle leaves room for the others.
+fn figures(deployment: &Deployment, sockets: usize) -> Figures {
+    Figures::new(deployment, sockets * 3 / 8, (sockets / 48).max(2))
+}
+
+/// The other half is for clients.
+fn clients(sockets: usize) -> usize {
+    sockets / 2
+}
+
+impl Service {
+    fn accept(&self, listener: TcpListener) -> AbortHandle {
+        let front = Front::new(self.core.clone());
+        tokio::spawn(http::serve(listener, front, self.room.clone(), self.stopping.clone())).abort_handle()
+    }
+
+    /// Reads the configuration again and goes by it as a whole, or says why the old one stands. Connections
+    /// and open requests go on; seed and NVMe front stay as at the start.
+    async fn reload(&mut self) -> Result<(), Wrong> {
+        let Config { listen, discovery, sockets, known, deployment, .. } = config::reread()?;
+        // What may fail comes first.
+        let listener = match listen == self.listen {
+            true => None,
+            false => {
+                let bound = TcpListener::bind(listen).await;
+                Some(bound.map_err(|e| Wrong { field: "listen".to_owned(), why: e.to_string() })?)
+            }
+        };
+        let figures = figures(&deployment, sockets);
+        self.core.settle(Arc::new(deployment)).await?;
+        self.figures.send_replace(figures);
+        self.room.resize(clients(sockets));
+        // Without a core the program ends.
+        let _ = self.core.mailbox().send(Message::News(known)).await;
+        self.discovery.send_replace(discovery);
+        if let Some(listener) = listener {
+            let accepting = self.accept(listener);
+            std::mem::replace(&mut self.accepting, accepting).abort();
+            self.listen = listen;
+        }
+        Ok(())
+    }
+}
+
 async fn run(config: Config) -> std::io::Result<()> {
     let Config { listen, discovery, seed, sockets, known, deployment, nvme, .. } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let mut report = signal(SignalKind::user_defined1())?;
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     let deployment = Arc::new(deployment);
-    // Half of the descriptors for nodes, an eighth spare, the rest for clients.
-    let pool = Pool::new(deployment.idle, sockets / 2, (sockets / 32).max(2));
-    let connect = Duration::from_micros(deployment.connect.max(1));
+    let (figures, drawn) = watch::channel(figures(&deployment, sockets));
+    let pool = Pool::new(drawn);
     let nvme = nvme.map(Arc::new);
     let map = nvme.clone();
     let dial = move |member: &Member, core: mpsc::Sender<Message>| {
         if let Some((map, target)) = map.as_ref().and_then(|map| Some((map, target(map, member)?))) {
-            let link = NvmeLink::new(member.address, &target.subsystem, map.clone(), connect);
+            let link = NvmeLink::new(member.address, &target.subsystem, map.clone());
             return node::spawn(link, pool.clone(), core);
         }
-        node::spawn(HttpLink::new(member.address, connect), pool.clone(), core)
+        node::spawn(HttpLink::new(member.address), pool.clone(), core)
     };
-    let core = core::start(deployment.clone(), seed, Box::new(dial)).map_err(std::io::Error::other)?;
+    let core = core::start(deployment, seed, Box::new(dial)).map_err(std::io::Error::other)?;
     let revision = known.revision;
     core.mailbox().send(Message::News(known)).await.map_err(std::io::Error::other)?;
-    tokio::spawn(discovery::follow(discovery, revision, core.mailbox()));
+    let (discovery, addresses) = watch::channel(discovery);
+    tokio::spawn(discovery::follow(addresses, revision, core.mailbox()));
     let (stop, stopping) = watch::channel(false);
-    let front = Front::new(core.clone(), deployment.clone());
-    let most = sockets - sockets / 2 - sockets / 8;
+    // Receivers that the fronts and the service itself hold.
+    let listeners = if nvme.is_some() { 3 } else { 2 };
     if let Some(map) = nvme {
         let listener = TcpListener::bind(map.listen).await?;
         eprintln!("heathward: NVMe front listening on {}", listener.local_addr()?);
-        let subsystem = Subsystem::new(map, deployment.clone(), core.clone(), seed);
+        let subsystem = Subsystem::new(map, core.clone(), seed);
         // The spare eighth, but for what the program itself needs.
         tokio::spawn(nvme::serve(listener, subsystem, sockets / 8 - sockets / 32, stopping.clone()));
     }
-    tokio::spawn(http::serve(listener, front, Room::new(most), stopping));
+    let room = Room::new(clients(sockets));
+    let front = Front::new(core.clone());
+    let accepting = tokio::spawn(http::serve(listener, front, room.clone(), stopping.clone())).abort_handle();
+    let mut service = Service { core, room, figures, discovery, stopping, listen, accepting };
     eprintln!("heathward: listening on {address}");
     loop {
         tokio::select! {
-            _ = report.recv() => print(&core).await,
+            _ = report.recv() => print(&service.core).await,
+            _ = hangup.recv() => match service.reload().await {
+                Ok(()) => eprintln!("heathward: configuration read again"),
+                Err(wrong) => eprintln!("heathward: configuration not taken: {wrong}"),
+            },
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
         }
     }
+    let core = service.core.clone();
+    let deployment = core.deployment();
     // Nothing marks a change: whoever listens has it now, or is gone.
     stop.send_replace(true);
     let still_coming = Instant::now() + STILL_COMING;
@@ -109,7 +178,7 @@
     let last = still_coming + Duration::from_micros(longest);
     sleep_until(still_coming).await;
     // What is open in the core, and connections whose last answer is on its way: each holds a receiver.
-    while (core.status().open > 0 || stop.receiver_count() > 1) && Instant::now() < last {
+    while (core.status().open > 0 || stop.receiver_count() > listeners) && Instant::now() < last {
         sleep_until(Instant::now() + LOOK).await;
     }
     print(&core).await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -47,8 +47,7 @@
 
 /// Reads the file that the environment names, and the one that the arguments may.
 pub fn load(mut arguments: impl Iterator<Item = String>) -> Result<Config, Wrong> {
-    let path = std::env::var("GW_CONFIG").map_err(|_| Wrong::missing("GW_CONFIG"))?;
-    let mut config = parse(&read("GW_CONFIG", &path)?)?;
+    let mut config = reread()?;
     let (mut source, mut rules) = (None, None);
     while let Some(argument) = arguments.next() {
         let mut value = || arguments.next().ok_or_else(|| Wrong::missing(&argument));
@@ -71,6 +70,12 @@
     Ok(config)
 }
 
+/// Reads the file that the environment names, as it is now.
+pub fn reread() -> Result<Config, Wrong> {
+    let path = std::env::var("GW_CONFIG").map_err(|_| Wrong::missing("GW_CONFIG"))?;
+    parse(&read("GW_CONFIG", &path)?)
+}
+
 fn read(field: &str, path: &str) -> Result<String, Wrong> {
     let text = std::fs::read_to_string(path);
     text.map_err(|e| Wrong { field: field.to_owned(), why: format!("{path}: {e}") })
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,9 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use miniserde::{json, Deserialize};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::core::{Member, Message, News};
@@ -24,6 +27,8 @@
 const SILENCE: Duration = Duration::from_millis(2750);
 /// First and longest pause before a broken watch is opened anew.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
+/// The watch at a former address counts for so long at most.
+const OVERLAP: Duration = Duration::from_secs(5);
 /// No line is longer; a watch that brings one is broken.
 const LINE_LIMIT: usize = 4 << 20;
 
@@ -68,22 +73,65 @@
     Ok(Member { id: id.into(), address, zone, shard: ShardId(cell), state, started })
 }
 
-/// Watches the list at `address` for as long as the core runs, from the `known` version on.
-pub async fn follow(address: SocketAddr, known: u64, core: mpsc::Sender<Message>) {
-    let (mut revision, mut pause) = (known, PAUSE.0);
-    while !core.is_closed() {
-        let before = revision;
-        let opened = Instant::now();
-        watch(address, &mut revision, &core).await;
+/// Follows the list for as long as the core runs, from the `known` version on, at the address that the
+/// mailbox was told last. At a new one the watch opens while the old one still stands: until that ends by
+/// itself, or for [`OVERLAP`], whatever either of them tells counts.
+pub async fn follow(mut addresses: watch::Receiver<SocketAddr>, known: u64, core: mpsc::Sender<Message>) {
+    let heard = Arc::new(AtomicU64::new(known));
+    loop {
+        let (address, current) = (*addresses.borrow_and_update(), Arc::new(Notify::new()));
+        let staying = tokio::spawn(stay(address, heard.clone(), core.clone(), current.clone()));
+        loop {
+            tokio::select! {
+                changed = addresses.changed() => if changed.is_err() {
+                    staying.abort();
+                    return;
+                },
+                () = core.closed() => return,
+            }
+            if *addresses.borrow() != address {
+                current.notify_one();
+                break;
+            }
+        }
+    }
+}
+
+/// Watches the list at one address, again and again, until it is no longer the current one.
+async fn stay(
+    address: SocketAddr,
+    heard: Arc<AtomicU64>,
+    core: mpsc::Sender<Message>,
+    replaced: Arc<Notify>,
+) {
+    let mut replaced = pin!(replaced.notified());
+    let mut revision = heard.load(Ordering::Relaxed);
+    let mut pause = PAUSE.0;
+    loop {
+        let (before, opened) = (revision, Instant::now());
+        {
+            let mut watching = pin!(listen_to(address, &mut revision, &heard, &core));
+            tokio::select! {
+                () = watching.as_mut() => {}
+                () = replaced.as_mut() => {
+                    // Either it ends by itself or not.
+                    let _ = timeout_at(Instant::now() + OVERLAP, watching).await;
+                    return;
+                }
+            }
+        }
         // One that brought something, or stood for a while, was sound.
         let sound = revision != before || opened.elapsed() > SILENCE * 2;
         pause = if sound { PAUSE.0 } else { (pause * 2).min(PAUSE.1) };
-        sleep_until(Instant::now() + pause).await;
+        tokio::select! {
+            () = sleep_until(Instant::now() + pause) => {}
+            () = replaced.as_mut() => return,
+        }
     }
 }
 
 /// One watch, from its connection to its end.
-async fn watch(address: SocketAddr, revision: &mut u64, core: &mpsc::Sender<Message>) {
+async fn listen_to(address: SocketAddr, revision: &mut u64, heard: &AtomicU64, core: &mpsc::Sender<Message>) {
     let heard_by = || Instant::now() + SILENCE;
     let Ok(Some((mut body, driver))) = timeout_at(heard_by(), open(address, *revision)).await else { return };
     let driver = tokio::spawn(driver);
@@ -94,9 +142,9 @@
             let line: Vec<u8> = text.drain(..=end).collect();
             if let Some(news) = read(&line) {
                 *revision = news.revision;
-                if core.send(Message::News(news)).await.is_err() {
-                    break;
-                }
+                heard.store(news.revision, Ordering::Relaxed);
+                // Without a core the list is no longer followed.
+                let _ = core.send(Message::News(news)).await;
             }
         }
         if text.len() > LINE_LIMIT {
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -26,7 +26,6 @@
 use super::room::{Guest, Phase, Room, Seat};
 use super::{decode, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT};
 use crate::core::{Answer, Core};
-use crate::settings::Deployment;
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -40,13 +39,12 @@
 #[derive(Clone)]
 pub struct Front {
     core: Core,
-    deployment: Arc<Deployment>,
 }
 
 impl Front {
     /// A front before that core.
-    pub fn new(core: Core, deployment: Arc<Deployment>) -> Self {
-        Self { core, deployment }
+    pub fn new(core: Core) -> Self {
+        Self { core }
     }
 
     /// Answers a request whose last byte must have come at `by`.
@@ -70,7 +68,7 @@
             Ok(Err(_)) => return self.refuse(StatusCode::BAD_REQUEST, "body"),
             Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "body"),
         };
-        let call = match decode(&self.deployment, &head, body, Instant::now()) {
+        let call = match decode(&self.core.deployment(), &head, body, Instant::now()) {
             Ok(call) => call,
             Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
         };
@@ -186,7 +184,7 @@
         let mut leave = pin!(guest.leave.notified());
         let mut stop = pin!(stopping.changed());
         let over = poll_fn(|cx| {
-            // A client that breaks off ends its connection; what it asked is dropped, and the core hears of it.
+            // A client that breaks off ends its connection; its request is dropped, and the core hears of it.
             if connection.poll_without_shutdown(cx).is_ready() {
                 return Poll::Ready(Over::Done);
             }
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -1,4 +1,4 @@
-//! Who is connected: what each connection is at, until when it may stay there, and who makes way for a newcomer.
+//! Who is connected: what each connection is at and until when, and who makes way for a newcomer.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,6 +13,8 @@
 const REQUEST: Duration = Duration::from_millis(2500);
 /// A connection without a request is kept so long, and for the second time as long as all find room.
 const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
+/// How dispensable an idle connection is: only one that is ending anyway is more so.
+const IDLE_RANK: u8 = 1;
 /// A client that has been answered for the last time may take so long to read that and close.
 const PARTING: Duration = Duration::from_secs(1);
 /// Whoever connects to ask has begun to by then: before, silence is no sign of one who never will.
@@ -51,7 +53,7 @@
         let (rank, since, after) = match self {
             Self::Parting(since) => (0, since, SETTLED),
             // Its client just opens another; the first request of a silent one may be on its way.
-            Self::Idle(since) => (1, since, IDLE.0),
+            Self::Idle(since) => (IDLE_RANK, since, IDLE.0),
             Self::Silent(since) => (2, since, SETTLED),
             Self::Asking(since) => (3, since, DRAGGING),
             Self::Busy(_) => return None,
@@ -142,13 +144,18 @@
 
     /// A place for a newcomer; `None` if all are taken by those who can't be spared.
     pub fn enter(&self, now: Instant) -> Option<Seat> {
-        let mut seats = lock(&self.seats);
-        if seats.taken.len() >= self.most.load(Ordering::Relaxed) {
+        let (mut seats, most) = (lock(&self.seats), self.most.load(Ordering::Relaxed));
+        let full = seats.taken.len() >= most;
+        // Clients may be short of descriptors themselves: of a room half full, what is idle goes.
+        if full || 2 * seats.taken.len() >= most {
             let spared =
                 |(number, guest): (&u64, &Arc<Guest>)| Some((guest.phase().dispensable(now)?, *number));
-            let (_, number) = seats.taken.iter().filter_map(spared).min()?;
-            if let Some(guest) = seats.taken.remove(&number) {
+            let least = seats.taken.iter().filter_map(spared).min();
+            let least = least.filter(|((rank, _), _)| full || *rank <= IDLE_RANK);
+            if let Some(guest) = least.and_then(|(_, number)| seats.taken.remove(&number)) {
                 guest.leave.notify_one();
+            } else if full {
+                return None;
             }
         }
         let number = seats.next;
--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -6,7 +6,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -34,7 +33,7 @@
 }
 
 impl Connection for HttpConnection {
-    const SOCKETS: u32 = 1;
+    const SOCKETS: usize = 1;
 
     fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         self.over = self.over || self.driver.as_mut().poll(cx).is_ready();
@@ -98,14 +97,12 @@
 #[derive(Clone, Debug)]
 pub struct HttpLink {
     address: SocketAddr,
-    /// A connection that is not made in this time never is.
-    connect: Duration,
 }
 
 impl HttpLink {
     /// The way to the node at that address.
-    pub fn new(address: SocketAddr, connect: Duration) -> Self {
-        Self { address, connect }
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
     }
 }
 
@@ -119,15 +116,15 @@
     }
 
     fn call(&mut self, job: Job<HttpConnection>) -> Self::Future {
-        let (address, connect_by) = (self.address, Instant::now() + self.connect);
-        Box::pin(async move { Ok(carry(address, connect_by, job).await) })
+        let address = self.address;
+        Box::pin(async move { Ok(carry(address, job).await) })
     }
 }
 
 /// One attempt. Whatever it is given up on is dropped, and so closed, before the end is told: no other
 /// attempt of the request may start while a connection of this one is open.
-async fn carry(address: SocketAddr, connect_by: Instant, job: Job<HttpConnection>) -> Done<HttpConnection> {
-    let Job { attempt, mut idle } = job;
+async fn carry(address: SocketAddr, job: Job<HttpConnection>) -> Done<HttpConnection> {
+    let Job { attempt, mut idle, connect_by } = job;
     loop {
         let reused = idle.is_some();
         let mut connection = match idle.take() {
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::future::poll_fn;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -12,11 +13,12 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::core::{report, Attempt, Message};
-use crate::{End, Micros};
+use crate::settings::Deployment;
+use crate::End;
 
 pub use http::HttpLink;
 pub use wire::{Counted, Written};
@@ -29,7 +31,7 @@
 /// A connection to a node that can carry another attempt.
 pub trait Connection: Send + 'static {
     /// Descriptors that one holds.
-    const SOCKETS: u32;
+    const SOCKETS: usize;
 
     /// Ready once the far side has closed it, or it can't be used any more.
     fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()>;
@@ -41,6 +43,8 @@
     pub attempt: Attempt,
     /// An idle connection.
     pub idle: Option<C>,
+    /// A new connection that is not made by then never is.
+    pub connect_by: Instant,
 }
 
 /// How it went. A connection that is not given back is closed by now.
@@ -60,30 +64,71 @@
     }
 }
 
-/// The figures for connections to nodes, which all nodes' actors share.
-#[derive(Clone, Debug)]
-pub struct Pool {
+/// The figures for connections to nodes.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// A connection that takes longer to make never will be.
+    connect: Duration,
     /// Idle connections are kept that long.
     idle: Duration,
     /// Descriptors of connections to all nodes together, so that clients always find descriptors.
-    open: Arc<Semaphore>,
+    open: usize,
     /// Idle ones for each node.
     most_idle: usize,
 }
 
-impl Pool {
-    /// At most `open` connections in all, `most_idle` idle ones for each node, closed when idle for `idle`.
-    pub fn new(idle: Micros, open: usize, most_idle: usize) -> Self {
-        let idle = Duration::from_micros(idle);
+impl Figures {
+    /// Those of a deployment: `open` descriptors in all, `most_idle` idle connections for each node.
+    pub fn new(deployment: &Deployment, open: usize, most_idle: usize) -> Self {
+        let idle = Duration::from_micros(deployment.idle);
         let idle = idle.saturating_sub(IDLE_LEAD.min(idle / 2));
-        Self { idle, open: Arc::new(Semaphore::new(open)), most_idle }
+        Self { connect: Duration::from_micros(deployment.connect.max(1)), idle, open, most_idle }
+    }
+}
+
+/// What all nodes' actors share: the figures as they are now, and the descriptors in use.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    figures: watch::Receiver<Figures>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Pool {
+    /// A pool with none open.
+    pub fn new(figures: watch::Receiver<Figures>) -> Self {
+        Self { figures, open: Arc::default() }
+    }
+
+    fn figures(&self) -> Figures {
+        *self.figures.borrow()
+    }
+
+    /// Room for a connection of so many descriptors, if there is.
+    fn permit(&self, sockets: usize) -> Option<Permit> {
+        let open = self.open.load(Ordering::Relaxed) + sockets;
+        (open <= self.figures().open).then(|| {
+            self.open.store(open, Ordering::Relaxed);
+            Permit { sockets, open: self.open.clone() }
+        })
+    }
+}
+
+/// What a connection holds of the pool, for as long as it is open.
+struct Permit {
+    sockets: usize,
+    open: Arc<AtomicUsize>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.open.fetch_sub(self.sockets, Ordering::Relaxed);
     }
 }
 
 /// An idle connection, the permit it stands on, and when it is dropped.
 struct Idle<C> {
     link: C,
-    permit: OwnedSemaphorePermit,
+    permit: Permit,
     until: Instant,
 }
 
@@ -100,7 +145,7 @@
     mailbox
 }
 
-type Finished<C> = (Attempt, Done<C>, Option<OwnedSemaphorePermit>);
+type Finished<C> = (Attempt, Done<C>, Option<Permit>);
 
 struct Actor<L, C> {
     link: L,
@@ -144,14 +189,18 @@
     fn begin(&mut self, attempt: Attempt) {
         let (idle, permit) = match self.idle.pop_back() {
             Some(Idle { link, permit, .. }) => (Some(link), Some(permit)),
-            None => (None, self.pool.open.clone().try_acquire_many_owned(C::SOCKETS).ok()),
+            None => (None, self.pool.permit(C::SOCKETS)),
         };
         if permit.is_none() {
             // No descriptor for it: it never ran, and that says nothing about the node.
             let done = Done::lost(End::Moot);
             return self.running.push(Box::pin(async move { (attempt, done, None) }));
         }
-        let trying = self.link.call(Job { attempt: attempt.clone(), idle });
+        let trying = self.link.call(Job {
+            attempt: attempt.clone(),
+            idle,
+            connect_by: Instant::now() + self.pool.figures().connect,
+        });
         self.running.push(Box::pin(async move {
             let Ok(done) = trying.await;
             (attempt, done, permit)
@@ -160,9 +209,9 @@
 
     async fn finish(&mut self, (attempt, done, permit): Finished<C>, listed: bool) {
         if let (Some(link), Some(permit), true) = (done.idle, permit, listed) {
-            let until = Instant::now() + self.pool.idle;
-            self.idle.push_back(Idle { link, permit, until });
-            if self.idle.len() > self.pool.most_idle {
+            let Figures { idle, most_idle, .. } = self.pool.figures();
+            self.idle.push_back(Idle { link, permit, until: Instant::now() + idle });
+            if self.idle.len() > most_idle {
                 self.idle.pop_front();
             }
         }
--- a/src/net/nvme/controller.rs
+++ b/src/net/nvme/controller.rs
@@ -18,7 +18,6 @@
 use super::pdu::{Fatal, Pdu, MOST_DATA};
 use super::wire::{Broken, Wire};
 use crate::core::{Answer, Call, Core, Work};
-use crate::settings::Deployment;
 use crate::{Effect, KeyId};
 
 /// A host has so long to open a queue, and to take in why its connection ends.
@@ -38,7 +37,6 @@
 /// The front's one subsystem, which its queues share.
 pub struct Subsystem {
     map: Arc<Map>,
-    deployment: Arc<Deployment>,
     core: Core,
     /// Ids of calls start at a random number, so that a restart repeats none.
     calls: Mutex<fastrand::Rng>,
@@ -67,9 +65,9 @@
 
 impl Subsystem {
     /// The subsystem before that core.
-    pub fn new(map: Arc<Map>, deployment: Arc<Deployment>, core: Core, seed: u64) -> Arc<Self> {
+    pub fn new(map: Arc<Map>, core: Core, seed: u64) -> Arc<Self> {
         let (calls, controllers) = (Mutex::new(fastrand::Rng::with_seed(seed)), Mutex::default());
-        Arc::new(Self { map, deployment, core, calls, controllers })
+        Arc::new(Self { map, core, calls, controllers })
     }
 
     /// A new controller for a host; `None` if no id is free.
@@ -86,7 +84,8 @@
     fn call(&self, write: bool, blocks: Blocks, body: Bytes) -> Result<Call, Status> {
         let namespace = self.map.namespace(blocks.nsid).ok_or(Status::INVALID_NAMESPACE)?;
         let class = if write { &self.map.write } else { &self.map.read };
-        let settings = &self.deployment.settings.classes[class.id.0 as usize];
+        let deployment = self.core.deployment();
+        let settings = &deployment.settings.classes[class.id.0 as usize];
         let call = format!("{:016x}", lock(&self.calls).u64(..));
         let keyed = settings.effect == Effect::Keyed;
         let work = Work {
@@ -128,7 +127,7 @@
     }
 
     fn delays(&self) -> [u16; 3] {
-        identify::delays(self.deployment.settings.max_retry_after)
+        identify::delays(self.core.deployment().settings.max_retry_after)
     }
 
     /// How a command ends with that answer.
--- a/src/net/nvme/initiator.rs
+++ b/src/net/nvme/initiator.rs
@@ -41,7 +41,7 @@
 }
 
 impl Connection for NvmeConnection {
-    const SOCKETS: u32 = 2;
+    const SOCKETS: usize = 2;
 
     fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         match self.io.poll_unasked(cx) {
@@ -175,14 +175,12 @@
     address: SocketAddr,
     subsystem: Arc<str>,
     map: Arc<Map>,
-    /// An association that is not made in this time never is.
-    connect: Duration,
 }
 
 impl NvmeLink {
     /// The way to the subsystem at that address.
-    pub fn new(address: SocketAddr, subsystem: &str, map: Arc<Map>, connect: Duration) -> Self {
-        Self { address, subsystem: subsystem.into(), map, connect }
+    pub fn new(address: SocketAddr, subsystem: &str, map: Arc<Map>) -> Self {
+        Self { address, subsystem: subsystem.into(), map }
     }
 
     /// The blocks of a work, and how many bytes they hold.
@@ -200,7 +198,7 @@
 
     /// One attempt. As over HTTP, what is given up on is closed before the end is told.
     async fn carry(self, job: Job<NvmeConnection>) -> Done<NvmeConnection> {
-        let Job { attempt, mut idle } = job;
+        let Job { attempt, mut idle, connect_by } = job;
         let (work, until) = (&attempt.work, attempt.until);
         let Some((blocks, size)) = self.blocks(work) else { return Done::lost(End::Moot) };
         let mut data = BytesMut::from(&*work.body);
@@ -208,7 +206,6 @@
             data.resize(size, 0);
         }
         let data = data.freeze();
-        let connect_by = Instant::now() + self.connect;
         loop {
             let reused = idle.is_some();
             let mut connection = match idle.take() {
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::support::*;
@@ -295,18 +296,33 @@
 async fn a_silent_watch_is_opened_anew_and_a_broken_line_dropped() {
     let rig = rig(&[], None).await;
     let (listener, address) = listen().await;
-    tokio::spawn(discovery::follow(address, 7, rig.core.mailbox()));
+    let (_keep, addresses) = watch::channel(address);
+    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox()));
     let entry = member("s0", address, 0, "in_service", 0).replace('\n', "");
     let line = format!("{{\"revision\":9,\"complete\":false,\"members\":[{entry}]}}\n");
-    let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
-    let (head, ..) = read_message(&mut watch).await.unwrap();
+    let (mut watch, head) = watched(&listener).await;
     assert!(head.starts_with("get /v1/servers?watch=1&after=7 "), "{head}");
-    let lines = format!("{{\"revision\":8,\"members\":3}}\n{line}");
-    let answer = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-    let text = format!("{answer}{:x}\r\n{lines}\r\n", lines.len());
-    watch.write_all(text.as_bytes()).await.unwrap();
+    tell(&mut watch, &format!("{{\"revision\":8,\"members\":3}}\n{line}")).await;
     assert_eq!(rig.until(|c| c.lists == 2).await.lists, 2);
-    let (mut again, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
-    let (head, ..) = read_message(&mut again).await.unwrap();
+    let (_again, head) = watched(&listener).await;
     assert!(head.starts_with("get /v1/servers?watch=1&after=9 "), "{head}");
 }
+
+/// Two watches stand while discovery moves: the slower one tells what the other knows better.
+#[tokio::test]
+async fn a_drain_is_not_taken_back_by_a_slower_watch() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    for (revision, complete, phase, status) in [
+        (20, false, "terminating", 503),
+        (19, false, "in_service", 503),
+        (19, true, "in_service", 503),
+        (21, false, "in_service", 200),
+    ] {
+        let entry = member("s0", node, 0, phase, 0);
+        let list = format!(r#"{{"revision":{revision},"complete":{complete},"members":[{entry}]}}"#);
+        rig.core.mailbox().send(Message::News(discovery::parse(&list).unwrap())).await.unwrap();
+        assert_eq!(rig.ask(&request("consulta", revision, 0, 900, "")).await.0, status, "{list}");
+    }
+}
--- a/tests/net/nvme.rs
+++ b/tests/net/nvme.rs
@@ -63,7 +63,7 @@
     let deployment = heathward::net::config::parse(&config_text("127.0.0.1:1", "127.0.0.1:1", ""));
     let map = Arc::new(Map::parse(&map(), &deployment.unwrap().deployment).unwrap());
     let rig = rig(&members, Some(map.clone())).await;
-    let subsystem = Subsystem::new(map, rig.deployment.clone(), rig.core.clone(), 1);
+    let subsystem = Subsystem::new(map, rig.core.clone(), 1);
     let (listener, address) = listen().await;
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(serve(listener, subsystem, 16, stopping));
--- a/tests/net/process.rs
+++ b/tests/net/process.rs
@@ -118,6 +118,72 @@
     assert!(last.contains("counters taken=3 ") && last.contains(" served=2 refused=1 "), "{said}");
 }
 
+fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
+    assert!(status.success());
+}
+
+fn line(lines: &mut impl BufRead) -> String {
+    let mut line = String::new();
+    lines.read_line(&mut line).unwrap();
+    line
+}
+
+/// SIGHUP ended the program once. A file that makes no sense is named and leaves all as it was; a good one is
+/// gone by as a whole, with what is open going on, also when they come in a row.
+#[tokio::test]
+async fn on_sighup_it_reads_its_configuration_again() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent, Does::Serve], &log).await;
+    let members = member("s0", node, 0, "in_service", 0).replace('\n', "");
+    let ((old, first), (new, second)) = (listen().await, listen().await);
+    let text = |discovery: SocketAddr| config_text("127.0.0.1:0", &discovery.to_string(), &members);
+    let path = file("again", &text(first));
+    let (mut child, mut lines, address) = listening(start(&path, &[]));
+    let (mut watch, head) = watched(&old).await;
+    assert!(head.contains("after=7 "), "{head}");
+    let mut open = TcpStream::connect(address).await.unwrap();
+    open.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
+    for (from, to, field) in [
+        ("\"seed\":", "\"seeds\":", "seed"),
+        ("\"aimMs\":150", "\"aimMs\":0", "settings: "),
+        ("\"consulta\"", "\"lectura\"", "settings.lanes"),
+    ] {
+        file("again", &text(second).replace(from, to));
+        signal(&child, "-HUP");
+        let said = line(&mut lines);
+        assert!(said.contains("not taken: ") && said.contains(field), "{said}");
+    }
+    file("again", &text(second).replace("\"maxRetryAfterMs\":2000", "\"maxRetryAfterMs\":1500"));
+    signal(&child, "-HUP");
+    assert!(line(&mut lines).contains("read again"));
+    let (_watch, head) = watched(&new).await;
+    assert!(head.contains("after=7 "), "{head}");
+    // The old watch still counts: it tells of a drain.
+    let drained = members.replace("in_service", "terminating");
+    tell(&mut watch, &format!("{{\"revision\":9,\"complete\":false,\"members\":[{drained}]}}\n")).await;
+    assert!(matches!(answer(&mut open).await.0, 503 | 504), "what is open is answered");
+    let by = Instant::now() + PATIENCE;
+    let mut call = 2;
+    loop {
+        let mut client = TcpStream::connect(address).await.unwrap();
+        // A budget that lets the request wait no longer than its aim: what drains is refused, with the new hint.
+        client
+            .write_all(request("consulta", call, 0, 900, "").replace("prioritario", "basico").as_bytes())
+            .await
+            .unwrap();
+        let (status, head, _) = answer(&mut client).await;
+        if status == 503 {
+            assert_eq!(header(&head, "retry-after"), Some("1.500"));
+            break;
+        }
+        assert!(Instant::now() < by, "the drain is not heard of");
+        call += 1;
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
+
 /// The counters come on SIGUSR1, while it runs.
 #[tokio::test]
 async fn the_counters_come_on_request() {
--- a/tests/net/support.rs
+++ b/tests/net/support.rs
@@ -8,9 +8,8 @@
 use heathward::core::{self, Core, Counters, Member, Message};
 use heathward::net::config::{self, Config};
 use heathward::net::http::{self, Front, Room};
-use heathward::net::node::{self, HttpLink, Pool};
+use heathward::net::node::{self, Figures, HttpLink, Pool};
 use heathward::net::nvme::{Map, NvmeLink};
-use heathward::settings::Deployment;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -221,10 +220,23 @@
     }
 }
 
+/// The next watch at a discovery of the test's own, and the head that asked for it.
+pub async fn watched(listener: &TcpListener) -> (TcpStream, String) {
+    let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.expect("a watch").unwrap();
+    let (head, ..) = read_message(&mut watch).await.unwrap();
+    watch.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await.unwrap();
+    (watch, head)
+}
+
+/// Tells something on a watch.
+pub async fn tell(watch: &mut TcpStream, lines: &str) {
+    let chunk = format!("{:x}\r\n{lines}\r\n", lines.len());
+    watch.write_all(chunk.as_bytes()).await.unwrap();
+}
+
 /// The scheduler before such nodes.
 pub struct Rig {
     pub core: Core,
-    pub deployment: Arc<Deployment>,
     pub front: SocketAddr,
     pub _stop: watch::Sender<bool>,
 }
@@ -236,28 +248,23 @@
 pub async fn rig_of(text: &str, nvme: Option<Arc<Map>>) -> Rig {
     let Config { seed, known, deployment, .. } = config::parse(text).unwrap();
     let deployment = Arc::new(deployment);
-    let pool = Pool::new(deployment.idle, 64, 4);
-    let connect = Duration::from_micros(deployment.connect);
+    let (_, figures) = watch::channel(Figures::new(&deployment, 64, 4));
+    let pool = Pool::new(figures);
     let dial = move |member: &Member, core: mpsc::Sender<Message>| {
         if let Some(map) = &nvme {
             if let Some(target) = map.targets.iter().find(|t| *t.node == *member.id) {
-                let link = NvmeLink::new(member.address, &target.subsystem, map.clone(), connect);
+                let link = NvmeLink::new(member.address, &target.subsystem, map.clone());
                 return node::spawn(link, pool.clone(), core);
             }
         }
-        node::spawn(HttpLink::new(member.address, connect), pool.clone(), core)
+        node::spawn(HttpLink::new(member.address), pool.clone(), core)
     };
     let core = core::start(deployment.clone(), seed, Box::new(dial)).unwrap();
     core.mailbox().send(Message::News(known)).await.unwrap();
     let (listener, front) = listen().await;
     let (stop, stopping) = watch::channel(false);
-    tokio::spawn(http::serve(
-        listener,
-        Front::new(core.clone(), deployment.clone()),
-        Room::new(ROOM),
-        stopping,
-    ));
-    Rig { core, deployment, front, _stop: stop }
+    tokio::spawn(http::serve(listener, Front::new(core.clone()), Room::new(ROOM), stopping));
+    Rig { core, front, _stop: stop }
 }
 
 impl Rig {
