--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -10,8 +10,9 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1;
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -19,7 +20,7 @@
 
 use super::{Connection, Counted, Done, Job, Written};
 use crate::core::{Attempt, Work};
-use crate::net::http::{headers, BODY_LIMIT};
+use crate::net::http::{headers, BODY_LIMIT, HEAD_LIMIT};
 use crate::End;
 
 type Driver = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
@@ -51,7 +52,9 @@
         stream.set_nodelay(true).ok()?;
         let written = Arc::new(Written::default());
         let io = TokioIo::new(Counted::new(stream, written.clone()));
-        let (sender, driver) = http1::handshake(io).await.ok()?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_LIMIT);
+        let (sender, driver) = builder.handshake(io).await.ok()?;
         Some(Self { sender, driver: Box::pin(driver), written, over: false })
     }
 
@@ -75,21 +78,29 @@
         .is_ok_and(|()| !self.over)
     }
 
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<(End, Bytes), hyper::Error> {
+    /// Sends a request and takes its answer; `None` where there is none to be made out. This is the one check
+    /// on answers: a head that can be read, one length, no longer than any body, and as many bytes.
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Option<(End, Bytes)> {
         let sending = self.sender.send_request(request);
-        let (head, body) = self.drive(sending).await?.into_parts();
+        let (head, body) = self.drive(sending).await.ok()?.into_parts();
+        let lengths =
+            [CONTENT_LENGTH, TRANSFER_ENCODING].iter().filter(|h| head.headers.contains_key(*h)).count();
+        if lengths != 1 || body.size_hint().lower() > BODY_LIMIT as u64 {
+            return None;
+        }
         let rejected = head.headers.get(headers::REJECTED).is_some_and(|v| v == "1");
         let end = match head.status {
             StatusCode::OK => End::Served,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => End::Full,
             _ => End::Error,
         };
-        Ok(match self.drive(Limited::new(body, BODY_LIMIT).collect()).await {
-            Ok(body) => (end, body.to_bytes()),
-            // Cut short or too long: whatever it was, it is no answer.
-            Err(_) if end == End::Served => (End::Reset, Bytes::new()),
-            Err(_) => (end, Bytes::new()),
-        })
+        let body = self.drive(Limited::new(body, BODY_LIMIT).collect()).await.ok()?;
+        Some((end, body.to_bytes()))
+    }
+
+    /// False once it can't carry another request, or where more has come than its last answer.
+    async fn sound(&mut self) -> bool {
+        poll_fn(|cx| Poll::Ready(self.poll_closed(cx).is_pending())).await && !self.sender.is_closed()
     }
 }
 
@@ -144,15 +155,18 @@
             Some(connection.exchange(request).await)
         };
         match timeout_at(attempt.until, tried).await {
-            Ok(Some(Ok((end, body)))) => {
-                let idle = (!connection.over && !connection.sender.is_closed()).then_some(connection);
+            Ok(Some(Some((end, body)))) => {
+                let idle = if connection.sound().await { Some(connection) } else { None };
                 return Done { end, body, idle };
             }
             // Guards against taking a connection that had grown stale for a node that is down: the node has
             // not had the request, so that this is still the same attempt.
             Ok(_) if reused && !connection.written.whole() => {}
             Ok(_) if !connection.written.whole() => return Done::lost(End::NotConnected),
-            Ok(_) => return Done::lost(End::Reset),
+            Ok(_) if connection.written.broken() => return Done::lost(End::Reset),
+            // The node is there and has said something that makes no sense. Guards against taking it for one
+            // that went down and is cold now: it may have run the request, and that is all.
+            Ok(_) => return Done::lost(End::Error),
             Err(_) => return Done::lost(End::TimedOut),
         }
     }
--- a/src/net/node/wire.rs
+++ b/src/net/node/wire.rs
@@ -18,6 +18,7 @@
     /// Bytes of the body still to come.
     body: AtomicUsize,
     whole: AtomicBool,
+    broken: AtomicBool,
 }
 
 impl Written {
@@ -33,6 +34,11 @@
         self.whole.load(Ordering::Relaxed)
     }
 
+    /// The far side has closed the connection, or it is reset.
+    pub fn broken(&self) -> bool {
+        self.broken.load(Ordering::Relaxed)
+    }
+
     /// Takes note of bytes that the socket has taken.
     pub fn note(&self, bytes: &[u8]) {
         const END: &[u8] = b"\r\n\r\n";
@@ -70,15 +76,23 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if read.is_err() || buf.filled().len() == before {
+            self.written.broken.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(read)
     }
 }
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let size = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.written.note(&buf[..size]);
-        Poll::Ready(Ok(size))
+        let wrote = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        match &wrote {
+            Ok(size) => self.written.note(&buf[..*size]),
+            Err(_) => self.written.broken.store(true, Ordering::Relaxed),
+        }
+        Poll::Ready(wrote)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/net/nvme/initiator.rs
+++ b/src/net/nvme/initiator.rs
@@ -51,9 +51,11 @@
     }
 }
 
-/// How an exchange broke off: whether the last byte of the command had been written.
+/// How an exchange broke off: whether the last byte of the command had been written, and whether the target is
+/// there but makes no sense.
 struct BrokeOff {
     whole: bool,
+    spoilt: bool,
 }
 
 impl NvmeConnection {
@@ -90,13 +92,14 @@
         let body = if write { Body::Write(blocks) } else { Body::Read(blocks) };
         let command = Command::new(cid, sgl, body);
         let capsule = Pdu::Capsule { command, data: if carried { data.clone() } else { Bytes::new() } };
-        self.io.send(&[capsule]).await.map_err(|_| BrokeOff { whole: false })?;
+        self.io.send(&[capsule]).await.map_err(|_| BrokeOff { whole: false, spoilt: false })?;
         // Until all the data of a write is out, it can't have run.
         let (mut whole, mut sent) = (!write || carried, 0);
         let mut page = BytesMut::new();
         loop {
-            let broke = BrokeOff { whole };
+            let broke = BrokeOff { whole, spoilt: true };
             match self.io.next().await {
+                Err(Broken::Closed) => return Err(BrokeOff { whole, spoilt: false }),
                 Ok(Pdu::Response(completion)) if completion.cid == cid => {
                     return Ok((completion.status, page.freeze()));
                 }
@@ -111,7 +114,7 @@
                         let upto = end.min(sent + self.max_h2c);
                         let (data, last) = (data.slice(sent..upto), upto == end);
                         let pdu = Pdu::H2cData { cid, ttag, offset: sent as u32, last, data };
-                        self.io.send(&[pdu]).await.map_err(|_| BrokeOff { whole })?;
+                        self.io.send(&[pdu]).await.map_err(|_| BrokeOff { whole, spoilt: false })?;
                         sent = upto;
                     }
                     whole = sent == size;
@@ -226,9 +229,11 @@
             return match timeout_at(until, exchange).await {
                 Ok(Ok((status, body))) => Done { end: end_of(status), body, idle: Some(connection) },
                 // The target has not had the command whole: on an old queue it is still the same attempt.
-                Ok(Err(BrokeOff { whole: false })) if reused => continue,
-                Ok(Err(BrokeOff { whole: false })) => Done::lost(End::NotConnected),
-                Ok(Err(BrokeOff { whole: true })) => Done::lost(End::Reset),
+                Ok(Err(BrokeOff { whole: false, .. })) if reused => continue,
+                Ok(Err(BrokeOff { whole: false, .. })) => Done::lost(End::NotConnected),
+                // As over HTTP: it may have run, and the target did not go down.
+                Ok(Err(BrokeOff { spoilt: true, .. })) => Done::lost(End::Error),
+                Ok(Err(BrokeOff { .. })) => Done::lost(End::Reset),
                 Err(_) => Done::lost(End::TimedOut),
             };
         }
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -70,6 +70,55 @@
     log.check_one_at_a_time();
 }
 
+/// Answers that make no sense, over a connection that stands. Guards against passing any of it on, against
+/// using that connection again, against a node that is taken for cold over them, and, as it may have run,
+/// against "refused" for a write.
+#[rstest]
+#[case::noise("\x07\x08\u{7f}nothing\r\n\r\n")]
+#[case::other_protocol("ICY 200 OK\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::status("HTTP/1.1 2x0 OK\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::no_colon("HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::negative("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nhello")]
+#[case::two_lengths("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::two_framings("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")]
+#[case::no_length("HTTP/1.1 200 OK\r\n\r\nhello")]
+#[case::chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n0\r\n\r\n")]
+#[case::huge("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhello")]
+#[case::spoilt_rejection("HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: -1\r\n\r\n")]
+#[case::other_kind("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")]
+#[tokio::test]
+async fn a_spoilt_answer_is_no_answer(#[case] spoilt: &'static str) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Say(spoilt), Does::Serve, Does::Say(spoilt)], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let (status, _, body) = rig.ask(&request("consulta", 1, 0, 900, "")).await;
+    assert_eq!((status, body.as_slice()), (200, b"hello".as_slice()), "repeated on another connection");
+    assert_eq!(rig.ask(&request("pedido", 2, 0, 1400, "w")).await.0, 502);
+    let counters = rig.counters().await;
+    assert_eq!((count(&counters, End::Error), count(&counters, End::Served)), (4, 1), "{counters}");
+    log.check_one_at_a_time();
+}
+
+/// What stands round a good answer: other answers before it, bytes that belong to none behind it. It is served
+/// once, and what came too much is nobody's answer.
+#[rstest]
+#[case::informational("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n", "")]
+#[case::second_copy("", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")]
+#[case::noise("", "\x07\x08nothing\r\n\r\n")]
+#[tokio::test]
+async fn a_good_answer_is_served_whatever_stands_round_it(#[case] before: &str, #[case] behind: &str) {
+    let good = "HTTP/1.1 200 OK\r\nX-Volume-Use: TEXT \r\nContent-Length: 5\r\n\r\nfirst";
+    let text: &'static str = Box::leak(format!("{before}{good}{behind}").into_boxed_str());
+    let log = Log::default();
+    let node = http_node(0, &[Does::Say(text), Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    for (call, body) in [(1, "first"), (2, "hello")] {
+        let told = rig.ask(&request("consulta", call, 0, 900, "")).await;
+        assert_eq!((told.0, told.2), (200, body.as_bytes().to_vec()));
+    }
+    assert_eq!(rig.counters().await.sent, 2);
+}
+
 #[tokio::test]
 async fn a_keyed_repeat_goes_to_its_shard_within_the_window() {
     let log = Log::default();
--- a/tests/net/nvme.rs
+++ b/tests/net/nvme.rs
@@ -175,6 +175,11 @@
             let _ = wire.next().await;
             None
         }
+        // Data that nobody asked for.
+        Does::Say(_) => Some((
+            Status::SUCCESS,
+            Some(Pdu::C2hData { cid, offset: 8, last: true, data: Bytes::from_static(&[0; 8]) }),
+        )),
         Does::Reset | Does::HangUp | Does::Cut => None,
     }
 }
@@ -324,6 +329,8 @@
 #[case::error_write(Does::Error, SMALL, true, End::Error, 3, Status::INTERNAL.last())]
 #[case::error_large(Does::Error, LARGE, true, End::Error, 3, Status::INTERNAL.last())]
 #[case::full(Does::Reject, SMALL, true, End::Full, 1, Status::INTERRUPTED)]
+#[case::spoilt_read(Does::Say("no sense\r\n\r\n"), SMALL, false, End::Error, 3, Status::INTERRUPTED)]
+#[case::spoilt_write(Does::Say("no sense\r\n\r\n"), SMALL, true, End::Error, 3, Status::INTERNAL.last())]
 #[case::reset_read(Does::Reset, SMALL, false, End::Reset, 1, Status::INTERRUPTED)]
 #[case::reset_write(Does::Reset, LARGE, true, End::Reset, 1, Status::INTERNAL.last())]
 #[tokio::test]
--- a/tests/net/support.rs
+++ b/tests/net/support.rs
@@ -76,6 +76,8 @@
     HangUp,
     /// Promises more of a body than it sends.
     Cut,
+    /// Answers that, and keeps the connection.
+    Say(&'static str),
 }
 
 /// What nodes have seen, all together.
@@ -210,6 +212,7 @@
                 log.over(&call);
                 return;
             }
+            Does::Say(this) => this,
             Does::Reset | Does::HangUp => "",
         };
         log.over(&call);
