--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,6 +1,6 @@
 //! The module's actor: drives it as the adapter does, and sees to it that each call gets one answer.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -178,6 +178,7 @@
         mailbox: mailbox.downgrade(),
         status,
         open: HashMap::new(),
+        calls: HashSet::new(),
         limits: BTreeSet::new(),
         wakes: BTreeSet::new(),
         events: VecDeque::new(),
@@ -223,6 +224,8 @@
     mailbox: mpsc::WeakSender<Message>,
     status: watch::Sender<Status>,
     open: HashMap<RequestId, Open>,
+    /// The clients' ids of these.
+    calls: HashSet<Box<str>>,
     /// When each request that owes an answer is ended at the latest.
     limits: BTreeSet<(Instant, RequestId)>,
     wakes: BTreeSet<(Micros, u64)>,
@@ -301,10 +304,11 @@
         let Some(reply) = open.reply.take() else { return false };
         self.limits.remove(&(open.call.deadline + BACKSTOP, id));
         if open.out.is_none() {
-            self.open.remove(&id);
+            self.close(id);
         }
         if let Some(answer) = answer {
             match &answer {
+                Answer::Duplicate => {}
                 Answer::Served(_) => self.counters.served += 1,
                 Answer::Refused { .. } => self.counters.refused += 1,
                 Answer::Failed { .. } => self.counters.failed += 1,
@@ -315,6 +319,13 @@
         true
     }
 
+    /// Forgets a request that owes no answer and has nothing out.
+    fn close(&mut self, id: RequestId) {
+        if let Some(open) = self.open.remove(&id) {
+            self.calls.remove(&open.call.work.call);
+        }
+    }
+
     /// Tells the module, and does what it asks.
     fn feed(&mut self, event: Event) {
         self.events.push_back(event);
@@ -353,6 +364,12 @@
     }
 
     fn arrive(&mut self, id: RequestId, call: Call, reply: oneshot::Sender<Answer>) {
+        if !self.calls.insert(call.work.call.clone()) {
+            self.counters.malformed += 1;
+            // A front that has left meanwhile needs no answer.
+            let _ = reply.send(Answer::Duplicate);
+            return;
+        }
         self.counters.taken += 1;
         let request = Request {
             id,
@@ -414,7 +431,7 @@
         }
         let closed = self.open.get(&request).is_none_or(|open| open.reply.is_none());
         if closed {
-            self.open.remove(&request);
+            self.close(request);
         }
         let took = sent.elapsed().as_micros() as Micros;
         let (used, elsewhere, busy) = (None, None, None);
--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -62,6 +62,8 @@
         /// Advice when.
         retry_after: Option<Micros>,
     },
+    /// Not taken: its id is that of an open request, of which there would be two attempts at once.
+    Duplicate,
     /// No promise about its effect.
     Failed {
         /// An attempt of it may have run.
--- a/src/net/http/decode.rs
+++ b/src/net/http/decode.rs
@@ -11,7 +11,7 @@
 use super::headers;
 use crate::core::{Call, Work};
 use crate::settings::Deployment;
-use crate::{ClassId, KeyId, Micros, PlanId, ShardId, VolumeId};
+use crate::{ClassId, Effect, KeyId, Micros, PlanId, ShardId, VolumeId};
 
 /// An answer leaves this long before the client gives up: on a loaded core the way back took up to 2 ms.
 const MARGIN: Duration = Duration::from_millis(3);
@@ -25,34 +25,50 @@
 /// Decodes a request whose last byte came at `arrived`.
 pub fn decode(deployment: &Deployment, head: &Parts, body: Bytes, arrived: Instant) -> Result<Call, Bad> {
     let text = |name: &'static str| {
-        let value = head.headers.get(name).map(|v| v.to_str().map_err(|_| Bad(name)));
-        value.transpose()
+        let mut values = head.headers.get_all(name).iter();
+        let value = values.next().map(|v| v.to_str().map_err(|_| Bad(name)));
+        // Of two, a node might go by the other.
+        values.next().map_or(value.transpose(), |_| Err(Bad(name)))
     };
     let need = |name: &'static str| text(name)?.filter(|v| !v.is_empty()).ok_or(Bad(name));
     let class_name = need(headers::CLASS)?;
     let class = deployment.classes.iter().position(|c| c == class_name).ok_or(Bad(headers::CLASS))?;
     let plan = need(headers::PLAN)?;
     let plan = deployment.plans.iter().position(|p| p == plan).ok_or(Bad(headers::PLAN))?;
-    let write = match head.method {
-        Method::GET => false,
-        Method::PUT => true,
-        _ => return Err(Bad("method")),
-    };
+    let write = deployment.writes[class];
+    if head.method != if write { Method::PUT } else { Method::GET } {
+        return Err(Bad("method"));
+    }
+    if !write && !body.is_empty() {
+        return Err(Bad("body"));
+    }
+    let settings = &deployment.settings;
+    let once = text(headers::ONCE)?;
+    if once.is_none() && settings.classes[class].effect == Effect::Keyed {
+        return Err(Bad(headers::ONCE));
+    }
     let path: Vec<&str> = head.uri.path().split('/').collect();
     let ["", first, volume, key] = path[..] else { return Err(Bad("path")) };
     if first != class_name {
         return Err(Bad("path"));
     }
     let (volume, key) = (hex(volume)?, hex(key)?);
-    let budget: u64 = need(headers::BUDGET)?.parse().map_err(|_| Bad(headers::BUDGET))?;
-    let (units, shard, hosts) = io(need(headers::IO)?).ok_or(Bad(headers::IO))?;
+    let budget = need(headers::BUDGET)?;
+    let digits = budget.bytes().all(|b| b.is_ascii_digit());
+    let budget: u64 = budget.parse().ok().filter(|ms| digits && *ms > 0).ok_or(Bad(headers::BUDGET))?;
+    let sound = |(units, _, hosts): &(u32, Option<ShardId>, u32)| {
+        (1..=settings.most_units).contains(units) && (1..=settings.hosts).contains(hosts)
+    };
+    let (units, shard, hosts) = io(need(headers::IO)?).filter(sound).ok_or(Bad(headers::IO))?;
+    let call = need(headers::CALL)?;
+    hex(call).map_err(|_| Bad(headers::CALL))?;
     let budget = Duration::from_millis(budget.min(LONGEST_MS));
     let work = Work {
-        call: need(headers::CALL)?.into(),
+        call: call.into(),
         class: class_name.into(),
         write,
         target: head.uri.path_and_query().ok_or(Bad("path"))?.as_str().into(),
-        once: text(headers::ONCE)?.map(Into::into),
+        once: once.map(Into::into),
         volume: VolumeId(volume),
         key: KeyId(key),
         units,
@@ -85,7 +101,7 @@
     for pair in value.split(',') {
         let (name, value) = pair.trim().split_once('=')?;
         match name {
-            "units" => units = Some(value.parse().ok().filter(|units| *units > 0)?),
+            "units" => units = Some(value.parse().ok()?),
             "shard" => shard = Some(value.parse::<i64>().ok()?),
             "hosts" => hosts = Some(value.parse().ok()?),
             _ => {}
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -24,7 +24,7 @@
 use tower::{Service, ServiceExt};
 
 use super::room::{Guest, Phase, Room, Seat};
-use super::{decode, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT};
+use super::{decode, headers, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT};
 use crate::core::{Answer, Core};
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
@@ -82,12 +82,17 @@
     /// Turns away what makes no sense. What else comes on that connection can't be trusted either.
     fn refuse(&self, status: StatusCode, part: &'static str) -> Response<Full<Bytes>> {
         self.core.malformed();
-        let mut response = plain(status, part);
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        response
+        closing(status, part)
     }
 }
 
+/// The last answer on its connection.
+fn closing(status: StatusCode, part: &'static str) -> Response<Full<Bytes>> {
+    let mut response = plain(status, part);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn encode(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
         Answer::Served(body) => Response::new(Full::new(body)),
@@ -98,6 +103,7 @@
             }
             response
         }
+        Answer::Duplicate => closing(StatusCode::BAD_REQUEST, headers::CALL),
         Answer::Failed { late: true, .. } => plain(StatusCode::GATEWAY_TIMEOUT, "too late"),
         Answer::Failed { late: false, .. } => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
--- a/src/net/nvme/controller.rs
+++ b/src/net/nvme/controller.rs
@@ -138,6 +138,7 @@
             Ok(Answer::Refused { retry_after }) => {
                 Status { delay: identify::delay_for(*retry_after, self.delays()), ..Status::INTERRUPTED }
             }
+            Ok(Answer::Duplicate) => Status::CID_CONFLICT,
             Ok(Answer::Failed { ran: true, .. }) if write => Status::INTERNAL.last(),
             Ok(Answer::Failed { .. }) => Status::INTERNAL,
         }
