--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,7 +57,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Gate {
     Go,
-    /// Not now.
     Later,
     /// No room for any request now.
     Closed,
@@ -662,10 +661,11 @@
             node.out_units = (node.out_units - units).max(0.0);
             match o.end {
                 End::Served | End::Error | End::Full => {
-                    if node.suspect.is_some() {
-                        // It was down or silent and answers: it may be cold before the list says so.
+                    // Down or silent and answers: it may be cold before the list says so. But one not unheard
+                    // for long enough to be silent has lost a connection: no process is back so soon.
+                    let long = now.saturating_sub(node.heard) >= SILENT.1 * self.period;
+                    if node.suspect.take().is_some() && long {
                         node.started = Some(node.started.map_or(sent, |s| s.max(sent)));
-                        node.suspect = None;
                     }
                     node.heard = now;
                     node.overtook = node.overtook.max(sent);
@@ -682,7 +682,7 @@
                 _ => {}
             }
             if node.suspect.is_some() != suspected {
-                let text = if suspected { "answers again, taken as cold" } else { "down or silent" };
+                let text = if suspected { "answers again" } else { "down or silent" };
                 out.push(Action::Log { text: format!("node {text} ({:?})", o.end), node: Some(node_id) });
             }
             if o.end == End::Served {
@@ -728,8 +728,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (free, fresh) = (job.request.shard.is_none(), job.ran.is_none());
         // A bound request can wait for no other node: one that is full is so for longer than any aim here,
-        // and one that is down is better asked later. A new object goes elsewhere.
-        let useful = end == End::Error || (free && matches!(end, End::Full | End::NotConnected));
+        // and one that is down is better asked later; a lost connection tells neither. New objects go elsewhere.
+        let useful =
+            matches!(end, End::Error | End::Reset) || (free && matches!(end, End::Full | End::NotConnected));
         let useful = useful && now < job.due;
         job.stage = Stage::Held(None);
         let target = if free && fresh { self.roomiest(now, id) } else { Some(node_id) };
@@ -883,7 +884,6 @@
         self.wait * fresh + prior * (1.0 - fresh)
     }
 
-    /// How much of the last news still counts.
     fn fresh(&self, now: Micros) -> f64 {
         if self.wait_at == 0 {
             return 0.0;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,6 +4,32 @@
 use common::*;
 use heathward::*;
 
+/// Guards against taking a sound node for one that went down and is cold, over one connection that broke; and
+/// against the opposite, where it was silent before.
+#[test]
+fn a_node_heard_just_before_and_after_a_reset_is_not_cold() {
+    for (silence, cold) in [(100_000, false), (3_000_000, true)] {
+        let mut host = Host::new(settings());
+        host.list(&[1]);
+        host.step(5_000_000);
+        host.arrive(req(1));
+        host.outcome(1, 0, 1, End::Served, true, 1_000);
+        host.step(silence);
+        host.arrive(req(2));
+        host.outcome(2, 0, 1, End::Reset, false, 1_000);
+        host.step(20_000);
+        assert_eq!(host.out, [(2, 1, 1)], "a lost connection is no answer: it is asked once more");
+        host.outcome(2, 1, 1, End::Served, true, 1_000);
+        // Far more than a cold node bears, each answered at once.
+        let sent = (3..23).filter(|id| {
+            let sent = !host.arrive(req(*id)).is_empty();
+            host.finish_all();
+            sent
+        });
+        assert_eq!(sent.count() < 20, cold, "after {silence} us of silence");
+    }
+}
+
 #[test]
 fn a_request_goes_at_once_while_there_is_room() {
     let mut h = Host::new(settings());
