--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -50,6 +50,8 @@
     News(News),
     /// The deployment's settings have changed; the reply says whether they stand.
     Settings(Arc<Deployment>, oneshot::Sender<Result<(), Wrong>>),
+    /// The program ends: every answer has to be there by then.
+    EndBy(Instant),
     /// Somebody asks for the counters.
     Report(oneshot::Sender<Counters>),
 }
@@ -111,6 +113,12 @@
         answer.await.unwrap_or_else(|_| Err(gone()))
     }
 
+    /// The program ends then: no request from now on gets more time than that.
+    pub async fn end_by(&self, last: Instant) {
+        // A core that has stopped has nothing open.
+        let _ = self.mailbox.send(Message::EndBy(last)).await;
+    }
+
     /// Counts a request that a front turned away.
     pub fn malformed(&self) {
         // Only a count: not worth waiting for when the mailbox is full.
@@ -186,6 +194,7 @@
         nodes: BTreeMap::new(),
         next: 0,
         revision: 0,
+        last: None,
         zones: Vec::new(),
         counters: Counters::default(),
     };
@@ -237,6 +246,8 @@
     next: u32,
     /// The list's version.
     revision: u64,
+    /// The last moment for an answer, once the program ends.
+    last: Option<Instant>,
     zones: Vec<Box<str>>,
     counters: Counters,
 }
@@ -276,6 +287,7 @@
                 // Whoever asked may have left.
                 let _ = reply.send(self.resettle(deployment));
             }
+            Message::EndBy(last) => self.last = Some(last),
             Message::Report(reply) => {
                 // Whoever asked may have left.
                 let _ = reply.send(self.counters.clone());
@@ -363,7 +375,8 @@
         }
     }
 
-    fn arrive(&mut self, id: RequestId, call: Call, reply: oneshot::Sender<Answer>) {
+    fn arrive(&mut self, id: RequestId, mut call: Call, reply: oneshot::Sender<Answer>) {
+        call.deadline = self.last.map_or(call.deadline, |last| last.min(call.deadline));
         if !self.calls.insert(call.work.call.clone()) {
             self.counters.malformed += 1;
             // A front that has left meanwhile needs no answer.
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,8 +20,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
-/// Clients still come on new connections for up to 0.4 s after SIGTERM.
-const STILL_COMING: Duration = Duration::from_millis(500);
+/// The platform kills a scheduler so long after SIGTERM, and the longest deadline more, of which it counts no
+/// more than that.
+const GRACE: Duration = Duration::from_millis(700);
+const COUNTED: Duration = Duration::from_secs(3);
+/// By then before that everything is answered.
+const SPARE: Duration = Duration::from_millis(150);
 /// How often the end looks whether anything is still open.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -170,13 +174,17 @@
         }
     }
     let core = service.core.clone();
-    let deployment = core.deployment();
+    let longest = core.deployment().settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let longest = Duration::from_micros(longest).min(COUNTED);
+    // Clients come for a while, and go on for as long as their connections stay open; the next scheduler is not
+    // there before this one would have been killed, however soon it ends. So it serves on, as long as what
+    // comes can still be answered.
+    let told = Instant::now();
+    let last = told + longest + GRACE - SPARE;
+    core.end_by(last).await;
+    sleep_until(told + longest + GRACE / 2).await;
     // Nothing marks a change: whoever listens has it now, or is gone.
     stop.send_replace(true);
-    let still_coming = Instant::now() + STILL_COMING;
-    let longest = deployment.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let last = still_coming + Duration::from_micros(longest);
-    sleep_until(still_coming).await;
     // What is open in the core, and connections whose last answer is on its way: each holds a receiver.
     while (core.status().open > 0 || stop.receiver_count() > listeners) && Instant::now() < last {
         sleep_until(Instant::now() + LOOK).await;
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -119,6 +119,18 @@
     assert_eq!(rig.counters().await.sent, 2);
 }
 
+/// Guards against a request that is still open when the program is killed.
+#[tokio::test]
+async fn no_request_gets_more_time_than_the_program_has() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    rig.core.end_by(Instant::now() + Duration::from_millis(100)).await;
+    assert!(matches!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 503 | 504));
+    let budget: u32 = header(&log.all()[0].head.to_lowercase(), "x-budget-ms").unwrap().parse().unwrap();
+    assert!(budget <= 100, "{budget}");
+}
+
 #[tokio::test]
 async fn a_keyed_repeat_goes_to_its_shard_within_the_window() {
     let log = Log::default();
--- a/tests/net/process.rs
+++ b/tests/net/process.rs
@@ -104,18 +104,21 @@
     }
     let kill = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
     assert!(kill.success());
-    // An idle connection is closed, a new one served, the open request answered.
-    assert!(read_message(&mut idle).await.is_none());
+    // Old and new connections are served, the open request is answered; then they are closed.
     let mut new = TcpStream::connect(address).await.unwrap();
-    new.write_all(request("consulta", 3, 1, 900, "").as_bytes()).await.unwrap();
-    let (status, head, _) = answer(&mut new).await;
-    assert_eq!((status, header(&head, "connection")), (200, Some("close")));
+    for (stream, call) in [(&mut idle, 3), (&mut new, 4)] {
+        stream.write_all(request("consulta", call, 1, 900, "").as_bytes()).await.unwrap();
+        assert_eq!(answer(stream).await.0, 200);
+    }
     assert!(matches!(answer(&mut open).await.0, 503 | 504));
+    for stream in [&mut open, &mut idle, &mut new] {
+        assert!(timeout(PATIENCE, read_message(stream)).await.expect("an end").is_none());
+    }
     let mut said = String::new();
     log_lines.read_to_string(&mut said).unwrap();
     assert!(child.wait().unwrap().success(), "{said}");
     let last = said.lines().last().unwrap();
-    assert!(last.contains("counters taken=3 ") && last.contains(" served=2 refused=1 "), "{said}");
+    assert!(last.contains("counters taken=4 ") && last.contains(" served=3 refused=1 "), "{said}");
 }
 
 fn signal(child: &Child, name: &str) {
