--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,7 +40,7 @@
 const PRIOR_GAIN: f64 = 0.2;
 /// Units a second of a volume's share, in usual rates of its weight; .5, 1 and 2 are alike within noise.
 const SHARE_RATES: f64 = 0.5;
-/// Largest requests in the stores of all a volume's hosts together; 2 and 6 did no better.
+/// Largest requests in the stores of all a volume's hosts; 2 and 6 did no better.
 const BURST_PART: f64 = 1.5;
 /// Span in seconds over which a volume's use is averaged: shows a surge, not a second's chance; 4 did worse.
 const USE_SPAN: f64 = 2.0;
@@ -657,13 +657,12 @@
         let mut news = None;
         if let Some(node) = self.nodes.get_mut(&node_id) {
             let suspected = node.suspect.is_some();
+            let long = now.saturating_sub(node.heard) >= SILENT.1 * self.period;
             node.out.remove(&(sent, o.request, o.attempt));
             node.out_units = (node.out_units - units).max(0.0);
             match o.end {
                 End::Served | End::Error | End::Full => {
-                    // Down or silent and answers: it may be cold before the list says so. But one not unheard
-                    // for long enough to be silent has lost a connection: no process is back so soon.
-                    let long = now.saturating_sub(node.heard) >= SILENT.1 * self.period;
+                    // It was down or silent and answers: it may be cold before the list says so.
                     if node.suspect.take().is_some() && long {
                         node.started = Some(node.started.map_or(sent, |s| s.max(sent)));
                     }
@@ -672,11 +671,11 @@
                     node.errors = if o.end == End::Served { 0 } else { node.errors + 1 };
                     node.unheard = 0;
                 }
-                End::NotConnected | End::Reset => node.suspect = Some(now),
+                // Of a node heard a moment ago, a connection broke: what is down stays unheard.
+                End::NotConnected | End::Reset if long => node.suspect = Some(now),
                 // Single attempts get stuck on nodes that are well: silence is several with no word since.
                 End::TimedOut if node.heard < sent && o.took >= 2 * self.period => {
                     node.unheard += 1;
-                    let long = now.saturating_sub(node.heard) >= SILENT.1 * self.period;
                     node.suspect = node.suspect.or((long && node.unheard >= SILENT.0).then_some(now));
                 }
                 _ => {}
@@ -699,10 +698,9 @@
                 node.late += 1;
                 node.filled = true;
                 news = Some(node.faded(now, prior).max(2.0 * full));
-            } else if o.end == End::TimedOut && node.overtook < sent && o.took as f64 > node.faded(now, prior)
-            {
-                // No later send was answered: whoever goes now waits at least as long.
-                news = Some(o.took as f64);
+            } else if o.end == End::TimedOut && node.overtook < sent && node.unheard > 1 {
+                // No later send was answered, nor the one before: whoever goes now waits at least as long.
+                news = Some(o.took as f64).filter(|took| *took > node.faded(now, prior));
             }
             if let Some(wait) = news {
                 node.learn(now, wait, prior);
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -22,6 +22,9 @@
 /// the slack that the platform grants, and longer than a timer is late.
 const BACKSTOP: Duration = Duration::from_millis(5);
 
+/// What is told by half of a request's time leaves so long before, for the way back.
+const EARLY: Duration = Duration::from_millis(10);
+
 /// The module's clock counts whole microseconds: its deadline may come this much before the call's.
 const ROUNDING: Duration = Duration::from_millis(1);
 
@@ -205,6 +208,8 @@
 /// A request that owes an answer, or whose attempt is still out.
 struct Open {
     call: Call,
+    /// When half of its time is over.
+    half: Instant,
     /// Taken by the one final answer.
     reply: Option<oneshot::Sender<Answer>>,
     sends: u32,
@@ -384,20 +389,23 @@
             return;
         }
         self.counters.taken += 1;
+        let now = Instant::now();
+        let left = call.deadline.saturating_duration_since(now);
+        let half = now + (left / 2).saturating_sub(EARLY);
         let request = Request {
             id,
             class: call.class,
             plan: call.plan,
             volume: call.work.volume,
             units: call.work.units,
-            left: call.deadline.saturating_duration_since(Instant::now()).as_micros() as Micros,
+            left: left.as_micros() as Micros,
             shard: call.shard,
             key: Some(call.work.key),
             hosts: call.hosts,
             repeat: call.repeat,
         };
         self.limits.insert((call.deadline + BACKSTOP, id));
-        self.open.insert(id, Open { call, reply: Some(reply), sends: 0, out: None, ran: None });
+        self.open.insert(id, Open { call, half, reply: Some(reply), sends: 0, out: None, ran: None });
         self.feed(Event::Arrival(request));
     }
 
@@ -417,7 +425,8 @@
         }
         let sound = open.reply.is_some() && open.out.is_none() && now < until;
         let mailbox = self.nodes.get(&node).and_then(|n| n.mailbox.as_ref());
-        let attempt = Attempt { request, number, node, until, work: open.call.work.clone() };
+        let reach = if now < open.half { until.min(open.half) } else { until };
+        let attempt = Attempt { request, number, node, until, reach, work: open.call.work.clone() };
         if sound && mailbox.is_some_and(|mailbox| mailbox.try_send(attempt).is_ok()) {
             open.out = Some((number, now));
             self.counters.sent += 1;
--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -84,6 +84,9 @@
     pub node: NodeId,
     /// Given up then.
     pub until: Instant,
+    /// One that has found no connection by then never ran, and ends: no later than at half of the request's
+    /// time, so that its client hears early enough to come again.
+    pub reach: Instant,
     /// What to do.
     pub work: Arc<Work>,
 }
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -47,8 +47,9 @@
         Self { core }
     }
 
-    /// Answers a request whose last byte must have come at `by`.
-    async fn answer(mut self, request: Request<Incoming>, by: Instant) -> Response<Full<Bytes>> {
+    /// Answers a request whose head has come.
+    async fn answer(mut self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+        let by = guest.begin();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
             let ready = self.core.status().ready;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
@@ -68,6 +69,7 @@
             Ok(Err(_)) => return self.refuse(StatusCode::BAD_REQUEST, "body"),
             Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "body"),
         };
+        guest.enter(Phase::Busy);
         let call = match decode(&self.core.deployment(), &head, body, Instant::now()) {
             Ok(call) => call,
             Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
@@ -134,9 +136,8 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let Self { front, guest } = self.clone();
-        let by = guest.begin();
         Box::pin(async move {
-            let answer = front.answer(request, by).await;
+            let answer = front.answer(request, &guest).await;
             guest.enter(Phase::Idle(Instant::now()));
             Ok(answer)
         })
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -30,7 +30,7 @@
     /// A request is coming.
     Asking(Instant),
     /// A request is being worked on.
-    Busy(Instant),
+    Busy,
     /// Between requests.
     Idle(Instant),
     /// The last answer is given; the client reads it.
@@ -42,7 +42,7 @@
     pub fn until(self) -> Option<Instant> {
         match self {
             Self::Silent(since) | Self::Asking(since) => Some(since + REQUEST),
-            Self::Busy(_) => None,
+            Self::Busy => None,
             Self::Idle(since) => Some(since + IDLE.1),
             Self::Parting(since) => Some(since + PARTING),
         }
@@ -56,7 +56,7 @@
             Self::Idle(since) => (IDLE_RANK, since, IDLE.0),
             Self::Silent(since) => (2, since, SETTLED),
             Self::Asking(since) => (3, since, DRAGGING),
-            Self::Busy(_) => return None,
+            Self::Busy => return None,
         };
         (now.saturating_duration_since(since) >= after).then_some((rank, since))
     }
@@ -92,18 +92,19 @@
         match *phase {
             Phase::Silent(since) => *phase = Phase::Asking(since),
             Phase::Idle(_) => *phase = Phase::Asking(Instant::now()),
-            Phase::Asking(_) | Phase::Busy(_) | Phase::Parting(_) => {}
+            Phase::Asking(_) | Phase::Busy | Phase::Parting(_) => {}
         }
     }
 
-    /// A request's head is there; gives back when the rest must be.
+    /// A request's head is there; gives back when the rest must be. Until then it can be spared like one whose
+    /// head is still to come: bodies that never end keep nobody out either.
     pub fn begin(&self) -> Instant {
         let mut phase = lock(&self.phase);
         let since = match *phase {
             Phase::Silent(since) | Phase::Asking(since) => since,
             _ => Instant::now(),
         };
-        *phase = Phase::Busy(since);
+        *phase = Phase::Asking(since);
         since + REQUEST
     }
 }
--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -25,6 +26,10 @@
 
 type Driver = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
 
+/// The rest of an answer follows its head within this time. Guards against waiting for one that stopped short for
+/// as long as for a node that is slow, and against taking the node for slow.
+const REST: Duration = Duration::from_millis(50);
+
 /// One connection to such a node; it carries one attempt at a time and is closed when dropped.
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -94,7 +99,9 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => End::Full,
             _ => End::Error,
         };
-        let body = self.drive(Limited::new(body, BODY_LIMIT).collect()).await.ok()?;
+        let whole_by = Instant::now() + REST;
+        let body =
+            timeout_at(whole_by, self.drive(Limited::new(body, BODY_LIMIT).collect())).await.ok()?.ok()?;
         Some((end, body.to_bytes()))
     }
 
@@ -140,9 +147,8 @@
         let reused = idle.is_some();
         let mut connection = match idle.take() {
             Some(connection) => connection,
-            None => match timeout_at(connect_by.min(attempt.until), HttpConnection::open(address)).await {
+            None => match timeout_at(connect_by.min(attempt.reach), HttpConnection::open(address)).await {
                 Ok(Some(connection)) => connection,
-                Err(_) if attempt.until < connect_by => return Done::lost(End::TimedOut),
                 _ => return Done::lost(End::NotConnected),
             },
         };
--- a/src/net/nvme/initiator.rs
+++ b/src/net/nvme/initiator.rs
@@ -215,9 +215,8 @@
                 Some(connection) => connection,
                 None => {
                     let opened = NvmeConnection::open(self.address, &self.subsystem);
-                    match timeout_at(connect_by.min(until), opened).await {
+                    match timeout_at(connect_by.min(attempt.reach), opened).await {
                         Ok(Ok(connection)) => connection,
-                        Err(_) if until < connect_by => return Done::lost(End::TimedOut),
                         _ => return Done::lost(End::NotConnected),
                     }
                 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,6 +4,30 @@
 use common::*;
 use heathward::*;
 
+/// Guards against taking one attempt that hangs for the wait of all at that node.
+#[test]
+fn one_attempt_that_hangs_does_not_tell_of_a_wait() {
+    let spare = PlanSettings { rate: 1e-3, weight: 1.0, price: 1.0, ..Default::default() };
+    for (hang, refused) in [(1, 0), (3, 1)] {
+        let mut host = Host::new(Settings { plans: vec![spare.clone()], ..settings() });
+        host.list(&[1]);
+        host.step(5_000_000);
+        // One volume each, as a volume's store covers its first request.
+        let ask = |id| Request { volume: VolumeId(id), ..req(id) };
+        host.arrive(ask(1));
+        host.outcome(1, 0, 1, End::Served, true, 1_000);
+        for id in 2..2 + hang {
+            host.arrive(ask(id));
+        }
+        host.step(900_000);
+        for id in 2..2 + hang {
+            host.outcome(id, 0, 1, End::TimedOut, false, 900_000);
+        }
+        host.arrive(ask(9));
+        assert_eq!(host.refusals(9), refused, "after {hang} that hang");
+    }
+}
+
 /// Guards against taking a sound node for one that went down and is cold, over one connection that broke; and
 /// against the opposite, where it was silent before.
 #[test]
