--- a/src/choice.rs
+++ b/src/choice.rs
@@ -673,6 +673,8 @@
                 }
                 // Of a node heard a moment ago, a connection broke: what is down stays unheard.
                 End::NotConnected | End::Reset if long => node.suspect = Some(now),
+                // New objects shun it until it serves.
+                End::NotConnected => node.errors = node.errors.max(2),
                 // Single attempts get stuck on nodes that are well: silence is several with no word since.
                 End::TimedOut if node.heard < sent && o.took >= 2 * self.period => {
                     node.unheard += 1;
