--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,6 +46,8 @@
 const USE_SPAN: f64 = 2.0;
 /// Attempts in a row that time out, and periods without a word, after which a node is silent and not paused.
 const SILENT: (u32, u64) = (3, 7);
+/// A start that the list has not told of after this time was none, microseconds.
+const CONFIRMED: Micros = 6_000_000;
 /// Length of a turn at a cold node in windows of its rule, one of them lost, and the part of a window that
 /// stays free at each end for clocks and ways that differ.
 const COLD_SLOT: Micros = 4;
@@ -53,7 +55,6 @@
 /// First and longest pause before a failed subscription is opened anew.
 const RESUBSCRIBE: (Micros, Micros) = (300_000, 2_400_000);
 
-/// What the send gate says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Gate {
     Go,
@@ -77,7 +78,6 @@
     jobs: BTreeMap<RequestId, Job>,
     volumes: BTreeMap<VolumeId, Volume>,
     lines: Lines,
-    /// Every open request by the time at which it must be answered.
     limits: BTreeSet<(Micros, RequestId)>,
     tally: Tally,
     /// Microseconds of plain service for one unit, as seen on good answers.
@@ -345,7 +345,6 @@
         node.out.range(from..).map(|((sent, _, _), units)| (*sent, *units))
     }
 
-    /// Units open at the node that hold room.
     fn open(&self, now: Micros, node: &Node) -> f64 {
         self.telling(now, node).map(|(_, units)| units).sum()
     }
@@ -447,7 +446,6 @@
         Some((if out { deadline } else { deadline.saturating_sub(2 * self.set.tick) }, id))
     }
 
-    /// Answers whatever has reached the last moment for an answer of ours.
     fn expire(&mut self, now: Micros, out: &mut Vec<Action>) {
         while let Some(id) = self.last_moment().filter(|(at, _)| *at <= now).map(|(_, id)| id) {
             self.finish(now, id, out);
@@ -601,16 +599,16 @@
     }
 
     /// Units that this host may send within the fall time to a node that is or may be cold; `None` if warm.
-    ///
     /// As many hosts share any such window as requests of twice the mean fit what the node bears. Where that
     /// is not all of them they take turns by number, in slots of several windows, the last of which stays
     /// empty: no window meets two slots, and clocks may differ by the edges. A host that just restarted may
     /// have spent its part of the window before, and waits.
     fn cold_part(&self, now: Micros, node: &Node) -> Option<f64> {
         let (share, time) = (self.set.cold_share.clamp(0.01, 1.0), self.set.cold_time.max(1));
-        // As cold as can be until it answers; but what the list does not confirm in time was no restart.
+        // As cold as can be until it answers.
         let suspect = node.suspect.is_some_and(|since| now.saturating_sub(since) < time);
-        let started = if suspect { now } else { node.started.max(node.suspect)? };
+        let guess = node.guess.filter(|at| now.saturating_sub(*at) < CONFIRMED);
+        let started = if suspect { now } else { node.started.max(guess)? };
         if now.saturating_sub(started) >= time || self.set.cold_units <= 0.0 {
             return None;
         }
@@ -663,18 +661,21 @@
             match o.end {
                 End::Served | End::Error | End::Full => {
                     // It was down or silent and answers: it may be cold before the list says so.
-                    if node.suspect.take().is_some() && long {
-                        node.started = Some(node.started.map_or(sent, |s| s.max(sent)));
-                    }
+                    let back = node.suspect.take().is_some() && long;
+                    node.guess = node.guess.max(back.then_some(sent));
                     node.heard = now;
                     node.overtook = node.overtook.max(sent);
                     node.errors = if o.end == End::Served { 0 } else { node.errors + 1 };
                     node.unheard = 0;
                 }
-                // Of a node heard a moment ago, a connection broke: what is down stays unheard.
-                End::NotConnected | End::Reset if long => node.suspect = Some(now),
-                // New objects shun it until it serves.
-                End::NotConnected => node.errors = node.errors.max(2),
+                // Of a node heard a moment ago, a connection broke, and one that breaks once tells nothing of any:
+                // what is down stays unheard. New objects shun one that took none until it serves.
+                End::NotConnected | End::Reset => {
+                    let refused = o.end == End::NotConnected;
+                    node.unheard += 1 + u32::from(refused);
+                    node.errors = node.errors.max(2 * u32::from(refused));
+                    node.suspect = node.suspect.or((long && node.unheard > 1).then_some(now));
+                }
                 // Single attempts get stuck on nodes that are well: silence is several with no word since.
                 End::TimedOut if node.heard < sent && o.took >= 2 * self.period => {
                     node.unheard += 1;
@@ -783,7 +784,6 @@
         self.drop_if_done(now, id, out);
     }
 
-    /// Takes a request out of whatever set it is held in.
     fn unhold(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let place = (job.due, id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,12 +136,14 @@
     pub(crate) shard: ShardId,
     pub(crate) zone: u32,
     pub(crate) ready: bool,
-    /// When it started, as listed or as seen; it is warm one cold time later.
+    /// When it started, as listed; it is warm one cold time later.
     pub(crate) started: Option<Micros>,
+    /// The same as guessed, from an answer after it was down or silent.
+    pub(crate) guess: Option<Micros>,
     /// Its process was seen down or silent, so that it may be cold when it answers.
     pub(crate) suspect: Option<Micros>,
     pub(crate) heard: Micros,
-    /// Attempts that timed out since then.
+    /// Attempts that were lost since then: timed out, reset, not connected.
     pub(crate) unheard: u32,
     /// Errors in a row.
     pub(crate) errors: u32,
