--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -50,15 +50,19 @@
 
     /// How dispensable a connection in this phase is, the least of all first; `None` if it stays.
     fn dispensable(self, now: Instant) -> Option<(u8, Instant)> {
+        let lasting = |since| now.saturating_duration_since(since);
         let (rank, since, after) = match self {
             Self::Parting(since) => (0, since, SETTLED),
             // Its client just opens another; the first request of a silent one may be on its way.
-            Self::Idle(since) => (IDLE_RANK, since, IDLE.0),
+            Self::Idle(since) if lasting(since) >= IDLE.0 => (IDLE_RANK, since, IDLE.0),
             Self::Silent(since) => (2, since, SETTLED),
             Self::Asking(since) => (3, since, DRAGGING),
+            // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while the
+            // client of an idle connection asks again on another.
+            Self::Idle(since) => (4, since, SETTLED),
             Self::Busy => return None,
         };
-        (now.saturating_duration_since(since) >= after).then_some((rank, since))
+        (lasting(since) >= after).then_some((rank, since))
     }
 }
 
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -449,6 +449,24 @@
     }
 }
 
+/// A crowd of clients that ask once and stay: more of them at once than there are places. Guards against turning
+/// away those who come to ask for the sake of those who have been answered.
+#[tokio::test]
+async fn in_a_crowd_the_answered_make_way() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let mut kept = Vec::new();
+    for call in 0..2 * ROOM as u32 {
+        let mut stream = TcpStream::connect(rig.front).await.unwrap();
+        stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.unwrap();
+        assert_eq!(answer(&mut stream).await.0, 200, "client {call}");
+        kept.push(stream);
+        // Slow enough for a place to be spared each time, and all within the time of an idle connection.
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn it_is_ready_once_it_has_a_list() {
     let rig = rig(&[], None).await;
