--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -32,6 +32,8 @@
 
 /// What a client is told whose request does not come to its end in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// How often an idle connection that is kept looks whether places have become scarce.
+const LOOK: Duration = Duration::from_millis(500);
 /// Bytes that are thrown away at a time of what comes after the last answer.
 const WASTE: usize = 64 * 1024;
 
@@ -186,6 +188,8 @@
     let mut builder = http1::Builder::new();
     builder.keep_alive(!last).max_buf_size(HEAD_LIMIT);
     let mut connection = builder.serve_connection(io, visit);
+    // Until then an idle connection is kept.
+    let mut kept = Instant::now();
     loop {
         let mut overdue = pin!(sleep_until(Instant::now()));
         let mut leave = pin!(guest.leave.notified());
@@ -203,6 +207,7 @@
                 return Poll::Ready(Over::Stop);
             }
             let Some(until) = guest.phase().until() else { return Poll::Pending };
+            let until = if matches!(guest.phase(), Phase::Idle(_)) { until.max(kept) } else { until };
             if overdue.deadline() != until {
                 overdue.as_mut().reset(until);
             }
@@ -223,6 +228,9 @@
                 }
                 return;
             }
+            Over::Overdue if !seat.room.crowded() && guest.phase().kept_until() > Some(Instant::now()) => {
+                kept = Instant::now() + LOOK;
+            }
             Over::Overdue | Over::Leave => return,
         }
     }
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -13,8 +13,10 @@
 const REQUEST: Duration = Duration::from_millis(2500);
 /// A connection without a request is kept so long, and for the second time as long as all find room.
 const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
-/// How dispensable an idle connection is: only one that is ending anyway is more so.
+/// How dispensable an idle connection is: only one that is ending anyway is more so. And one that has not been
+/// idle for long: the last to go.
 const IDLE_RANK: u8 = 1;
+const LATELY_IDLE_RANK: u8 = 4;
 /// A client that has been answered for the last time may take so long to read that and close.
 const PARTING: Duration = Duration::from_secs(1);
 /// Whoever connects to ask has begun to by then: before, silence is no sign of one who never will.
@@ -38,16 +40,24 @@
 }
 
 impl Phase {
-    /// When it ends at the latest; an answer has its own deadline.
+    /// When it ends, an idle one if places are scarce; an answer has its own deadline.
     pub fn until(self) -> Option<Instant> {
         match self {
             Self::Silent(since) | Self::Asking(since) => Some(since + REQUEST),
             Self::Busy => None,
-            Self::Idle(since) => Some(since + IDLE.1),
+            Self::Idle(since) => Some(since + IDLE.0),
             Self::Parting(since) => Some(since + PARTING),
         }
     }
 
+    /// Until when an idle connection is kept while places are not scarce.
+    pub fn kept_until(self) -> Option<Instant> {
+        match self {
+            Self::Idle(since) => Some(since + IDLE.1),
+            _ => None,
+        }
+    }
+
     /// How dispensable a connection in this phase is, the least of all first; `None` if it stays.
     fn dispensable(self, now: Instant) -> Option<(u8, Instant)> {
         let lasting = |since| now.saturating_duration_since(since);
@@ -59,7 +69,7 @@
             Self::Asking(since) => (3, since, DRAGGING),
             // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while the
             // client of an idle connection asks again on another.
-            Self::Idle(since) => (4, since, SETTLED),
+            Self::Idle(since) => (LATELY_IDLE_RANK, since, SETTLED),
             Self::Busy => return None,
         };
         (lasting(since) >= after).then_some((rank, since))
@@ -130,7 +140,8 @@
 /// A place in the room, free again once dropped.
 #[derive(Debug)]
 pub struct Seat {
-    room: Room,
+    /// The room.
+    pub room: Room,
     number: u64,
     /// Its entry.
     pub guest: Arc<Guest>,
@@ -147,19 +158,31 @@
         self.most.store(most, Ordering::Relaxed);
     }
 
+    /// Half of the places are taken.
+    pub fn crowded(&self) -> bool {
+        2 * lock(&self.seats).taken.len() >= self.most.load(Ordering::Relaxed)
+    }
+
     /// A place for a newcomer; `None` if all are taken by those who can't be spared.
     pub fn enter(&self, now: Instant) -> Option<Seat> {
         let (mut seats, most) = (lock(&self.seats), self.most.load(Ordering::Relaxed));
-        let full = seats.taken.len() >= most;
-        // Clients may be short of descriptors themselves: of a room half full, what is idle goes.
-        if full || 2 * seats.taken.len() >= most {
+        let taken = seats.taken.len();
+        // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the places:
+        // before it comes to that, the answered go, long idle or not.
+        let ranks: &[u8] = match () {
+            () if taken >= most => &[0, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
+            () if 8 * taken >= 5 * most => &[0, IDLE_RANK, LATELY_IDLE_RANK],
+            () if 2 * taken >= most => &[0, IDLE_RANK],
+            () => &[],
+        };
+        if !ranks.is_empty() {
             let spared =
                 |(number, guest): (&u64, &Arc<Guest>)| Some((guest.phase().dispensable(now)?, *number));
-            let least = seats.taken.iter().filter_map(spared).min();
-            let least = least.filter(|((rank, _), _)| full || *rank <= IDLE_RANK);
+            let least =
+                seats.taken.iter().filter_map(spared).filter(|((rank, _), _)| ranks.contains(rank)).min();
             if let Some(guest) = least.and_then(|(_, number)| seats.taken.remove(&number)) {
                 guest.leave.notify_one();
-            } else if full {
+            } else if taken >= most {
                 return None;
             }
         }
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -465,6 +465,12 @@
         // Slow enough for a place to be spared each time, and all within the time of an idle connection.
         sleep(Duration::from_millis(5)).await;
     }
+    // They hold a third of the descriptors at most, two thirds of the places: held longer, none would come.
+    let mut open = 0;
+    for stream in &mut kept {
+        open += usize::from(timeout(Duration::from_millis(1), stream.readable()).await.is_err());
+    }
+    assert!(open <= ROOM * 2 / 3, "{open} kept");
 }
 
 #[tokio::test]
