--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -75,7 +75,7 @@
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
 /// mailbox was told last. At a new one the watch opens while the old one still stands: until that ends by
-/// itself, or for [`OVERLAP`], whatever either of them tells counts.
+/// itself, or for 5 s, whatever either of them tells counts.
 pub async fn follow(mut addresses: watch::Receiver<SocketAddr>, known: u64, core: mpsc::Sender<Message>) {
     let heard = Arc::new(AtomicU64::new(known));
     loop {
