--- a/src/choice.rs
+++ b/src/choice.rs
@@ -668,7 +668,7 @@
                     node.errors = if o.end == End::Served { 0 } else { node.errors + 1 };
                     node.unheard = 0;
                 }
-                // Of a node heard a moment ago, a connection broke, and one that breaks once tells nothing of any:
+                // Of a node heard a moment ago, a connection broke, and one that breaks once tells nothing:
                 // what is down stays unheard. New objects shun one that took none until it serves.
                 End::NotConnected | End::Reset => {
                     let refused = o.end == End::NotConnected;
@@ -729,7 +729,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (free, fresh) = (job.request.shard.is_none(), job.ran.is_none());
         // A bound request can wait for no other node: one that is full is so for longer than any aim here,
-        // and one that is down is better asked later; a lost connection tells neither. New objects go elsewhere.
+        // and one that is down is better asked later; a lost connection tells neither. New objects move on.
         let useful =
             matches!(end, End::Error | End::Reset) || (free && matches!(end, End::Full | End::NotConnected));
         let useful = useful && now < job.due;
--- a/src/main.rs
+++ b/src/main.rs
@@ -176,9 +176,9 @@
     let core = service.core.clone();
     let longest = core.deployment().settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let longest = Duration::from_micros(longest).min(COUNTED);
-    // Clients come for a while, and go on for as long as their connections stay open; the next scheduler is not
-    // there before this one would have been killed, however soon it ends. So it serves on, as long as what
-    // comes can still be answered.
+    // Clients come for a while, and go on for as long as their connections stay open; the next scheduler is
+    // not there before this one would have been killed, however soon it ends. So it serves on, as long as
+    // what comes can still be answered.
     let told = Instant::now();
     let last = told + longest + GRACE - SPARE;
     core.end_by(last).await;
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -13,8 +13,8 @@
 const REQUEST: Duration = Duration::from_millis(2500);
 /// A connection without a request is kept so long, and for the second time as long as all find room.
 const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
-/// How dispensable an idle connection is: only one that is ending anyway is more so. And one that has not been
-/// idle for long: the last to go.
+/// How dispensable an idle connection is: only one that is ending anyway is more so. And one that has not
+/// been idle for long: the last to go.
 const IDLE_RANK: u8 = 1;
 const LATELY_IDLE_RANK: u8 = 4;
 /// A client that has been answered for the last time may take so long to read that and close.
@@ -67,8 +67,8 @@
             Self::Idle(since) if lasting(since) >= IDLE.0 => (IDLE_RANK, since, IDLE.0),
             Self::Silent(since) => (2, since, SETTLED),
             Self::Asking(since) => (3, since, DRAGGING),
-            // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while the
-            // client of an idle connection asks again on another.
+            // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while
+            // the client of an idle connection asks again on another.
             Self::Idle(since) => (LATELY_IDLE_RANK, since, SETTLED),
             Self::Busy => return None,
         };
@@ -110,8 +110,8 @@
         }
     }
 
-    /// A request's head is there; gives back when the rest must be. Until then it can be spared like one whose
-    /// head is still to come: bodies that never end keep nobody out either.
+    /// A request's head is there; gives back when the rest must be. Until then it can be spared like one
+    /// whose head is still to come: bodies that never end keep nobody out either.
     pub fn begin(&self) -> Instant {
         let mut phase = lock(&self.phase);
         let since = match *phase {
@@ -167,8 +167,8 @@
     pub fn enter(&self, now: Instant) -> Option<Seat> {
         let (mut seats, most) = (lock(&self.seats), self.most.load(Ordering::Relaxed));
         let taken = seats.taken.len();
-        // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the places:
-        // before it comes to that, the answered go, long idle or not.
+        // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the
+        // places: before it comes to that, the answered go, long idle or not.
         let ranks: &[u8] = match () {
             () if taken >= most => &[0, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
             () if 8 * taken >= 5 * most => &[0, IDLE_RANK, LATELY_IDLE_RANK],
--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -26,8 +26,8 @@
 
 type Driver = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
 
-/// The rest of an answer follows its head within this time. Guards against waiting for one that stopped short for
-/// as long as for a node that is slow, and against taking the node for slow.
+/// The rest of an answer follows its head within this time. Guards against waiting for one that stopped short
+/// for as long as for a node that is slow, and against taking the node for slow.
 const REST: Duration = Duration::from_millis(50);
 
 /// One connection to such a node; it carries one attempt at a time and is closed when dropped.
--- a/src/net/nvme/initiator.rs
+++ b/src/net/nvme/initiator.rs
@@ -51,8 +51,8 @@
     }
 }
 
-/// How an exchange broke off: whether the last byte of the command had been written, and whether the target is
-/// there but makes no sense.
+/// How an exchange broke off: whether the last byte of the command had been written, and whether the target
+/// is there but makes no sense.
 struct BrokeOff {
     whole: bool,
     spoilt: bool,
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -105,8 +105,8 @@
     log.check_one_at_a_time();
 }
 
-/// What stands round a good answer: other answers before it, bytes that belong to none behind it. It is served
-/// once, and what came too much is nobody's answer.
+/// What stands round a good answer: other answers before it, bytes that belong to none behind it. It is
+/// served once, and what came too much is nobody's answer.
 #[rstest]
 #[case::informational("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n", "")]
 #[case::second_copy("", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")]
@@ -125,8 +125,8 @@
     assert_eq!(rig.counters().await.sent, 2);
 }
 
-/// The node's machine takes no connection and refuses none. Guards against telling the client after half of its
-/// time, and against "it may have run" for what has never left.
+/// The node's machine takes no connection and refuses none. Guards against telling the client after half of
+/// its time, and against "it may have run" for what has never left.
 #[tokio::test]
 async fn a_connection_that_does_not_come_up_is_given_up_by_half_the_time() {
     let socket = TcpSocket::new_v4().unwrap();
@@ -307,7 +307,7 @@
 #[case::no_budget(("X-Budget-Ms: 900", "X-Budget-Ms: 0"))]
 #[case::signed_budget(("X-Budget-Ms: 900", "X-Budget-Ms: +900"))]
 #[case::huge_budget(("X-Budget-Ms: 900", "X-Budget-Ms: 99999999999999999999"))]
-#[case::two_ids(("X-Call-Id: 0000000000000001\r\n", "X-Call-Id: 0000000000000001\r\nX-Call-Id: 0000000000000002\r\n"))]
+#[case::two_ids(("X-Call-Id: 0", "X-Call-Id: 0000000000000002\r\nX-Call-Id: 0"))]
 #[case::other_id(("0000000000000001", "../../../etc"))]
 #[case::too_many_units(("units=2", "units=9"))]
 #[case::no_hosts(("hosts=1", "hosts=0"))]
@@ -383,8 +383,8 @@
     assert_eq!(told.map(|(head, ..)| head[9..12].parse().unwrap()), status);
 }
 
-/// The client sends all the same, as fast as it can, and reads then. Guards against a reset that overtakes the
-/// answer, and against reading what was refused.
+/// The client sends all the same, as fast as it can, and reads then. Guards against a reset that overtakes
+/// the answer, and against reading what was refused.
 #[rstest]
 #[case::body("Content-Length: 60000000\r\n", 413)]
 #[case::head("X-Pad: ", 431)]
@@ -409,8 +409,8 @@
     assert_eq!(rig.ask(&text).await.0, 413);
 }
 
-/// Guards against clients that ask once, or never, and keep their connection: with a front full of them, those
-/// who come to ask must still be served.
+/// Guards against clients that ask once, or never, and keep their connection: with a front full of them,
+/// those who come to ask must still be served.
 #[rstest]
 #[case::silent("", false)]
 #[case::half_a_head("GET /consulta/0000", false)]
@@ -449,8 +449,8 @@
     }
 }
 
-/// A crowd of clients that ask once and stay: more of them at once than there are places. Guards against turning
-/// away those who come to ask for the sake of those who have been answered.
+/// A crowd of clients that ask once and stay: more of them at once than there are places. Guards against
+/// turning away those who come to ask for the sake of those who have been answered.
 #[tokio::test]
 async fn in_a_crowd_the_answered_make_way() {
     let log = Log::default();
--- a/tests/net/process.rs
+++ b/tests/net/process.rs
@@ -170,7 +170,8 @@
     let mut call = 2;
     loop {
         let mut client = TcpStream::connect(address).await.unwrap();
-        // A budget that lets the request wait no longer than its aim: what drains is refused, with the new hint.
+        // A budget that lets the request wait no longer than its aim: what drains is refused, with the new
+        // hint.
         client
             .write_all(request("consulta", call, 0, 900, "").replace("prioritario", "basico").as_bytes())
             .await
