--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,5 @@
 //! All decisions of heathward. Settings, events, actions and ids are in `src/api.rs`; the plain records that
 //! this file fills (`Job`, `Volume`, `Node`) are in `src/state.rs`.
-//!
 //! From the top: constants, state, events, admission, send gate (every rule), outcomes, finish point, list.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -121,6 +120,11 @@
         Ok(())
     }
 
+    /// Whether a node gets nothing new, or only a try now and then.
+    pub fn avoids(&self, node: NodeId) -> bool {
+        self.nodes.get(&node).is_none_or(Node::avoided)
+    }
+
     /// Takes one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.born.is_none() {
@@ -855,12 +859,6 @@
 }
 
 impl Volume {
-    /// Units that this host's part of the limit allows now.
-    fn allowed(&self, now: Micros, plan: &PlanSettings) -> f64 {
-        let hosts = f64::from(self.hosts);
-        self.limit.clone().fill(now, plan.limit / hosts, plan.burst / hosts)
-    }
-
     fn fade(&mut self, now: Micros) {
         let kept = (-seconds(now.saturating_sub(self.asked_at)) / USE_SPAN).exp();
         (self.asked, self.sent, self.asked_at) = (self.asked * kept, self.sent * kept, now);
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -12,12 +12,18 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
-use super::{Answer, Attempt, Call, Clock, Counters, Ended, Member, News};
+use super::{
+    Answer, Attempt, Call, Clock, Counters, Ended, Figures, Gate, Member, News, NotDone, Order, Tries,
+};
 use crate::settings::{Deployment, Wrong};
 use crate::*;
 
 /// Messages that wait for the module's actor at most; whoever brings more waits.
 const MAILBOX: usize = 4096;
+/// Staff's orders and calls that wait at most.
+const ORDERS: usize = 64;
+/// Nodes that are out by hand at most, whether listed or not.
+const SUSPENDED: usize = 1024;
 /// The module answers at the deadline; whatever it has left open this much later is ended here. Well inside
 /// the slack that the platform grants, and longer than a timer is late.
 const BACKSTOP: Duration = Duration::from_millis(5);
@@ -55,8 +61,14 @@
     Settings(Arc<Deployment>, oneshot::Sender<Result<(), Wrong>>),
     /// The program ends: every answer has to be there by then.
     EndBy(Instant),
-    /// Somebody asks for the counters.
-    Report(oneshot::Sender<Counters>),
+    /// A configuration was read again: it is gone by, or not taken.
+    Configured(bool),
+}
+
+/// What passes ahead of all messages.
+enum Urgent {
+    Order(Order, oneshot::Sender<Result<(), NotDone>>),
+    Figures(oneshot::Sender<Figures>),
 }
 
 /// How the core stands, for whoever watches.
@@ -87,8 +99,10 @@
 #[derive(Clone, Debug)]
 pub struct Core {
     mailbox: mpsc::Sender<Message>,
+    urgent: mpsc::Sender<Urgent>,
     next: Arc<AtomicU64>,
     status: watch::Receiver<Status>,
+    paused: watch::Receiver<bool>,
     deployment: watch::Receiver<Arc<Deployment>>,
 }
 
@@ -103,6 +117,11 @@
         *self.status.borrow()
     }
 
+    /// Whether clients are to be sent away.
+    pub fn paused(&self) -> watch::Receiver<bool> {
+        self.paused.clone()
+    }
+
     /// The settings as they stand now.
     pub fn deployment(&self) -> Arc<Deployment> {
         self.deployment.borrow().clone()
@@ -128,12 +147,25 @@
         let _ = self.mailbox.try_send(Message::Malformed);
     }
 
-    /// The counters now.
-    pub async fn counters(&self) -> Option<Counters> {
+    /// Counts a configuration that was read again.
+    pub fn configured(&self, applied: bool) {
+        // As above.
+        let _ = self.mailbox.try_send(Message::Configured(applied));
+    }
+
+    /// The figures now, ahead of whatever waits; `None` without a core.
+    pub async fn figures(&self) -> Option<Figures> {
         let (reply, answer) = oneshot::channel();
-        self.mailbox.send(Message::Report(reply)).await.ok()?;
+        self.urgent.send(Urgent::Figures(reply)).await.ok()?;
         answer.await.ok()
     }
+
+    /// Does what staff order, ahead of whatever waits; once it is answered, it holds.
+    pub async fn order(&self, order: Order) -> Result<Result<(), NotDone>, Gone> {
+        let (reply, answer) = oneshot::channel();
+        self.urgent.send(Urgent::Order(order, reply)).await.map_err(|_| Gone)?;
+        answer.await.map_err(|_| Gone)
+    }
 }
 
 impl tower::Service<Call> for Core {
@@ -179,6 +211,8 @@
 pub fn start(deployment: Arc<Deployment>, seed: u64, dial: Dial) -> Result<Core, SettingsError> {
     let scheduler = Scheduler::new(deployment.settings.clone(), seed)?;
     let (mailbox, messages) = mpsc::channel(MAILBOX);
+    let (urgent, orders) = mpsc::channel(ORDERS);
+    let (pause, paused) = watch::channel(false);
     let (status, watched) = watch::channel(Status::default());
     let (deployment, settings) = watch::channel(deployment);
     let actor = Actor {
@@ -188,6 +222,7 @@
         dial,
         mailbox: mailbox.downgrade(),
         status,
+        pause,
         open: HashMap::new(),
         calls: HashSet::new(),
         limits: BTreeSet::new(),
@@ -199,10 +234,19 @@
         revision: 0,
         last: None,
         zones: Vec::new(),
+        suspended: BTreeSet::new(),
         counters: Counters::default(),
+        tries: Tries::default(),
     };
-    tokio::spawn(actor.run(messages));
-    Ok(Core { mailbox, next: Arc::new(AtomicU64::new(1)), status: watched, deployment: settings })
+    tokio::spawn(actor.run(messages, orders));
+    Ok(Core {
+        mailbox,
+        urgent,
+        next: Arc::new(AtomicU64::new(1)),
+        status: watched,
+        paused,
+        deployment: settings,
+    })
 }
 
 /// A request that owes an answer, or whose attempt is still out.
@@ -221,6 +265,9 @@
 
 struct Node {
     member: Member,
+    /// When staff said that it is back.
+    restored: Option<Micros>,
+    gate: Gate,
     /// `None` once the list has dropped the node.
     mailbox: Option<mpsc::Sender<Attempt>>,
     /// When it was last listed.
@@ -237,6 +284,7 @@
     dial: Dial,
     mailbox: mpsc::WeakSender<Message>,
     status: watch::Sender<Status>,
+    pause: watch::Sender<bool>,
     open: HashMap<RequestId, Open>,
     /// The clients' ids of these.
     calls: HashSet<Box<str>>,
@@ -254,16 +302,21 @@
     /// The last moment for an answer, once the program ends.
     last: Option<Instant>,
     zones: Vec<Box<str>>,
+    /// Ids of nodes that are out by hand, also while no list names them.
+    suspended: BTreeSet<Box<str>>,
     counters: Counters,
+    tries: Tries,
 }
 
 impl Actor {
-    async fn run(mut self, mut messages: mpsc::Receiver<Message>) {
+    async fn run(mut self, mut messages: mpsc::Receiver<Message>, mut orders: mpsc::Receiver<Urgent>) {
         loop {
             let wake = self.wakes.first().map(|(at, _)| self.clock.instant(*at));
             let limit = self.limits.first().map(|(at, _)| *at);
             let next = wake.into_iter().chain(limit).min();
             tokio::select! {
+                biased;
+                Some(urgent) = orders.recv() => self.urgent(urgent),
                 message = messages.recv() => match message {
                     Some(message) => self.take(message),
                     None => return,
@@ -293,13 +346,83 @@
                 let _ = reply.send(self.resettle(deployment));
             }
             Message::EndBy(last) => self.last = Some(last),
-            Message::Report(reply) => {
-                // Whoever asked may have left.
-                let _ = reply.send(self.counters.clone());
+            Message::Configured(true) => self.counters.configured.0 += 1,
+            Message::Configured(false) => self.counters.configured.1 += 1,
+        }
+    }
+
+    fn urgent(&mut self, urgent: Urgent) {
+        match urgent {
+            Urgent::Order(order, reply) => {
+                let done = match order {
+                    Order::Suspend(id) => self.suspend(id),
+                    Order::Restore(id) => self.restore(&id),
+                    Order::Pause => self.pause(true),
+                    Order::Resume => self.pause(false),
+                };
+                // Whoever asked may have left; what is done holds.
+                let _ = reply.send(done);
+            }
+            Urgent::Figures(reply) => {
+                let counters = Counters { tries: self.tries.so_far(), ..self.counters.clone() };
+                let listed = || self.nodes.iter().filter(|(_, node)| node.mailbox.is_some());
+                let avoided = listed().filter(|(id, _)| self.scheduler.avoids(**id)).count();
+                let active = self.limits.len();
+                let _ = reply.send(Figures { counters, active, listed: listed().count(), avoided });
             }
         }
     }
 
+    fn pause(&mut self, paused: bool) -> Result<(), NotDone> {
+        self.pause.send_if_modified(|p| std::mem::replace(p, paused) != paused);
+        Ok(())
+    }
+
+    /// Takes a node out, once however often it is said.
+    fn suspend(&mut self, id: Box<str>) -> Result<(), NotDone> {
+        let node = *self.ids.get(&id).ok_or(NotDone::UnknownNode)?;
+        if self.suspended.len() >= SUSPENDED && !self.suspended.contains(&id) {
+            return Err(NotDone::TooMany);
+        }
+        self.suspended.insert(id);
+        self.relist(node);
+        Ok(())
+    }
+
+    /// Ends that. It was restarted meanwhile and is cold from now on at the latest, whatever the list says.
+    fn restore(&mut self, id: &str) -> Result<(), NotDone> {
+        let was_out = self.suspended.remove(id);
+        let node = match self.ids.get(id) {
+            Some(node) => *node,
+            None if was_out => return Ok(()),
+            None => return Err(NotDone::UnknownNode),
+        };
+        if was_out {
+            let now = self.clock.at(Instant::now());
+            self.nodes.entry(node).and_modify(|node| node.restored = Some(now));
+            self.relist(node);
+        }
+        Ok(())
+    }
+
+    /// Tells the module how a listed node stands now that staff have had their say.
+    fn relist(&mut self, id: NodeId) {
+        let Some(node) = self.nodes.get(&id).filter(|node| node.mailbox.is_some()) else { return };
+        let zone = self.zones.iter().position(|z| *z == node.member.zone).unwrap_or_default();
+        let entry = self.standing(id, node, zone);
+        self.feed(Event::List { kind: ListKind::Changes, entries: vec![entry] });
+    }
+
+    /// A node's entry for the module: it drains if either its list or staff say so.
+    fn standing(&self, id: NodeId, node: &Node, zone: usize) -> ListEntry {
+        let Member { id: name, shard, state, started, .. } = &node.member;
+        let out = *state == NodeState::Ready && self.suspended.contains(name);
+        let state = if out { NodeState::Draining } else { *state };
+        node.gate.set(state != NodeState::Ready);
+        let started = (*started).max(node.restored);
+        ListEntry { node: id, shard: *shard, zone: zone as u32, state, started }
+    }
+
     /// Fires the timers that are due, and ends what the module has left open past its time.
     fn ring(&mut self) {
         let now = Instant::now();
@@ -319,16 +442,18 @@
     fn settle(&mut self, id: RequestId, answer: Option<Answer>) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
         let Some(reply) = open.reply.take() else { return false };
+        let class = open.call.class;
         self.limits.remove(&(open.call.deadline + BACKSTOP, id));
         if open.out.is_none() {
             self.close(id);
         }
         if let Some(answer) = answer {
+            let answers = self.counters.of(class);
             match &answer {
                 Answer::Duplicate => {}
-                Answer::Served(_) => self.counters.served += 1,
-                Answer::Refused { .. } => self.counters.refused += 1,
-                Answer::Failed { .. } => self.counters.failed += 1,
+                Answer::Served(_) => answers.served += 1,
+                Answer::Refused { .. } => answers.refused += 1,
+                Answer::Failed { .. } => answers.failed += 1,
             }
             // A front that has left meanwhile says so by itself.
             let _ = reply.send(answer);
@@ -424,10 +549,14 @@
             until = until.min(ran + Duration::from_micros(class.window));
         }
         let sound = open.reply.is_some() && open.out.is_none() && now < until;
-        let mailbox = self.nodes.get(&node).and_then(|n| n.mailbox.as_ref());
         let reach = if now < open.half { until.min(open.half) } else { until };
-        let attempt = Attempt { request, number, node, until, reach, work: open.call.work.clone() };
-        if sound && mailbox.is_some_and(|mailbox| mailbox.try_send(attempt).is_ok()) {
+        let work = open.call.work.clone();
+        let sent = self.nodes.get(&node).filter(|node| sound && !node.gate.is_shut()).is_some_and(|to| {
+            let (gate, tries) = (to.gate.clone(), self.tries.clone());
+            let attempt = Attempt { request, number, node, until, reach, work, gate, tries };
+            to.mailbox.as_ref().is_some_and(|mailbox| mailbox.try_send(attempt).is_ok())
+        });
+        if sent {
             open.out = Some((number, now));
             self.counters.sent += 1;
             return;
@@ -497,6 +626,7 @@
             for (id, node) in &mut self.nodes {
                 if !listed.contains(id) {
                     node.mailbox = None;
+                    node.gate.set(true);
                 }
             }
         }
@@ -522,6 +652,8 @@
         self.next = self.next.max(node.0 + 1);
         let fresh = || Node {
             member: member.clone(),
+            restored: None,
+            gate: Gate::default(),
             mailbox: None,
             listed: Instant::now(),
             revision,
@@ -546,9 +678,9 @@
             // The actor that served it before ends once what it has out has ended.
             slot.mailbox = Some((self.dial)(&member, core));
         }
-        let (shard, state, started) = (member.shard, member.state, member.started);
         slot.member = member;
-        Some(ListEntry { node, shard, zone: zone as u32, state, started })
+        let slot = self.nodes.get(&node)?;
+        Some(self.standing(node, slot, zone))
     }
 }
 
--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -1,11 +1,14 @@
 //! What passes between the fronts, the core, the nodes' actors and discovery.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use super::counters::{Counters, Tries};
 use crate::{ClassId, End, KeyId, ListKind, Micros, NodeId, NodeState, PlanId, RequestId, ShardId, VolumeId};
 
 /// What a node needs to know of a request to do it, whatever wire it speaks.
@@ -89,6 +92,71 @@
     pub reach: Instant,
     /// What to do.
     pub work: Arc<Work>,
+    /// Once this is shut, it is not to be begun any more.
+    pub gate: Gate,
+    /// Counts it, once its last byte is written.
+    pub tries: Tries,
+}
+
+/// Whether anything new may go to a node; all its clones are one. Guards against an attempt that was on its
+/// way, for want of a connection, when its node was taken out.
+#[derive(Clone, Debug, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    /// Nothing may go there from now on, or all again.
+    pub fn set(&self, shut: bool) {
+        self.0.store(shut, Ordering::Relaxed);
+    }
+
+    /// Nothing may go there.
+    pub fn is_shut(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// What operations staff ask for; each holds until the opposite.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Send nothing new to the node of that id, whatever its list says.
+    Suspend(Box<str>),
+    /// The node of that id is back, and cold.
+    Restore(Box<str>),
+    /// Send clients away.
+    Pause,
+    /// Take clients again.
+    Resume,
+}
+
+/// Why an order was not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotDone {
+    /// It names a node that no list has told of.
+    UnknownNode,
+    /// More nodes are out by hand than are kept in mind.
+    TooMany,
+}
+
+impl fmt::Display for NotDone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::UnknownNode => "unknown storage node",
+            Self::TooMany => "too many storage nodes are out",
+        })
+    }
+}
+
+/// How the core stands, in figures.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Counts since the start.
+    pub counters: Counters,
+    /// Requests taken and not ended.
+    pub active: usize,
+    /// Nodes in the list.
+    pub listed: usize,
+    /// Those of them that get nothing new, or only a try now and then.
+    pub avoided: usize,
 }
 
 /// The end of an attempt. Nothing of it is open at the node any more.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,6 @@
 mod counters;
 
 pub use actor::{report, start, Core, Dial, Gone, Message, Status};
-pub use call::{Answer, Attempt, Call, Ended, Member, News, Work};
+pub use call::{Answer, Attempt, Call, Ended, Figures, Gate, Member, News, NotDone, Order, Work};
 pub use clock::Clock;
-pub use counters::Counters;
+pub use counters::{Answers, Counters, Tries};
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 use heathward::net::http::{self, Front, Room};
 use heathward::net::node::{self, Figures, HttpLink, Pool};
 use heathward::net::nvme::{self, Map, NvmeLink, Subsystem};
+use heathward::net::ops;
 use heathward::settings::{Deployment, Wrong};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -88,6 +89,11 @@
     sockets / 2
 }
 
+/// Staff have a part of the spare eighth.
+fn callers(sockets: usize) -> usize {
+    (sockets / 32).max(2)
+}
+
 impl Service {
     fn accept(&self, listener: TcpListener) -> AbortHandle {
         let front = Front::new(self.core.clone());
@@ -123,7 +129,7 @@
 }
 
 async fn run(config: Config) -> std::io::Result<()> {
-    let Config { listen, discovery, seed, sockets, known, deployment, nvme, .. } = config;
+    let Config { listen, ops, discovery, seed, sockets, known, deployment, nvme, .. } = config;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -155,7 +161,13 @@
         eprintln!("heathward: NVMe front listening on {}", listener.local_addr()?);
         let subsystem = Subsystem::new(map, core.clone(), seed);
         // The spare eighth, but for what the program itself needs.
-        tokio::spawn(nvme::serve(listener, subsystem, sockets / 8 - sockets / 32, stopping.clone()));
+        let hosts = sockets / 8 - sockets / 32 - callers(sockets);
+        tokio::spawn(nvme::serve(listener, subsystem, hosts, stopping.clone()));
+    }
+    if let Some(ops) = ops {
+        let listener = TcpListener::bind(ops).await?;
+        eprintln!("heathward: operations on {}", listener.local_addr()?);
+        tokio::spawn(ops::serve(listener, core.clone(), callers(sockets)));
     }
     let room = Room::new(clients(sockets));
     let front = Front::new(core.clone());
@@ -165,10 +177,14 @@
     loop {
         tokio::select! {
             _ = report.recv() => print(&service.core).await,
-            _ = hangup.recv() => match service.reload().await {
-                Ok(()) => eprintln!("heathward: configuration read again"),
-                Err(wrong) => eprintln!("heathward: configuration not taken: {wrong}"),
-            },
+            _ = hangup.recv() => {
+                let read = service.reload().await;
+                service.core.configured(read.is_ok());
+                match read {
+                    Ok(()) => eprintln!("heathward: configuration read again"),
+                    Err(wrong) => eprintln!("heathward: configuration not taken: {wrong}"),
+                }
+            }
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
         }
@@ -199,7 +215,7 @@
 }
 
 async fn print(core: &Core) {
-    if let Some(counters) = core.counters().await {
-        eprintln!("heathward: counters {counters}");
+    if let Some(figures) = core.figures().await {
+        eprintln!("heathward: counters {}", figures.counters);
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -21,6 +21,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operations staff connect, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// Discovery's address.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -73,7 +75,11 @@
 /// Reads the file that the environment names, as it is now.
 pub fn reread() -> Result<Config, Wrong> {
     let path = std::env::var("GW_CONFIG").map_err(|_| Wrong::missing("GW_CONFIG"))?;
-    parse(&read("GW_CONFIG", &path)?)
+    let mut config = parse(&read("GW_CONFIG", &path)?)?;
+    if let (None, Ok(ops)) = (config.ops, std::env::var("GW_OPS")) {
+        config.ops = Some(ops.parse().map_err(|_| Wrong::value("GW_OPS", &ops))?);
+    }
+    Ok(config)
 }
 
 fn read(field: &str, path: &str) -> Result<String, Wrong> {
@@ -103,6 +109,10 @@
     checked.map_err(|e| Wrong { field: "settings".to_owned(), why: e.to_string() })?;
     Ok(Config {
         listen: tree.number("listen")?,
+        ops: match tree.get("ops") {
+            Some(_) => Some(tree.number("ops")?),
+            None => None,
+        },
         discovery: tree.number("discovery")?,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| Wrong::value("seed", &seed))?,
         sockets,
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -34,6 +34,8 @@
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How often an idle connection that is kept looks whether places have become scarce.
 const LOOK: Duration = Duration::from_millis(500);
+/// An idle connection is closed so long after the start of a pause, or after its last answer.
+const PAUSED: Duration = Duration::from_millis(800);
 /// Bytes that are thrown away at a time of what comes after the last answer.
 const WASTE: usize = 64 * 1024;
 
@@ -53,7 +55,7 @@
     async fn answer(mut self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
         let by = guest.begin();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
-            let ready = self.core.status().ready;
+            let ready = self.core.status().ready && !*self.core.paused().borrow();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
@@ -139,7 +141,12 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let Self { front, guest } = self.clone();
         Box::pin(async move {
-            let answer = front.answer(request, &guest).await;
+            let paused = front.core.paused();
+            let mut answer = front.answer(request, &guest).await;
+            // Its client asks elsewhere from now on.
+            if *paused.borrow() {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             guest.enter(Phase::Idle(Instant::now()));
             Ok(answer)
         })
@@ -175,6 +182,8 @@
     Leave,
     /// The program ends.
     Stop,
+    /// Clients are to be sent away, or no longer.
+    Turn,
 }
 
 async fn carry(stream: TcpStream, front: Front, seat: Seat, mut stopping: watch::Receiver<bool>) {
@@ -184,6 +193,9 @@
     let guest = seat.guest.clone();
     let mut last = *stopping.borrow_and_update();
     let io = TokioIo::new(Heard { stream, guest: guest.clone() });
+    let mut pausing = front.core.paused();
+    let told = pausing.clone();
+    let mut paused = pausing.borrow_and_update().then(Instant::now);
     let visit = TowerToHyperService::new(Visit { front, guest: guest.clone() });
     let mut builder = http1::Builder::new();
     builder.keep_alive(!last).max_buf_size(HEAD_LIMIT);
@@ -194,6 +206,7 @@
         let mut overdue = pin!(sleep_until(Instant::now()));
         let mut leave = pin!(guest.leave.notified());
         let mut stop = pin!(stopping.changed());
+        let mut turn = pin!(pausing.changed());
         let over = poll_fn(|cx| {
             // A client that breaks off ends its connection; its request is dropped, and the core hears of it.
             if connection.poll_without_shutdown(cx).is_ready() {
@@ -206,8 +219,15 @@
             if !last && !matches!(guest.phase(), Phase::Silent(_)) && stop.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(Over::Stop);
             }
+            if turn.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Over::Turn);
+            }
             let Some(until) = guest.phase().until() else { return Poll::Pending };
-            let until = if matches!(guest.phase(), Phase::Idle(_)) { until.max(kept) } else { until };
+            let until = match (guest.phase(), paused) {
+                (Phase::Idle(since), Some(paused)) => since.max(paused) + PAUSED,
+                (Phase::Idle(_), None) => until.max(kept),
+                _ => until,
+            };
             if overdue.deadline() != until {
                 overdue.as_mut().reset(until);
             }
@@ -215,6 +235,7 @@
         })
         .await;
         match over {
+            Over::Turn => paused = told.borrow().then(Instant::now),
             Over::Stop => {
                 last = true;
                 Pin::new(&mut connection).graceful_shutdown();
@@ -228,7 +249,11 @@
                 }
                 return;
             }
-            Over::Overdue if !seat.room.crowded() && guest.phase().kept_until() > Some(Instant::now()) => {
+            Over::Overdue
+                if paused.is_none()
+                    && !seat.room.crowded()
+                    && guest.phase().kept_until() > Some(Instant::now()) =>
+            {
                 kept = Instant::now() + LOOK;
             }
             Over::Overdue | Over::Leave => return,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,3 +5,4 @@
 pub mod http;
 pub mod node;
 pub mod nvme;
+pub mod ops;
--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -152,8 +152,11 @@
                 _ => return Done::lost(End::NotConnected),
             },
         };
+        if attempt.gate.is_shut() {
+            return Done { end: End::Moot, body: Bytes::new(), idle: Some(connection) };
+        }
         let Ok(request) = encode(&attempt, address) else { return Done::lost(End::Moot) };
-        connection.written.begin(attempt.work.body.len());
+        connection.written.begin(attempt.work.body.len(), attempt.tries.clone());
         let tried = async {
             if !connection.ready().await {
                 return None;
--- a/src/net/node/wire.rs
+++ b/src/net/node/wire.rs
@@ -3,12 +3,14 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::core::Tries;
+
 /// How far the request that a connection carries has been written. Whether an attempt can have run hangs on
 /// this alone, so it counts bytes that the socket has taken, not what was meant to be sent.
 #[derive(Debug, Default)]
@@ -18,12 +20,14 @@
     /// Bytes of the body still to come.
     body: AtomicUsize,
     whole: AtomicBool,
+    tries: Mutex<Tries>,
     broken: AtomicBool,
 }
 
 impl Written {
     /// A request begins whose body holds so many bytes.
-    pub fn begin(&self, body: usize) {
+    pub fn begin(&self, body: usize, tries: Tries) {
+        *self.tries.lock().unwrap_or_else(PoisonError::into_inner) = tries;
         self.ending.store(0, Ordering::Relaxed);
         self.body.store(body, Ordering::Relaxed);
         self.whole.store(false, Ordering::Relaxed);
@@ -51,7 +55,9 @@
         if ending == END.len() {
             let left = self.body.load(Ordering::Relaxed).saturating_sub(rest.len());
             self.body.store(left, Ordering::Relaxed);
-            self.whole.store(left == 0, Ordering::Relaxed);
+            if left == 0 && !self.whole.swap(true, Ordering::Relaxed) {
+                self.tries.lock().unwrap_or_else(PoisonError::into_inner).count();
+            }
         }
     }
 }
--- a/src/net/nvme/initiator.rs
+++ b/src/net/nvme/initiator.rs
@@ -16,7 +16,7 @@
 use super::map::Map;
 use super::pdu::{Pdu, MOST_DATA};
 use super::wire::{Broken, Wire};
-use crate::core::Work;
+use crate::core::{Tries, Work};
 use crate::net::node::{Connection, Done, Job};
 use crate::End;
 
@@ -84,7 +84,14 @@
     }
 
     /// One read or write, from its first byte to its completion.
-    async fn exchange(&mut self, write: bool, blocks: Blocks, data: Bytes, size: usize) -> Exchange {
+    async fn exchange(
+        &mut self,
+        write: bool,
+        blocks: Blocks,
+        data: Bytes,
+        size: usize,
+        tries: &Tries,
+    ) -> Exchange {
         self.cid = self.cid.wrapping_add(1);
         let (cid, length) = (self.cid, size as u32);
         let carried = write && size <= self.in_capsule;
@@ -95,6 +102,9 @@
         self.io.send(&[capsule]).await.map_err(|_| BrokeOff { whole: false, spoilt: false })?;
         // Until all the data of a write is out, it can't have run.
         let (mut whole, mut sent) = (!write || carried, 0);
+        if whole {
+            tries.count();
+        }
         let mut page = BytesMut::new();
         loop {
             let broke = BrokeOff { whole, spoilt: true };
@@ -118,6 +128,9 @@
                         sent = upto;
                     }
                     whole = sent == size;
+                    if whole {
+                        tries.count();
+                    }
                 }
                 Ok(Pdu::C2hData { cid: of, offset, data, .. })
                     if of == cid
@@ -224,7 +237,10 @@
             if reused && !connection.io.quiet().await {
                 continue;
             }
-            let exchange = connection.exchange(work.write, blocks, data.clone(), size);
+            if attempt.gate.is_shut() {
+                return Done { end: End::Moot, body: Bytes::new(), idle: Some(connection) };
+            }
+            let exchange = connection.exchange(work.write, blocks, data.clone(), size, &attempt.tries);
             return match timeout_at(until, exchange).await {
                 Ok(Ok((status, body))) => Done { end: end_of(status), body, idle: Some(connection) },
                 // The target has not had the command whole: on an old queue it is still the same attempt.
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,6 +130,14 @@
     pub(crate) part: f64,
 }
 
+impl Volume {
+    /// Units that this host's part of the limit allows now.
+    pub(crate) fn allowed(&self, now: Micros, plan: &PlanSettings) -> f64 {
+        let hosts = f64::from(self.hosts);
+        self.limit.clone().fill(now, plan.limit / hosts, plan.burst / hosts)
+    }
+}
+
 /// What this host knows of a node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Node {
@@ -176,6 +184,13 @@
     pub(crate) cold_sends: VecDeque<(Micros, f64)>,
 }
 
+impl Node {
+    /// It drains, is out, or was seen down or silent and has not been heard since.
+    pub(crate) fn avoided(&self) -> bool {
+        !self.ready || self.suspect.is_some()
+    }
+}
+
 pub(crate) fn seconds(span: Micros) -> f64 {
     span as f64 / 1e6
 }
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use heathward::core::{Counters, Message};
+use heathward::core::{Answers, Counters, Message};
 use heathward::net::discovery;
 use heathward::End;
 use rstest::rstest;
@@ -66,7 +66,7 @@
     assert_eq!(header(&head, "retry-after").is_some(), status == 503, "{head}");
     let counters = rig.counters().await;
     assert!(count(&counters, end) == tries && counters.sent == tries, "{counters}");
-    assert_eq!(counters.served + counters.refused + counters.failed, 1, "{counters}");
+    assert_eq!(counters.total().served + counters.total().refused + counters.total().failed, 1, "{counters}");
     log.check_one_at_a_time();
 }
 
@@ -240,7 +240,7 @@
     rig.until(|c| c.sent == 1).await;
     drop(stream);
     let counters = rig.until(|c| c.gone == 1).await;
-    assert_eq!(counters.served + counters.refused + counters.failed, 0, "{counters}");
+    assert_eq!(counters.total(), Answers::default(), "{counters}");
 }
 
 #[tokio::test]
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -3,6 +3,7 @@
 
 mod http;
 mod nvme;
+mod ops;
 mod parsers;
 mod process;
 mod support;
--- a/tests/net/nvme.rs
+++ b/tests/net/nvme.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
+use heathward::core::Answers;
 use heathward::net::nvme::{
     serve, Blocks, Body, Command, Completion, Connect, ConnectData, Fatal, Map, Pdu, Sgl, Status, Subsystem,
     Wire,
@@ -318,7 +319,7 @@
         }
     }
     let counters = mixed.rig.counters().await;
-    assert!(counters.served == 8 && counters.sent == 8, "{counters}");
+    assert!(counters.total().served == 8 && counters.sent == 8, "{counters}");
     mixed.log.check_one_at_a_time();
 }
 
@@ -394,7 +395,7 @@
     let asked = Instant::now();
     assert_eq!(host.write(1, first, vec![7; SMALL]).await, Status::ABORTED);
     assert!(asked.elapsed() >= Duration::from_millis(650), "{:?}", asked.elapsed());
-    let counters = mixed.rig.until(|c| c.failed == 1).await;
+    let counters = mixed.rig.until(|c| c.total().failed == 1).await;
     assert_eq!((counters.sent, counters.overdue), (1, 0), "{counters}");
 }
 
@@ -474,7 +475,7 @@
     assert_eq!(ask(&mut host.admin, 6, abort(3), NONE, Bytes::new()).await.0.result, 0);
     assert_eq!(finish(&mut host.io, 3, Bytes::new()).await.0.status, Status::ABORTED);
     let counters = mixed.rig.until(|c| c.gone == 1).await;
-    assert_eq!(counters.served + counters.refused + counters.failed, 0, "{counters}");
+    assert_eq!(counters.total(), Answers::default(), "{counters}");
 }
 
 /// A host that breaks a queue off, or whose admin queue goes, gets no answer, and the module hears of it.
@@ -490,7 +491,7 @@
     mixed.rig.until(|c| c.taken == 3).await;
     let kept = if admin { (drop(first), Some(io)).1 } else { (drop(io), Some(first)).1 };
     let counters = mixed.rig.until(|c| c.gone == 3).await;
-    assert_eq!(counters.served + counters.refused + counters.failed, 0, "{counters}");
+    assert_eq!(counters.total(), Answers::default(), "{counters}");
     drop(kept);
 }
 
@@ -512,7 +513,7 @@
     mixed.rig.until(|c| c.sent == 1).await;
     mixed.stop.send_replace(true);
     assert!(timeout(PATIENCE, idle.io.next()).await.expect("in time").is_err());
-    assert_eq!(mixed.rig.counters().await.refused, 0, "the other still waits");
+    assert_eq!(mixed.rig.counters().await.total().refused, 0, "the other still waits");
     let status = finish(&mut busy.io, 3, Bytes::new()).await.0.status;
     assert_eq!(Status { delay: 0, ..status }, Status::INTERRUPTED);
     for queue in [&mut busy.io, &mut busy.admin, &mut idle.admin] {
--- /dev/null
+++ b/tests/net/ops.rs
@@ -0,0 +1,202 @@
+//! The second address: one test with real sockets for each rule.
+
+use bytes::Bytes;
+use heathward::core::{Attempt, Gate, Message, Tries, Work};
+use heathward::net::node::{HttpLink, Job};
+use heathward::net::{discovery, ops};
+use heathward::{End, KeyId, NodeId, RequestId, VolumeId};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Duration, Instant};
+use tower::Service;
+
+use crate::support::*;
+
+/// A scheduler before such nodes, and its second address with room for so many callers.
+async fn attended(members: &[String], most: usize) -> (Rig, std::net::SocketAddr) {
+    let rig = rig(members, None).await;
+    let (listener, address) = listen().await;
+    tokio::spawn(ops::serve(listener, rig.core.clone(), most));
+    (rig, address)
+}
+
+async fn call(address: std::net::SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(line.as_bytes()).await.unwrap();
+    let mut told = String::new();
+    timeout(PATIENCE, stream.read_to_string(&mut told)).await.expect("an answer").unwrap();
+    told
+}
+
+async fn news(rig: &Rig, text: &str) {
+    rig.core.mailbox().send(Message::News(discovery::parse(text).unwrap())).await.unwrap();
+}
+
+async fn status(rig: &Rig, call: u32) -> u16 {
+    rig.ask(&request("consulta", call, 0, 900, "")).await.0
+}
+
+#[rstest]
+#[case::unknown_call("REBOOT\n")]
+#[case::no_id("SUSPEND\n")]
+#[case::two_ids("SUSPEND s0 s1\n")]
+#[case::id_too_many("PAUSE s0\n")]
+#[case::unknown_node("SUSPEND s9\n")]
+#[case::unknown_node_back("RESTORE s9\r\n")]
+#[case::small("status\n")]
+#[case::nothing("\n")]
+#[case::not_text("\u{1}\u{2}\n")]
+#[tokio::test]
+async fn what_makes_no_sense_is_told_so(#[case] line: &str) {
+    let (_, nobody) = nobody();
+    let (rig, address) = attended(&[member("s0", nobody, 0, "in_service", 0)], 4).await;
+    rig.until(|c| c.lists == 1).await;
+    assert!(call(address, line).await.starts_with("ERR "), "{line:?}");
+    assert_eq!(call(address, "STATUS\r\n").await, "OK\n");
+}
+
+/// The figures say what was answered and sent, class by class.
+#[tokio::test]
+async fn the_figures_are_those_of_what_was_given_and_sent() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve, Does::Error], &log).await;
+    let members = [member("s0", node, 0, "in_service", 0), member("s1", node, 1, "terminating", 0)];
+    let (rig, address) = attended(&members, 4).await;
+    assert_eq!(status(&rig, 1).await, 200);
+    assert_eq!(rig.ask(&request("pedido", 2, 0, 900, "w")).await.0, 502);
+    assert_eq!(rig.ask(&request("pedido", 3, 1, 900, "w")).await.0, 503);
+    let told = call(address, "METRICS\n").await;
+    for figure in [
+        "responses.consulta.ok=1",
+        "responses.consulta.shed=0",
+        "responses.consulta.errors=0",
+        "responses.pedido.ok=0",
+        "responses.pedido.shed=1",
+        "responses.pedido.errors=1",
+        "tries=4",
+        "active=0",
+        "pool_size=2",
+        "pool_ejected=1",
+    ] {
+        assert!(told.lines().any(|line| line == format!("app.{figure}")), "{figure}: {told}");
+    }
+    assert_eq!(told.lines().last(), Some("END"));
+    assert_eq!(log.all().len(), 4, "as many as were written");
+}
+
+/// Guards against callers that say nothing, or half a call, keeping others out.
+#[tokio::test]
+async fn silent_callers_keep_nobody_out() {
+    let (_rig, address) = attended(&[], 4).await;
+    let mut silent = Vec::new();
+    for _ in 0..12 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(b"STAT").await.unwrap();
+        silent.push(stream);
+    }
+    assert!(call(address, "STATUS\n").await.starts_with("ERR "), "no list yet");
+}
+
+/// Out by hand is out: whatever discovery says, however often it was said, until the one call back.
+#[tokio::test]
+async fn a_suspended_node_gets_nothing_until_it_is_restored() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let entry = |phase| member("s0", node, 0, phase, 0);
+    let (rig, address) = attended(&[entry("in_service")], 4).await;
+    assert_eq!(status(&rig, 1).await, 200);
+    for _ in 0..2 {
+        assert_eq!(call(address, "SUSPEND s0\n").await, "OK\n");
+    }
+    let other = member("s1", node, 1, "in_service", 0);
+    for (call, list) in [
+        (2, format!(r#"{{"revision":8,"complete":true,"members":[{}]}}"#, entry("in_service"))),
+        (3, format!(r#"{{"revision":9,"complete":true,"members":[{other}]}}"#)),
+        (4, format!(r#"{{"revision":10,"complete":false,"members":[{}]}}"#, entry("in_service"))),
+    ] {
+        news(&rig, &list).await;
+        assert_eq!(status(&rig, call).await, 503, "{list}");
+    }
+    assert_eq!(log.all().len(), 1);
+    assert_eq!(call(address, "RESTORE s0\n").await, "OK\n");
+    // It is cold now, and takes its part of what a cold node bears.
+    let by = Instant::now() + PATIENCE;
+    let mut next = 5;
+    while status(&rig, next).await != 200 {
+        assert!(Instant::now() < by, "never used again");
+        next += 1;
+    }
+    // What discovery says of a drain holds by itself.
+    news(&rig, &format!(r#"{{"revision":11,"complete":false,"members":[{}]}}"#, entry("terminating"))).await;
+    assert_eq!(call(address, "RESTORE s0\n").await, "OK\n");
+    assert_eq!(status(&rig, 10_000).await, 503);
+}
+
+/// Guards against a send, after `OK`, of what had been waiting for a connection before.
+#[rstest]
+#[case::out(true, End::Moot, 0)]
+#[case::in_service(false, End::Served, 1)]
+#[tokio::test]
+async fn what_was_on_its_way_to_a_suspended_node_is_not_sent(
+    #[case] out: bool,
+    #[case] end: End,
+    #[case] seen: usize,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let work = Work {
+        call: "0000000000000001".into(),
+        class: "consulta".into(),
+        write: false,
+        target: "/consulta/0/0".into(),
+        once: None,
+        volume: VolumeId(1),
+        key: KeyId(1),
+        units: 1,
+        length: None,
+        body: Bytes::new(),
+    };
+    let (by, gate, tries) = (Instant::now() + PATIENCE, Gate::default(), Tries::default());
+    gate.set(out);
+    let (request, node_id, work) = (RequestId(1), NodeId(0), work.into());
+    let attempt =
+        Attempt { request, number: 0, node: node_id, until: by, reach: by, work, gate, tries: tries.clone() };
+    let Ok(done) = HttpLink::new(node).call(Job { attempt, idle: None, connect_by: by }).await;
+    assert_eq!((done.end, log.all().len(), tries.so_far()), (end, seen, seen as u64));
+}
+
+/// A pause says no at once, turns nobody back, and has closed every connection before 4 s are over.
+#[tokio::test]
+async fn a_pause_empties_the_front_and_ends() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let (rig, address) = attended(&[member("s0", node, 0, "in_service", 0)], 4).await;
+    let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut kept = Vec::new();
+    for call in 1..4 {
+        let mut stream = TcpStream::connect(rig.front).await.unwrap();
+        stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.unwrap();
+        assert_eq!(answer(&mut stream).await.0, 200);
+        kept.push(stream);
+    }
+    let paused = Instant::now();
+    assert_eq!(call(address, "PAUSE\n").await, "OK\n");
+    assert_eq!(rig.ask(health).await.0, 503);
+    let mut new = TcpStream::connect(rig.front).await.unwrap();
+    for (stream, call) in [(&mut new, 4), (&mut kept[0], 5)] {
+        stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.unwrap();
+        let (status, head, _) = answer(stream).await;
+        assert_eq!((status, header(&head, "connection")), (200, Some("close")));
+    }
+    for stream in kept.iter_mut().chain([&mut new]) {
+        assert!(timeout(PATIENCE, read_message(stream)).await.expect("an end").is_none());
+    }
+    assert!(paused.elapsed() < Duration::from_millis(3500), "{:?}", paused.elapsed());
+    assert_eq!(call(address, "STATUS\n").await, "OK\n");
+    assert_eq!(call(address, "RESUME\n").await, "OK\n");
+    assert_eq!(rig.ask(health).await.0, 200);
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    stream.write_all(request("consulta", 6, 0, 900, "").as_bytes()).await.unwrap();
+    assert_eq!(header(&answer(&mut stream).await.1, "connection"), None);
+}
--- a/tests/net/parsers.rs
+++ b/tests/net/parsers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use heathward::core::Tries;
 use heathward::load::{access_log, har, Recorded, Rules};
 use heathward::net::discovery;
 use heathward::net::http::retry_after;
@@ -30,12 +31,13 @@
     #[case] whole: bool,
     #[values(1, 3, 1000)] piece: usize,
 ) {
-    let written = Written::default();
+    let (written, tries) = (Written::default(), Tries::default());
     for _ in 0..2 {
-        written.begin(body);
+        written.begin(body, tries.clone());
         bytes.as_bytes().chunks(piece).for_each(|part| written.note(part));
         assert_eq!(written.whole(), whole);
     }
+    assert_eq!(tries.so_far(), if whole { 2 } else { 0 }, "counted once each");
 }
 
 #[rstest]
--- a/tests/net/support.rs
+++ b/tests/net/support.rs
@@ -272,7 +272,7 @@
 
 impl Rig {
     pub async fn counters(&self) -> Counters {
-        self.core.counters().await.unwrap()
+        self.core.figures().await.unwrap().counters
     }
 
     /// Waits until the counters are so.
