--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -9,11 +9,13 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use super::{
-    Answer, Attempt, Call, Clock, Counters, Ended, Figures, Gate, Member, News, NotDone, Order, Tries,
+    Answer, Attempt, Call, Clock, Counters, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
+    Order, State, Tries,
 };
 use crate::settings::{Deployment, Wrong};
 use crate::*;
@@ -67,7 +69,10 @@
 
 /// What passes ahead of all messages.
 enum Urgent {
-    Order(Order, oneshot::Sender<Result<(), NotDone>>),
+    /// From staff here, or from the other process, which is not told of it again.
+    Order(Order, bool, oneshot::Sender<Result<(), NotDone>>),
+    HandOver(oneshot::Sender<(State, mpsc::Receiver<Forwarded>)>),
+    TakeOver(State, oneshot::Sender<mpsc::Receiver<Forwarded>>),
     Figures(oneshot::Sender<Figures>),
 }
 
@@ -102,7 +107,7 @@
     urgent: mpsc::Sender<Urgent>,
     next: Arc<AtomicU64>,
     status: watch::Receiver<Status>,
-    paused: watch::Receiver<bool>,
+    doors: Arc<watch::Sender<Doors>>,
     deployment: watch::Receiver<Arc<Deployment>>,
 }
 
@@ -118,8 +123,27 @@
     }
 
     /// Whether clients are to be sent away.
-    pub fn paused(&self) -> watch::Receiver<bool> {
-        self.paused.clone()
+    pub fn doors(&self) -> watch::Receiver<Doors> {
+        self.doors.subscribe()
+    }
+
+    /// Another process of this scheduler takes what comes from now on, or no longer does.
+    pub fn replace(&self, replaced: bool) {
+        set(&self.doors, |doors| doors.replaced = replaced);
+    }
+
+    /// The state for a process that takes over, and the orders that follow it.
+    pub async fn hand_over(&self) -> Option<(State, mpsc::Receiver<Forwarded>)> {
+        let (reply, answer) = oneshot::channel();
+        self.urgent.send(Urgent::HandOver(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Goes on from the state of the process before this one; gives back the orders that it is to be told.
+    pub async fn take_over(&self, state: State) -> Option<mpsc::Receiver<Forwarded>> {
+        let (reply, answer) = oneshot::channel();
+        self.urgent.send(Urgent::TakeOver(state, reply)).await.ok()?;
+        answer.await.ok()
     }
 
     /// The settings as they stand now.
@@ -160,10 +184,11 @@
         answer.await.ok()
     }
 
-    /// Does what staff order, ahead of whatever waits; once it is answered, it holds.
-    pub async fn order(&self, order: Order) -> Result<Result<(), NotDone>, Gone> {
+    /// Does what staff order, ahead of whatever waits; once it is answered, it holds, in both processes where
+    /// there are two. An order `from_partner` was carried out by the other one.
+    pub async fn order(&self, order: Order, from_partner: bool) -> Result<Result<(), NotDone>, Gone> {
         let (reply, answer) = oneshot::channel();
-        self.urgent.send(Urgent::Order(order, reply)).await.map_err(|_| Gone)?;
+        self.urgent.send(Urgent::Order(order, from_partner, reply)).await.map_err(|_| Gone)?;
         answer.await.map_err(|_| Gone)
     }
 }
@@ -192,6 +217,14 @@
     }
 }
 
+fn set(doors: &watch::Sender<Doors>, change: impl FnOnce(&mut Doors)) {
+    doors.send_if_modified(|doors| {
+        let before = *doors;
+        change(doors);
+        before != *doors
+    });
+}
+
 struct Leave {
     mailbox: mpsc::Sender<Message>,
     id: RequestId,
@@ -212,7 +245,7 @@
     let scheduler = Scheduler::new(deployment.settings.clone(), seed)?;
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (urgent, orders) = mpsc::channel(ORDERS);
-    let (pause, paused) = watch::channel(false);
+    let doors = Arc::new(watch::channel(Doors::default()).0);
     let (status, watched) = watch::channel(Status::default());
     let (deployment, settings) = watch::channel(deployment);
     let actor = Actor {
@@ -222,7 +255,8 @@
         dial,
         mailbox: mailbox.downgrade(),
         status,
-        pause,
+        doors: doors.clone(),
+        partner: None,
         open: HashMap::new(),
         calls: HashSet::new(),
         limits: BTreeSet::new(),
@@ -244,7 +278,7 @@
         urgent,
         next: Arc::new(AtomicU64::new(1)),
         status: watched,
-        paused,
+        doors,
         deployment: settings,
     })
 }
@@ -284,7 +318,9 @@
     dial: Dial,
     mailbox: mpsc::WeakSender<Message>,
     status: watch::Sender<Status>,
-    pause: watch::Sender<bool>,
+    doors: Arc<watch::Sender<Doors>>,
+    /// Orders for the other process, while there is one.
+    partner: Option<mpsc::Sender<Forwarded>>,
     open: HashMap<RequestId, Open>,
     /// The clients' ids of these.
     calls: HashSet<Box<str>>,
@@ -353,28 +389,78 @@
 
     fn urgent(&mut self, urgent: Urgent) {
         match urgent {
-            Urgent::Order(order, reply) => {
-                let done = match order {
-                    Order::Suspend(id) => self.suspend(id),
-                    Order::Restore(id) => self.restore(&id),
+            Urgent::Order(order, from_partner, reply) => {
+                let done = match &order {
+                    Order::Suspend(id) => self.suspend(id.clone()),
+                    Order::Restore(id) => self.restore(id),
                     Order::Pause => self.pause(true),
                     Order::Resume => self.pause(false),
                 };
-                // Whoever asked may have left; what is done holds.
-                let _ = reply.send(done);
+                let forwarded = Forwarded { order, done: reply };
+                let unsent = match &self.partner {
+                    Some(partner) if done.is_ok() && !from_partner => partner.try_send(forwarded).err(),
+                    _ => Some(TrySendError::Closed(forwarded)),
+                };
+                if let Some(unsent) = unsent {
+                    let full = matches!(unsent, TrySendError::Full(_));
+                    // Whoever asked may have left; what is done holds.
+                    let _ = unsent.into_inner().done.send(if full { Err(NotDone::Unsure) } else { done });
+                }
+            }
+            Urgent::HandOver(reply) => {
+                let (partner, orders) = mpsc::channel(ORDERS);
+                self.partner = Some(partner);
+                // The other process may have ended meanwhile.
+                let _ = reply.send((self.state(), orders));
+            }
+            Urgent::TakeOver(state, reply) => {
+                let (partner, orders) = mpsc::channel(ORDERS);
+                self.partner = Some(partner);
+                self.go_on_from(state);
+                let _ = reply.send(orders);
             }
             Urgent::Figures(reply) => {
                 let counters = Counters { tries: self.tries.so_far(), ..self.counters.clone() };
                 let listed = || self.nodes.iter().filter(|(_, node)| node.mailbox.is_some());
-                let avoided = listed().filter(|(id, _)| self.scheduler.avoids(**id)).count();
+                let avoided =
+                    listed().filter(|(id, _)| self.scheduler.node(**id).is_none_or(|n| n.avoided())).count();
                 let active = self.limits.len();
                 let _ = reply.send(Figures { counters, active, listed: listed().count(), avoided });
             }
         }
     }
 
+    /// What a process that takes over has to know.
+    fn state(&self) -> State {
+        let now = self.clock.at(Instant::now());
+        let listed = || self.nodes.iter().filter(|(_, node)| node.mailbox.is_some());
+        let members = listed().map(|(_, node)| node.member.clone()).collect();
+        let cold = listed().filter_map(|(id, node)| {
+            let since = self.scheduler.node(*id)?.cold_since(now)?;
+            Some((node.member.id.clone(), since))
+        });
+        State {
+            list: News { revision: self.revision, kind: ListKind::Whole, members },
+            suspended: self.suspended.iter().cloned().collect(),
+            cold: cold.collect(),
+            paused: self.doors.borrow().paused,
+        }
+    }
+
+    fn go_on_from(&mut self, state: State) {
+        let State { list, suspended, cold, paused } = state;
+        self.suspended.extend(suspended);
+        set(&self.doors, |doors| doors.paused = paused);
+        self.news(list);
+        for (name, since) in cold {
+            let Some(&id) = self.ids.get(&name) else { continue };
+            self.nodes.entry(id).and_modify(|node| node.restored = node.restored.max(Some(since)));
+            self.relist(id);
+        }
+    }
+
     fn pause(&mut self, paused: bool) -> Result<(), NotDone> {
-        self.pause.send_if_modified(|p| std::mem::replace(p, paused) != paused);
+        set(&self.doors, |doors| doors.paused = paused);
         Ok(())
     }
 
--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::counters::{Counters, Tries};
@@ -128,6 +129,45 @@
     Resume,
 }
 
+/// Why clients are sent away; either holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Doors {
+    /// Staff empty the scheduler.
+    pub paused: bool,
+    /// Another process of the same scheduler takes what comes.
+    pub replaced: bool,
+}
+
+impl Doors {
+    /// Connections are ended by their answers.
+    pub fn closing(self) -> bool {
+        self.paused || self.replaced
+    }
+}
+
+/// What a process that takes over has to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct State {
+    /// The whole list as it stands.
+    pub list: News,
+    /// Ids of the nodes that are out by hand.
+    pub suspended: Vec<Box<str>>,
+    /// Since when a node is cold or may be.
+    pub cold: Vec<(Box<str>, Micros)>,
+    /// Staff empty the scheduler.
+    pub paused: bool,
+}
+
+/// An order that was carried out here and is to be carried out by the other process too; its answer is due
+/// then.
+#[derive(Debug)]
+pub struct Forwarded {
+    /// The order.
+    pub order: Order,
+    /// Whom to tell.
+    pub done: oneshot::Sender<Result<(), NotDone>>,
+}
+
 /// Why an order was not carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotDone {
@@ -135,6 +175,8 @@
     UnknownNode,
     /// More nodes are out by hand than are kept in mind.
     TooMany,
+    /// The other process of this scheduler has not said that it is done.
+    Unsure,
 }
 
 impl fmt::Display for NotDone {
@@ -142,6 +184,7 @@
         f.write_str(match self {
             Self::UnknownNode => "unknown storage node",
             Self::TooMany => "too many storage nodes are out",
+            Self::Unsure => "done here, but the other process of this scheduler does not answer",
         })
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,8 @@
 mod counters;
 
 pub use actor::{report, start, Core, Dial, Gone, Message, Status};
-pub use call::{Answer, Attempt, Call, Ended, Figures, Gate, Member, News, NotDone, Order, Work};
+pub use call::{
+    Answer, Attempt, Call, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone, Order, State, Work,
+};
 pub use clock::Clock;
 pub use counters::{Answers, Counters, Tries};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,7 +15,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use miniserde::{json, Deserialize};
+use miniserde::{json, Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep_until, timeout_at, Instant};
@@ -33,15 +33,15 @@
 const LINE_LIMIT: usize = 4 << 20;
 
 /// A list on the wire.
-#[derive(Deserialize)]
-struct List {
+#[derive(Deserialize, Serialize)]
+pub(super) struct List {
     revision: u64,
     complete: bool,
     members: Vec<Entry>,
 }
 
 /// One of its entries.
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct Entry {
     id: String,
     host_port: String,
@@ -53,10 +53,40 @@
 
 /// Decodes a list or a change of it; says what is wrong with it otherwise.
 pub fn parse(text: &str) -> Result<News, String> {
-    let List { revision, complete, members } = json::from_str(text).map_err(|_| "not a list".to_owned())?;
-    let members = members.into_iter().map(member).collect::<Result<_, _>>()?;
-    let kind = if complete { ListKind::Whole } else { ListKind::Changes };
-    Ok(News { revision, kind, members })
+    let list: List = json::from_str(text).map_err(|_| "not a list".to_owned())?;
+    list.news()
+}
+
+impl List {
+    /// As the core takes it; says what is wrong with it otherwise.
+    pub(super) fn news(self) -> Result<News, String> {
+        let members = self.members.into_iter().map(member).collect::<Result<_, _>>()?;
+        let kind = if self.complete { ListKind::Whole } else { ListKind::Changes };
+        Ok(News { revision: self.revision, kind, members })
+    }
+}
+
+impl From<News> for List {
+    fn from(news: News) -> Self {
+        let complete = news.kind != ListKind::Changes;
+        Self { revision: news.revision, complete, members: news.members.into_iter().map(entry).collect() }
+    }
+}
+
+fn entry(member: Member) -> Entry {
+    let phase = match member.state {
+        NodeState::Ready => "in_service",
+        NodeState::Draining => "terminating",
+        NodeState::Gone => "terminated",
+    };
+    Entry {
+        id: member.id.into(),
+        host_port: member.address.to_string(),
+        locality: Some(member.zone.into()),
+        cell: member.shard.0,
+        phase: phase.to_owned(),
+        up_since_ms: member.started.map(|us| us as f64 / 1000.0),
+    }
 }
 
 fn member(entry: Entry) -> Result<Member, String> {
--- /dev/null
+++ b/src/net/handover/codec.rs
@@ -0,0 +1,42 @@
+//! The state as one line of JSON.
+
+use miniserde::{json, Deserialize, Serialize};
+
+use crate::core::State;
+use crate::net::discovery::List;
+
+#[derive(Deserialize, Serialize)]
+struct Line {
+    list: List,
+    suspended: Vec<String>,
+    cold: Vec<Cold>,
+    paused: bool,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Cold {
+    id: String,
+    since_us: u64,
+}
+
+/// Encodes the state.
+pub fn encode(state: State) -> String {
+    let State { list, suspended, cold, paused } = state;
+    json::to_string(&Line {
+        list: list.into(),
+        suspended: suspended.into_iter().map(Into::into).collect(),
+        cold: cold.into_iter().map(|(id, since_us)| Cold { id: id.into(), since_us }).collect(),
+        paused,
+    })
+}
+
+/// Decodes the state; says what is wrong with it otherwise.
+pub fn decode(line: &[u8]) -> Result<State, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "not text".to_owned())?;
+    let Line { list, suspended, cold, paused } =
+        json::from_str(text).map_err(|_| "not a state".to_owned())?;
+    let list = list.news()?;
+    let suspended = suspended.into_iter().map(Into::into).collect();
+    let cold = cold.into_iter().map(|Cold { id, since_us }| (id.into(), since_us)).collect();
+    Ok(State { list, suspended, cold, paused })
+}
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -25,7 +25,7 @@
 
 use super::room::{Guest, Phase, Room, Seat};
 use super::{decode, headers, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT};
-use crate::core::{Answer, Core};
+use crate::core::{Answer, Core, Doors};
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -36,6 +36,9 @@
 const LOOK: Duration = Duration::from_millis(500);
 /// An idle connection is closed so long after the start of a pause, or after its last answer.
 const PAUSED: Duration = Duration::from_millis(800);
+/// The same once another process takes what comes: there is more time, and a client whose request crosses the
+/// close has to come again.
+const REPLACED: Duration = Duration::from_millis(2030);
 /// Bytes that are thrown away at a time of what comes after the last answer.
 const WASTE: usize = 64 * 1024;
 
@@ -55,7 +58,7 @@
     async fn answer(mut self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
         let by = guest.begin();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
-            let ready = self.core.status().ready && !*self.core.paused().borrow();
+            let ready = self.core.status().ready && !self.core.doors().borrow().paused;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
@@ -141,10 +144,10 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let Self { front, guest } = self.clone();
         Box::pin(async move {
-            let paused = front.core.paused();
+            let doors = front.core.doors();
             let mut answer = front.answer(request, &guest).await;
             // Its client asks elsewhere from now on.
-            if *paused.borrow() {
+            if doors.borrow().closing() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             guest.enter(Phase::Idle(Instant::now()));
@@ -193,9 +196,9 @@
     let guest = seat.guest.clone();
     let mut last = *stopping.borrow_and_update();
     let io = TokioIo::new(Heard { stream, guest: guest.clone() });
-    let mut pausing = front.core.paused();
-    let told = pausing.clone();
-    let mut paused = pausing.borrow_and_update().then(Instant::now);
+    let mut doors = front.core.doors();
+    let told = doors.clone();
+    let mut closing = closes(*doors.borrow_and_update());
     let visit = TowerToHyperService::new(Visit { front, guest: guest.clone() });
     let mut builder = http1::Builder::new();
     builder.keep_alive(!last).max_buf_size(HEAD_LIMIT);
@@ -206,7 +209,7 @@
         let mut overdue = pin!(sleep_until(Instant::now()));
         let mut leave = pin!(guest.leave.notified());
         let mut stop = pin!(stopping.changed());
-        let mut turn = pin!(pausing.changed());
+        let mut turn = pin!(doors.changed());
         let over = poll_fn(|cx| {
             // A client that breaks off ends its connection; its request is dropped, and the core hears of it.
             if connection.poll_without_shutdown(cx).is_ready() {
@@ -223,8 +226,8 @@
                 return Poll::Ready(Over::Turn);
             }
             let Some(until) = guest.phase().until() else { return Poll::Pending };
-            let until = match (guest.phase(), paused) {
-                (Phase::Idle(since), Some(paused)) => since.max(paused) + PAUSED,
+            let until = match (guest.phase(), closing) {
+                (Phase::Idle(since), Some((told, span))) => since.max(told) + span,
                 (Phase::Idle(_), None) => until.max(kept),
                 _ => until,
             };
@@ -235,7 +238,7 @@
         })
         .await;
         match over {
-            Over::Turn => paused = told.borrow().then(Instant::now),
+            Over::Turn => closing = closes(*told.borrow()),
             Over::Stop => {
                 last = true;
                 Pin::new(&mut connection).graceful_shutdown();
@@ -250,7 +253,7 @@
                 return;
             }
             Over::Overdue
-                if paused.is_none()
+                if closing.is_none()
                     && !seat.room.crowded()
                     && guest.phase().kept_until() > Some(Instant::now()) =>
             {
@@ -262,6 +265,12 @@
     part(&mut connection.into_parts().io.into_inner().stream, &guest).await;
 }
 
+/// From now on idle connections are closed after so long, if clients are to be sent away.
+fn closes(doors: Doors) -> Option<(Instant, Duration)> {
+    let span = if doors.paused { PAUSED } else { REPLACED };
+    doors.closing().then(|| (Instant::now(), span))
+}
+
 /// Ends a connection so that its client can read what it was last told: says that no more comes, and takes in
 /// what is still on its way. A connection closed over unread bytes is reset, which may overtake the answer.
 async fn part(stream: &mut TcpStream, guest: &Guest) {
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -133,7 +133,9 @@
 /// best be spared makes way, so that those who hold a connection and say nothing keep nobody out.
 #[derive(Clone, Debug)]
 pub struct Room {
+    /// What it holds by itself, by which it is told whether places are scarce, and what it may hold now.
     most: Arc<AtomicUsize>,
+    cap: Arc<AtomicUsize>,
     seats: Arc<Mutex<Seats>>,
 }
 
@@ -150,12 +152,14 @@
 impl Room {
     /// A room for so many.
     pub fn new(most: usize) -> Self {
-        Self { most: Arc::new(AtomicUsize::new(most)), seats: Arc::default() }
+        let (most, cap) = (Arc::new(AtomicUsize::new(most)), Arc::new(AtomicUsize::new(most)));
+        Self { most, cap, seats: Arc::default() }
     }
 
-    /// From now on it is for so many; who is there stays.
-    pub fn resize(&self, most: usize) {
+    /// From now on it is for `most`, and takes no more than `cap` for a while; who is there stays.
+    pub fn resize(&self, most: usize, cap: usize) {
         self.most.store(most, Ordering::Relaxed);
+        self.cap.store(cap, Ordering::Relaxed);
     }
 
     /// Half of the places are taken.
@@ -166,11 +170,12 @@
     /// A place for a newcomer; `None` if all are taken by those who can't be spared.
     pub fn enter(&self, now: Instant) -> Option<Seat> {
         let (mut seats, most) = (lock(&self.seats), self.most.load(Ordering::Relaxed));
+        let cap = self.cap.load(Ordering::Relaxed);
         let taken = seats.taken.len();
         // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the
         // places: before it comes to that, the answered go, long idle or not.
         let ranks: &[u8] = match () {
-            () if taken >= most => &[0, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
+            () if taken >= cap => &[0, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
             () if 8 * taken >= 5 * most => &[0, IDLE_RANK, LATELY_IDLE_RANK],
             () if 2 * taken >= most => &[0, IDLE_RANK],
             () => &[],
@@ -182,7 +187,7 @@
                 seats.taken.iter().filter_map(spared).filter(|((rank, _), _)| ranks.contains(rank)).min();
             if let Some(guest) = least.and_then(|(_, number)| seats.taken.remove(&number)) {
                 guest.leave.notify_one();
-            } else if taken >= most {
+            } else if taken >= cap {
                 return None;
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod discovery;
+pub mod handover;
 pub mod http;
 pub mod node;
 pub mod nvme;
--- a/src/net/ops/codec.rs
+++ b/src/net/ops/codec.rs
@@ -52,6 +52,19 @@
     }
 }
 
+impl fmt::Display for Command {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Status => f.write_str("STATUS"),
+            Self::Metrics => f.write_str("METRICS"),
+            Self::Order(Order::Suspend(id)) => write!(f, "SUSPEND {id}"),
+            Self::Order(Order::Restore(id)) => write!(f, "RESTORE {id}"),
+            Self::Order(Order::Pause) => f.write_str("PAUSE"),
+            Self::Order(Order::Resume) => f.write_str("RESUME"),
+        }
+    }
+}
+
 /// What staff are told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/src/net/ops/server.rs
+++ b/src/net/ops/server.rs
@@ -77,7 +77,7 @@
             Some(figures) => Reply::Figures(Box::new(figures), core.deployment().classes.clone()),
             None => Reply::NotReady,
         },
-        Command::Order(order) => match core.order(order).await {
+        Command::Order(order) => match core.order(order, false).await {
             Ok(Ok(())) => Reply::Ok,
             Ok(Err(why)) => Reply::NotDone(why),
             Err(_) => Reply::NotReady,
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::api::*;
+use crate::choice::CONFIRMED;
 
 /// Where a request's units stand in its plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -185,6 +186,12 @@
 }
 
 impl Node {
+    /// Since when it may be cold: as listed, as guessed, or right now where it has not been heard since.
+    pub(crate) fn cold_since(&self, now: Micros) -> Option<Micros> {
+        let guess = self.guess.filter(|at| now.saturating_sub(*at) < CONFIRMED);
+        self.started.max(guess).max(self.suspect.map(|_| now))
+    }
+
     /// It drains, is out, or was seen down or silent and has not been heard since.
     pub(crate) fn avoided(&self) -> bool {
         !self.ready || self.suspect.is_some()
--- /dev/null
+++ b/tests/net/handover.rs
@@ -0,0 +1,263 @@
+//! Two processes of one scheduler, as the platform starts them.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+
+use heathward::core::{Member, News, State};
+use heathward::net::handover::{decode, encode};
+use heathward::{ListKind, NodeState, ShardId};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream, UnixListener};
+use tokio::time::{sleep, timeout, Duration, Instant};
+
+use crate::support::*;
+
+#[test]
+fn the_state_comes_back_as_it_was() {
+    let state = State {
+        list: News {
+            revision: 7,
+            kind: ListKind::Whole,
+            members: vec![Member {
+                id: "s-1".into(),
+                address: "127.0.0.1:9".parse().unwrap(),
+                zone: "a".into(),
+                shard: ShardId(3),
+                state: NodeState::Draining,
+                started: Some(1_700_000_000_123_000),
+            }],
+        },
+        suspended: vec!["s-2".into()],
+        cold: vec![("s-1".into(), 1_700_000_000_123_456)],
+        paused: true,
+    };
+    assert_eq!(decode(encode(state.clone()).as_bytes()), Ok(state));
+}
+
+#[rstest]
+#[case::not_json("{")]
+#[case::not_text("\u{0}")]
+#[case::no_list(r#"{"suspended":[],"cold":[],"paused":false}"#)]
+#[case::bad_node(
+    r#"{"list":{"revision":1,"complete":true,"members":[{"id":"a","host_port":"b","cell":1,"phase":"x"}]},
+    "suspended":[],"cold":[],"paused":false}"#
+)]
+fn a_state_that_makes_no_sense_is_none(#[case] line: &str) {
+    assert!(decode(line.as_bytes()).is_err());
+}
+
+/// A scheduler's place: an address that the system has chosen and nobody else is given, and a folder.
+struct Place {
+    _kept: TcpSocket,
+    listen: SocketAddr,
+    folder: PathBuf,
+    config: PathBuf,
+}
+
+impl Place {
+    fn new(name: &str, members: &str) -> Self {
+        let kept = TcpSocket::new_v4().unwrap();
+        kept.set_reuseport(true).unwrap();
+        kept.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listen = kept.local_addr().unwrap();
+        // A short path: that of a Unix socket has 108 bytes at most.
+        let folder = std::env::temp_dir().join(format!("hw-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let config = folder.join("config.json");
+        let text = config_text(&listen.to_string(), "127.0.0.1:1", members);
+        std::fs::write(&config, text.replacen('{', r#"{"ops":"127.0.0.1:0","#, 1)).unwrap();
+        Self { _kept: kept, listen, folder, config }
+    }
+
+    fn socket(&self) -> PathBuf {
+        self.folder.join(format!("heathward-{}.sock", self.listen))
+    }
+
+    fn start(&self) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+        command.env("GW_CONFIG", &self.config).env("TMPDIR", &self.folder).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut process = Process { log: BufReader::new(child.stderr.take().unwrap()), child, ops: None };
+        let told = process.until("operations on ");
+        process.ops = told.trim().rsplit(' ').next().unwrap().parse().ok();
+        process.until("listening on ");
+        process
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        // Only a folder of this test's own.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+struct Process {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    ops: Option<SocketAddr>,
+}
+
+impl Process {
+    /// Its next line that says so.
+    fn until(&mut self, what: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "it ended and never said {what:?}");
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    async fn call(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.ops.unwrap()).await.unwrap();
+        stream.write_all(format!("{line}\n").as_bytes()).await.unwrap();
+        let mut told = String::new();
+        timeout(PATIENCE, stream.read_to_string(&mut told)).await.expect("an answer").unwrap();
+        told
+    }
+
+    async fn served(&self) -> bool {
+        !self.call("METRICS").await.contains("responses.consulta.ok=0\n")
+    }
+
+    fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Ends it by SIGTERM; it must end by itself, with nothing wrong.
+    fn end(mut self) {
+        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+        let mut said = String::new();
+        self.log.read_to_string(&mut said).unwrap();
+        assert!(self.child.wait().unwrap().success(), "{said}");
+    }
+}
+
+async fn ask(stream: &mut TcpStream, call: u32, shard: i32) -> (u16, String) {
+    stream.write_all(request("consulta", call, shard, 900, "").as_bytes()).await.unwrap();
+    let (status, head, _) = answer(stream).await;
+    (status, head)
+}
+
+async fn ask_anew(at: SocketAddr, call: u32, shard: i32) -> u16 {
+    ask(&mut TcpStream::connect(at).await.unwrap(), call, shard).await.0
+}
+
+/// The whole of it: state passes, the old one leaves and turns nobody back, orders hold in both, and the old one
+/// goes on when the new one dies.
+#[tokio::test]
+async fn a_new_version_takes_over_under_load() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let members = [member("s0", node, 0, "in_service", 0), member("s1", node, 1, "in_service", 0)].join(",");
+    let place = Place::new("over", &members);
+    let mut old = place.start();
+    assert_eq!(old.call("SUSPEND s1").await, "OK\n");
+    let mut kept = TcpStream::connect(place.listen).await.unwrap();
+    assert_eq!(ask(&mut kept, 1, 0).await.0, 200);
+    let new = place.start();
+    assert_eq!(new.call("STATUS").await, "OK\n");
+    old.until("Serves");
+    // What is open at the old one is served there, for the last time; what comes goes to the new one.
+    let (status, head) = ask(&mut kept, 2, 0).await;
+    assert_eq!((status, header(&head, "connection")), (200, Some("close")));
+    assert_eq!(ask_anew(place.listen, 3, 1).await, 503, "out by hand, by an order to the process before");
+    assert_eq!(ask_anew(place.listen, 4, 0).await, 200);
+    assert!(new.served().await);
+    // An order to either holds in both.
+    assert_eq!(new.call("SUSPEND s0").await, "OK\n");
+    assert!(old.call("METRICS").await.contains("pool_ejected=2\n"));
+    assert_eq!(old.call("RESTORE s0").await, "OK\n");
+    assert!(new.call("METRICS").await.contains("pool_ejected=1\n"));
+    // The new one dies: the old one takes clients again, and hands over once more.
+    new.kill();
+    old.until("Gone");
+    assert_eq!(ask_anew(place.listen, 5, 1).await, 503);
+    let mut third = place.start();
+    old.until("Serves");
+    old.end();
+    third.until("Gone");
+    assert_eq!(ask_anew(place.listen, 6, 1).await, 503);
+    third.end();
+}
+
+/// What may stand where the process before should be.
+#[derive(Clone, Copy, Debug)]
+enum Before {
+    File,
+    Silent,
+    Other,
+}
+
+/// A stale file, a process that says nothing and one of another version stop no start.
+#[rstest]
+#[case::stale_file(Before::File)]
+#[case::silent(Before::Silent)]
+#[case::other_version(Before::Other)]
+#[tokio::test]
+async fn nothing_there_stops_a_start(#[case] before: Before) {
+    let place = Place::new(&format!("{before:?}"), "");
+    let mut other = None;
+    match before {
+        Before::File => std::fs::write(place.socket(), "stale").unwrap(),
+        Before::Silent | Before::Other => {
+            let listener = UnixListener::bind(place.socket()).unwrap();
+            other = Some(tokio::spawn(async move {
+                let mut taken = Vec::new();
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    if matches!(before, Before::Other) {
+                        stream.write_all(b"HEATHWARD 0\n").await.unwrap();
+                    }
+                    taken.push(stream);
+                }
+            }));
+        }
+    }
+    let started = tokio::task::spawn_blocking(move || (place.start(), place));
+    let (process, place) = timeout(PATIENCE, started).await.expect("a start").unwrap();
+    let health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut stream = TcpStream::connect(place.listen).await.unwrap();
+    stream.write_all(health).await.unwrap();
+    assert_eq!(answer(&mut stream).await.0, 503, "it listens; it has no list");
+    process.kill();
+    if let Some(other) = other {
+        other.abort();
+    }
+}
+
+/// A process that only greets, or dies before it serves, leaves the running one as it was.
+#[rstest]
+#[case::nothing("")]
+#[case::greets("HEATHWARD 1\n")]
+#[case::other_version("HEATHWARD 9\n")]
+#[case::serves_and_dies("HEATHWARD 1\nREADY\n")]
+#[tokio::test]
+async fn a_process_that_dies_at_any_step_changes_nothing(#[case] says: &str) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let place = Place::new(&format!("dies{}", says.len()), &member("s0", node, 0, "in_service", 0));
+    let mut running = place.start();
+    let mut stream = tokio::net::UnixStream::connect(place.socket()).await.unwrap();
+    stream.write_all(says.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(20)).await;
+    drop(stream);
+    running.until("Gone");
+    let by = Instant::now() + PATIENCE;
+    while ask_anew(place.listen, 1, 0).await != 200 {
+        assert!(Instant::now() < by, "it does not serve");
+    }
+    // And the next one is given all.
+    let next = place.start();
+    running.until("Serves");
+    next.kill();
+    running.until("Gone");
+    running.end();
+}
