--- a/tests/net/handover.rs
+++ b/tests/net/handover.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use heathward::core::{Member, News, State};
 use heathward::net::handover::{decode, encode};
@@ -58,13 +59,15 @@
 }
 
 impl Place {
-    fn new(name: &str, members: &str) -> Self {
+    fn new(members: &str) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let kept = TcpSocket::new_v4().unwrap();
         kept.set_reuseport(true).unwrap();
         kept.bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let listen = kept.local_addr().unwrap();
         // A short path: that of a Unix socket has 108 bytes at most.
-        let folder = std::env::temp_dir().join(format!("hw-{name}-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("hw-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let config = folder.join("config.json");
         let text = config_text(&listen.to_string(), "127.0.0.1:1", members);
@@ -125,10 +128,7 @@
         !self.call("METRICS").await.contains("responses.consulta.ok=0\n")
     }
 
-    fn kill(mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
-    }
+    fn kill(self) {}
 
     /// Ends it by SIGTERM; it must end by itself, with nothing wrong.
     fn end(mut self) {
@@ -140,6 +140,14 @@
     }
 }
 
+impl Drop for Process {
+    fn drop(&mut self) {
+        // One that has ended by itself is none to kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 async fn ask(stream: &mut TcpStream, call: u32, shard: i32) -> (u16, String) {
     stream.write_all(request("consulta", call, shard, 900, "").as_bytes()).await.unwrap();
     let (status, head, _) = answer(stream).await;
@@ -157,7 +165,7 @@
     let log = Log::default();
     let node = http_node(0, &[Does::Serve], &log).await;
     let members = [member("s0", node, 0, "in_service", 0), member("s1", node, 1, "in_service", 0)].join(",");
-    let place = Place::new("over", &members);
+    let place = Place::new(&members);
     let mut old = place.start();
     assert_eq!(old.call("SUSPEND s1").await, "OK\n");
     let mut kept = TcpStream::connect(place.listen).await.unwrap();
@@ -203,7 +211,7 @@
 #[case::other_version(Before::Other)]
 #[tokio::test]
 async fn nothing_there_stops_a_start(#[case] before: Before) {
-    let place = Place::new(&format!("{before:?}"), "");
+    let place = Place::new("");
     let mut other = None;
     match before {
         Before::File => std::fs::write(place.socket(), "stale").unwrap(),
@@ -243,7 +251,7 @@
 async fn a_process_that_dies_at_any_step_changes_nothing(#[case] says: &str) {
     let log = Log::default();
     let node = http_node(0, &[Does::Serve], &log).await;
-    let place = Place::new(&format!("dies{}", says.len()), &member("s0", node, 0, "in_service", 0));
+    let place = Place::new(&member("s0", node, 0, "in_service", 0));
     let mut running = place.start();
     let mut stream = tokio::net::UnixStream::connect(place.socket()).await.unwrap();
     stream.write_all(says.as_bytes()).await.unwrap();
