--- a/src/api.rs
+++ b/src/api.rs
@@ -280,6 +280,8 @@
     pub hosts: u32,
     /// The client marks this as another try.
     pub repeat: bool,
+    /// Its body is still coming and passes on as it does: no work for a node before the last of it.
+    pub passes: bool,
 }
 
 /// How an attempt ended.
--- a/src/bin/heathward-drill/wire.rs
+++ b/src/bin/heathward-drill/wire.rs
@@ -237,6 +237,7 @@
         key: fields.get("item").map(|key| KeyId(hashed(&key))),
         hosts: fields.whole("attached")?,
         repeat: fields.flag("isRetry")?,
+        passes: false,
     })
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -505,11 +505,13 @@
             node.cold_sends.push_back((now, units));
         }
         job.out.push((job.sends, node_id, now));
-        node.out.insert((now, id, job.sends), units);
+        if !job.request.passes {
+            node.out.insert((now, id, job.sends), units);
+        }
         node.sessions.insert(job.request.volume, now);
         job.sends += 1;
         job.stage = Stage::Out;
-        node.out_units += units;
+        node.out_units += job.load();
         node.peak = node.peak.max(node.out_units + node.held_units);
         node.filled |= node.out_units + self.set.mean_units > node.budget;
         let give_up = Some(GIVE_UP * job.due.saturating_sub(now).max(1));
@@ -641,7 +643,7 @@
         let Some(at) = job.out.iter().position(|(n, _, _)| *n == o.attempt) else { return };
         let (_, node_id, sent) = job.out.remove(at);
         let class = &self.set.classes[job.request.class.0 as usize];
-        let units = f64::from(job.request.units);
+        let (units, load) = (f64::from(job.request.units), job.load());
         let unsure = matches!(o.end, End::Error | End::TimedOut | End::Reset | End::Cancelled);
         if unsure && job.ran.is_none() {
             job.ran = Some((node_id, sent));
@@ -661,7 +663,7 @@
             let suspected = node.suspect.is_some();
             let long = now.saturating_sub(node.heard) >= SILENT.1 * self.period;
             node.out.remove(&(sent, o.request, o.attempt));
-            node.out_units = (node.out_units - units).max(0.0);
+            node.out_units = (node.out_units - load).max(0.0);
             match o.end {
                 End::Served | End::Error | End::Full => {
                     // It was down or silent and answers: it may be cold before the list says so.
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,21 +1,21 @@
 //! The module's actor: drives it as the adapter does, and sees to it that each call gets one answer.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
+use super::body::{Ids, OpenId};
 use super::{
     Answer, Attempt, Call, Clock, Counters, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
-    Order, State, Tries,
+    Order, Passing, Reply, State, Tries, Upload,
 };
 use crate::settings::{Deployment, Wrong};
 use crate::*;
@@ -258,7 +258,7 @@
         doors: doors.clone(),
         partner: None,
         open: HashMap::new(),
-        calls: HashSet::new(),
+        calls: Ids::default(),
         limits: BTreeSet::new(),
         wakes: BTreeSet::new(),
         events: VecDeque::new(),
@@ -286,6 +286,8 @@
 /// A request that owes an answer, or whose attempt is still out.
 struct Open {
     call: Call,
+    /// Its client's id is taken.
+    taken: Option<OpenId>,
     /// When half of its time is over.
     half: Instant,
     /// Taken by the one final answer.
@@ -323,7 +325,7 @@
     partner: Option<mpsc::Sender<Forwarded>>,
     open: HashMap<RequestId, Open>,
     /// The clients' ids of these.
-    calls: HashSet<Box<str>>,
+    calls: Ids,
     /// When each request that owes an answer is ended at the latest.
     limits: BTreeSet<(Instant, RequestId)>,
     wakes: BTreeSet<(Micros, u64)>,
@@ -424,7 +426,7 @@
                 let listed = || self.nodes.iter().filter(|(_, node)| node.mailbox.is_some());
                 let avoided =
                     listed().filter(|(id, _)| self.scheduler.node(**id).is_none_or(|n| n.avoided())).count();
-                let active = self.limits.len();
+                let active = self.limits.len() + self.calls.passing();
                 let _ = reply.send(Figures { counters, active, listed: listed().count(), avoided });
             }
         }
@@ -549,9 +551,7 @@
 
     /// Forgets a request that owes no answer and has nothing out.
     fn close(&mut self, id: RequestId) {
-        if let Some(open) = self.open.remove(&id) {
-            self.calls.remove(&open.call.work.call);
-        }
+        self.open.remove(&id);
     }
 
     /// Tells the module, and does what it asks.
@@ -593,12 +593,12 @@
 
     fn arrive(&mut self, id: RequestId, mut call: Call, reply: oneshot::Sender<Answer>) {
         call.deadline = self.last.map_or(call.deadline, |last| last.min(call.deadline));
-        if !self.calls.insert(call.work.call.clone()) {
+        let Some(taken) = self.calls.open(&call.work.call) else {
             self.counters.malformed += 1;
             // A front that has left meanwhile needs no answer.
             let _ = reply.send(Answer::Duplicate);
             return;
-        }
+        };
         self.counters.taken += 1;
         let now = Instant::now();
         let left = call.deadline.saturating_duration_since(now);
@@ -614,9 +614,13 @@
             key: Some(call.work.key),
             hosts: call.hosts,
             repeat: call.repeat,
+            passes: call.work.rest.is_some(),
         };
         self.limits.insert((call.deadline + BACKSTOP, id));
-        self.open.insert(id, Open { call, half, reply: Some(reply), sends: 0, out: None, ran: None });
+        self.open.insert(
+            id,
+            Open { call, taken: Some(taken), half, reply: Some(reply), sends: 0, out: None, ran: None },
+        );
         self.feed(Event::Arrival(request));
     }
 
@@ -634,7 +638,11 @@
         if let (Some(ran), Effect::Keyed) = (open.ran, class.effect) {
             until = until.min(ran + Duration::from_micros(class.window));
         }
+        // What passes moves at its client's pace, and can't be sent again.
+        let passes = open.call.work.rest.as_ref();
+        until = if passes.is_some() { open.call.deadline } else { until };
         let sound = open.reply.is_some() && open.out.is_none() && now < until;
+        let sound = sound && passes.is_none_or(Upload::untouched);
         let reach = if now < open.half { until.min(open.half) } else { until };
         let work = open.call.work.clone();
         let sent = self.nodes.get(&node).filter(|node| sound && !node.gate.is_shut()).is_some_and(|to| {
@@ -659,18 +667,30 @@
         let Ended { request, number, node, end, body } = ended;
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some((_, sent)) = open.out.take_if(|(out, _)| *out == number) else { return };
+        // A node begins once the last byte has come.
+        let from = open.call.work.rest.as_ref().and_then(Upload::ended).map_or(sent, |at| at.max(sent));
         self.counters.ended(end);
         if matches!(end, End::Error | End::TimedOut | End::Reset | End::Cancelled) {
             open.ran = open.ran.or(Some(sent));
         }
         if end == End::Served {
+            let taken = match body {
+                Reply::Passing(_) => open.taken.take(),
+                Reply::Whole(_) => None,
+            };
+            let body = match (body, taken) {
+                (Reply::Passing(passing), Some(taken)) => {
+                    Reply::Passing(Passing { _open: Some(taken.pass()), ..passing })
+                }
+                (body, _) => body,
+            };
             self.settle(request, Some(Answer::Served(body)));
         }
         let closed = self.open.get(&request).is_none_or(|open| open.reply.is_none());
         if closed {
             self.close(request);
         }
-        let took = sent.elapsed().as_micros() as Micros;
+        let took = from.elapsed().as_micros() as Micros;
         let (used, elsewhere, busy) = (None, None, None);
         let outcome = Outcome { request, attempt: number, node, end, closed, took, used, elsewhere, busy };
         self.feed(Event::Outcome(outcome));
@@ -771,7 +791,7 @@
 }
 
 /// Reports the end of an attempt to the core.
-pub async fn report(core: &mpsc::Sender<Message>, attempt: &Attempt, end: End, body: Bytes) {
+pub async fn report(core: &mpsc::Sender<Message>, attempt: &Attempt, end: End, body: Reply) {
     let Attempt { request, number, node, .. } = *attempt;
     // Without a core nobody is left to tell.
     let _ = core.send(Message::Ended(Ended { request, number, node, end, body })).await;
--- /dev/null
+++ b/src/core/body.rs
@@ -0,0 +1,245 @@
+//! What is too long to be held whole: it passes in pieces, no faster than it is taken.
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, Instant};
+
+/// Pieces between the two ends: one waits while the next is made.
+const WAITING: usize = 1;
+
+enum Piece {
+    More(Bytes),
+    End,
+}
+
+/// Where pieces go in. Dropped before the end, it breaks the stream off.
+pub struct Feed(mpsc::Sender<Piece>);
+
+/// Where they come out.
+#[derive(Debug)]
+pub struct Pieces {
+    coming: mpsc::Receiver<Piece>,
+    over: bool,
+}
+
+impl std::fmt::Debug for Piece {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if matches!(self, Self::End) { "End" } else { "More" })
+    }
+}
+
+/// The stream ended before its last piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("broken off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// A stream and its two ends.
+pub fn stream() -> (Feed, Pieces) {
+    let (feed, coming) = mpsc::channel(WAITING);
+    (Feed(feed), Pieces { coming, over: false })
+}
+
+impl Feed {
+    /// Passes a piece on once there is room. False if nobody takes it.
+    pub async fn more(&self, piece: Bytes) -> bool {
+        self.0.send(Piece::More(piece)).await.is_ok()
+    }
+
+    /// The last piece was passed on.
+    pub async fn end(self) -> bool {
+        self.0.send(Piece::End).await.is_ok()
+    }
+
+    /// Returns once nobody takes pieces any more.
+    pub async fn unwanted(&self) {
+        self.0.closed().await;
+    }
+}
+
+impl Pieces {
+    /// The next piece; `None` after the last.
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BrokenOff>>> {
+        if self.over {
+            return Poll::Ready(None);
+        }
+        let next = ready!(self.coming.poll_recv(cx));
+        self.over = !matches!(next, Some(Piece::More(_)));
+        Poll::Ready(match next {
+            Some(Piece::More(piece)) => Some(Ok(piece)),
+            Some(Piece::End) => None,
+            None => Some(Err(BrokenOff)),
+        })
+    }
+
+    /// All of it, if it holds no more than that and comes to its end.
+    pub async fn whole(mut self, most: usize) -> Option<Bytes> {
+        let mut all = Vec::new();
+        while let Some(piece) = std::future::poll_fn(|cx| self.poll_next(cx)).await {
+            all.extend_from_slice(&piece.ok()?);
+            if all.len() > most {
+                return None;
+            }
+        }
+        Some(all.into())
+    }
+}
+
+/// The rest of a request's body, which is still coming. Its deadline counts from its last byte.
+#[derive(Clone, Debug)]
+pub struct Upload(Arc<Coming>);
+
+#[derive(Debug)]
+struct Coming {
+    length: Option<u64>,
+    budget: Duration,
+    pieces: Mutex<Option<Pieces>>,
+    ended: watch::Sender<Option<Instant>>,
+}
+
+impl Upload {
+    /// Pieces of a body of that length in all, where it is told, and how long its client waits after the last.
+    pub fn new(length: Option<u64>, budget: Duration, pieces: Pieces) -> Self {
+        let (pieces, ended) = (Mutex::new(Some(pieces)), watch::channel(None).0);
+        Self(Arc::new(Coming { length, budget, pieces, ended }))
+    }
+
+    /// Length of the whole body, where it is told.
+    pub fn length(&self) -> Option<u64> {
+        self.0.length
+    }
+
+    /// How long its client waits after the last byte.
+    pub fn budget(&self) -> Duration {
+        self.0.budget
+    }
+
+    /// The last byte has come.
+    pub fn end(&self) {
+        self.0.ended.send_replace(Some(Instant::now()));
+    }
+
+    /// When it came.
+    pub fn ended(&self) -> Option<Instant> {
+        *self.0.ended.borrow()
+    }
+
+    /// Returns once its client has waited as long as it will.
+    pub async fn expired(&self) {
+        let mut ended = self.0.ended.subscribe();
+        // This holds the sender itself.
+        let at = ended.wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        sleep_until(at.unwrap_or_else(Instant::now) + self.0.budget).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Pieces>> {
+        self.0.pieces.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Nothing of it has gone anywhere.
+    pub fn untouched(&self) -> bool {
+        self.lock().is_some()
+    }
+
+    /// Takes the pieces, once: what has gone can't be sent again.
+    pub fn take(&self) -> Option<Pieces> {
+        self.lock().take()
+    }
+}
+
+/// What a node answered.
+#[derive(Debug)]
+pub enum Reply {
+    /// Held whole.
+    Whole(Bytes),
+    /// On its way.
+    Passing(Passing),
+}
+
+/// An answer that is on its way. Its request's id stays taken until this is dropped.
+#[derive(Debug)]
+pub struct Passing {
+    /// Its length, where the node told it.
+    pub length: Option<u64>,
+    /// What it holds.
+    pub pieces: Pieces,
+    /// Set by the core.
+    pub(super) _open: Option<OpenId>,
+}
+
+impl Passing {
+    /// An answer of that length, whose pieces come there.
+    pub fn new(length: Option<u64>, pieces: Pieces) -> Self {
+        Self { length, pieces, _open: None }
+    }
+}
+
+impl Reply {
+    /// The answer as a whole, where it holds no more than that.
+    pub async fn whole(self, most: usize) -> Option<Bytes> {
+        match self {
+            Self::Whole(body) => Some(body),
+            Self::Passing(passing) => passing.pieces.whole(most).await,
+        }
+    }
+}
+
+/// The clients' ids of open requests, and how many answers are on their way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ids {
+    taken: Arc<Mutex<HashSet<Box<str>>>>,
+    passing: Arc<AtomicUsize>,
+}
+
+/// An id that is taken for as long as this is kept.
+#[derive(Debug)]
+pub(super) struct OpenId {
+    ids: Ids,
+    id: Box<str>,
+    passing: bool,
+}
+
+impl Ids {
+    fn lock(&self) -> MutexGuard<'_, HashSet<Box<str>>> {
+        self.taken.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an id, unless it is taken.
+    pub(super) fn open(&self, id: &str) -> Option<OpenId> {
+        let id: Box<str> = id.into();
+        self.lock().insert(id.clone()).then(|| OpenId { ids: self.clone(), id, passing: false })
+    }
+
+    /// Answers that are on their way.
+    pub(super) fn passing(&self) -> usize {
+        self.passing.load(Ordering::Relaxed)
+    }
+}
+
+impl OpenId {
+    /// Its answer is on its way from now on.
+    pub(super) fn pass(mut self) -> Self {
+        self.passing = true;
+        self.ids.passing.fetch_add(1, Ordering::Relaxed);
+        self
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.ids.lock().remove(&self.id);
+        self.ids.passing.fetch_sub(usize::from(self.passing), Ordering::Relaxed);
+    }
+}
--- a/src/core/call.rs
+++ b/src/core/call.rs
@@ -9,11 +9,12 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use super::body::{Reply, Upload};
 use super::counters::{Counters, Tries};
 use crate::{ClassId, End, KeyId, ListKind, Micros, NodeId, NodeState, PlanId, RequestId, ShardId, VolumeId};
 
 /// What a node needs to know of a request to do it, whatever wire it speaks.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Work {
     /// The request's own id, as its client gave it.
     pub call: Box<str>,
@@ -33,8 +34,10 @@
     pub units: u32,
     /// Bytes that a read asks for, where its client says so.
     pub length: Option<usize>,
-    /// What a write brings.
+    /// What a write brings, or its beginning.
     pub body: Bytes,
+    /// The rest of that, where it is too long to be held.
+    pub rest: Option<Upload>,
 }
 
 /// A request that a front has taken.
@@ -57,10 +60,10 @@
 }
 
 /// The one final answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Answer {
     /// What the node gave.
-    Served(Bytes),
+    Served(Reply),
     /// It never ran, or may run again: the client may safely come again.
     Refused {
         /// Advice when.
@@ -202,8 +205,8 @@
     pub avoided: usize,
 }
 
-/// The end of an attempt. Nothing of it is open at the node any more.
-#[derive(Clone, Debug)]
+/// The end of an attempt. Nothing of it is open at the node any more, but for an answer on its way.
+#[derive(Debug)]
 pub struct Ended {
     /// The request.
     pub request: RequestId,
@@ -214,7 +217,7 @@
     /// How it ended.
     pub end: End,
     /// What came with [`End::Served`].
-    pub body: Bytes,
+    pub body: Reply,
 }
 
 /// A storage node as discovery lists it.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,11 +5,13 @@
 //! actor takes [`Attempt`]s from it and gives back [`Ended`]s; discovery brings [`News`].
 
 mod actor;
+mod body;
 mod call;
 mod clock;
 mod counters;
 
 pub use actor::{report, start, Core, Dial, Gone, Message, Status};
+pub use body::{stream, BrokenOff, Feed, Passing, Pieces, Reply, Upload};
 pub use call::{
     Answer, Attempt, Call, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone, Order, State, Work,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,7 @@
 //! scheduler.handle(1_000, Event::List { kind: ListKind::Saved, entries: vec![entry] }, &mut actions);
 //! let request = Request {
 //!     id: RequestId(1), class: ClassId(0), plan: PlanId(0), volume: VolumeId(9), units: 2, left: 2_000_000,
-//!     shard: Some(ShardId(0)), key: None, hosts: 1, repeat: false,
+//!     shard: Some(ShardId(0)), key: None, hosts: 1, repeat: false, passes: false,
 //! };
 //! scheduler.handle(2_000, Event::Arrival(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { node: NodeId(1), .. })));
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -152,6 +152,7 @@
             units: entry.bytes.div_ceil(self.unit_bytes).clamp(1, most) as u32,
             length: None,
             body: entry.body,
+            rest: None,
         };
         let call = Call {
             class,
--- a/src/net/http/decode.rs
+++ b/src/net/http/decode.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::headers;
-use crate::core::{Call, Work};
+use crate::core::{Call, Pieces, Upload, Work};
 use crate::settings::Deployment;
 use crate::{ClassId, Effect, KeyId, Micros, PlanId, ShardId, VolumeId};
 
@@ -22,8 +22,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bad(pub &'static str);
 
-/// Decodes a request whose last byte came at `arrived`.
-pub fn decode(deployment: &Deployment, head: &Parts, body: Bytes, arrived: Instant) -> Result<Call, Bad> {
+/// Decodes a request whose last byte came at `arrived`; or of a body of some length its beginning, and the
+/// rest is coming.
+pub fn decode(
+    deployment: &Deployment,
+    head: &Parts,
+    body: Bytes,
+    rest: Option<(Option<u64>, Pieces)>,
+    arrived: Instant,
+) -> Result<Call, Bad> {
     let text = |name: &'static str| {
         let mut values = head.headers.get_all(name).iter();
         let value = values.next().map(|v| v.to_str().map_err(|_| Bad(name)));
@@ -62,7 +69,9 @@
     let (units, shard, hosts) = io(need(headers::IO)?).filter(sound).ok_or(Bad(headers::IO))?;
     let call = need(headers::CALL)?;
     hex(call).map_err(|_| Bad(headers::CALL))?;
-    let budget = Duration::from_millis(budget.min(LONGEST_MS));
+    let budget = Duration::from_millis(budget.min(LONGEST_MS)).saturating_sub(MARGIN);
+    let rest = rest.map(|(length, pieces)| Upload::new(length, budget, pieces));
+    let passes = rest.is_some();
     let work = Work {
         call: call.into(),
         class: class_name.into(),
@@ -74,6 +83,7 @@
         units,
         length: None,
         body,
+        rest,
     };
     Ok(Call {
         class: ClassId(class as u16),
@@ -81,7 +91,7 @@
         shard,
         hosts,
         repeat: text(headers::AGAIN)?.is_some_and(|v| v == "1"),
-        deadline: arrived + budget.saturating_sub(MARGIN),
+        deadline: if passes { arrived + Duration::from_millis(LONGEST_MS) } else { arrived + budget },
         work: Arc::new(work),
     })
 }
--- a/src/net/http/front.rs
+++ b/src/net/http/front.rs
@@ -1,18 +1,18 @@
 //! The front's server: connections, the service on them, and the end after SIGTERM.
 
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
+use std::future::{pending, poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -23,13 +23,16 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 use tower::{Service, ServiceExt};
 
-use super::room::{Guest, Phase, Room, Seat};
-use super::{decode, headers, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT};
-use crate::core::{Answer, Core, Doors};
+use super::body::Outgoing;
+use super::room::{Framing, Guest, Phase, Room, Seat, REQUEST};
+use super::{decode, headers, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT, LONGEST_BODY};
+use crate::core::{stream, Answer, Call, Core, Doors, Feed, Reply, Upload};
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Bytes in a millisecond of the slowest client, with some to spare: a good one sends 64.
+const SLOWEST: u64 = 48;
 /// What a client is told whose request does not come to its end in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How often an idle connection that is kept looks whether places have become scarce.
@@ -55,56 +58,150 @@
     }
 
     /// Answers a request whose head has come.
-    async fn answer(mut self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
-        let by = guest.begin();
+    async fn answer(self, request: Request<Incoming>, guest: &Arc<Guest>) -> Response<Outgoing> {
+        let since = guest.begin();
+        let framing = guest.framing();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
             let ready = self.core.status().ready && !self.core.doors().borrow().paused;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
-        // A body with two lengths may hide another request. Clients here tell the length, so that none needs
-        // the other way; and of two that stand in the head, hyper may show only one.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return self.refuse(StatusCode::LENGTH_REQUIRED, "transfer-encoding");
+        // A body with two lengths may hide another request.
+        let coded = head.headers.contains_key(TRANSFER_ENCODING);
+        let two = coded && head.headers.contains_key(CONTENT_LENGTH);
+        if two || (coded && framing != Framing::One) {
+            return self.refuse(StatusCode::BAD_REQUEST, "transfer-encoding");
         }
         // Told from its length, before any of it is read.
-        if body.size_hint().lower() > BODY_LIMIT as u64 {
+        let length = body.size_hint().exact();
+        if body.size_hint().lower() > LONGEST_BODY {
             return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body");
         }
-        let body = match timeout_at(by, Limited::new(body, BODY_LIMIT).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return self.refuse(StatusCode::BAD_REQUEST, "body"),
-            Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "body"),
+        let mut coming = Coming { body, since, size: 0, guest: guest.clone() };
+        let mut held = BytesMut::new();
+        let whole = loop {
+            match coming.next().await {
+                Ok(Some(piece)) => held.extend_from_slice(&piece),
+                Ok(None) => break true,
+                Err(status) => return self.refuse(status, "body"),
+            }
+            if held.len() > BODY_LIMIT {
+                break false;
+            }
         };
-        guest.enter(Phase::Busy);
-        let call = match decode(&self.core.deployment(), &head, body, Instant::now()) {
+        let held = held.freeze();
+        if whole {
+            guest.enter(Phase::Busy);
+            let call = match decode(&self.core.deployment(), &head, held, None, Instant::now()) {
+                Ok(call) => call,
+                Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
+            };
+            return encode(self.ask(call).await, guest);
+        }
+        let (feed, pieces) = stream();
+        let rest = Some((length, pieces));
+        let call = match decode(&self.core.deployment(), &head, held, rest, Instant::now()) {
             Ok(call) => call,
             Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
         };
+        let upload = call.work.rest.clone();
+        let passing = pass(coming, feed, upload.as_ref());
+        let mut asked = pin!(self.clone().ask(call));
+        let answer = tokio::select! {
+            biased;
+            answer = &mut asked => {
+                // Its client may send on for a while: it is told, and then its connection ends.
+                let mut answer = encode(answer, guest);
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return answer;
+            }
+            passed = passing => match passed {
+                // Whoever breaks off is not asked for any more.
+                Err(status) => return self.refuse(status, "body"),
+                Ok(()) => asked.await,
+            },
+        };
+        encode(answer, guest)
+    }
+
+    async fn ask(mut self, call: Call) -> Answer {
         let answer = match self.core.ready().await {
             Ok(core) => core.call(call).await,
             Err(gone) => Err(gone),
         };
-        encode(answer.unwrap_or(Answer::Failed { ran: true, late: false }))
+        answer.unwrap_or(Answer::Failed { ran: true, late: false })
     }
 
     /// Turns away what makes no sense. What else comes on that connection can't be trusted either.
-    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<Full<Bytes>> {
+    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<Outgoing> {
         self.core.malformed();
         closing(status, part)
     }
 }
 
+/// A client's body, as it comes.
+struct Coming {
+    body: Incoming,
+    /// Since when its client has been asking.
+    since: Instant,
+    size: u64,
+    guest: Arc<Guest>,
+}
+
+impl Coming {
+    /// The next piece, or why there will be none: each comes as early as a client of the slowest sort has it
+    /// sent, counted from the first.
+    async fn next(&mut self) -> Result<Option<Bytes>, StatusCode> {
+        loop {
+            let by = self.since + REQUEST + Duration::from_millis(self.size / SLOWEST);
+            self.guest.enter(Phase::Sending { since: self.since, by });
+            match timeout_at(by, self.body.frame()).await {
+                Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+                Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => {
+                    // Trailers say nothing here.
+                    let Ok(piece) = frame.into_data() else { continue };
+                    self.size += piece.len() as u64;
+                    return if self.size > LONGEST_BODY {
+                        Err(StatusCode::PAYLOAD_TOO_LARGE)
+                    } else {
+                        Ok(Some(piece))
+                    };
+                }
+            }
+        }
+    }
+}
+
+/// Passes on what is still to come of a body. What the node does not take in time is not its client's fault.
+async fn pass(mut coming: Coming, feed: Feed, upload: Option<&Upload>) -> Result<(), StatusCode> {
+    while let Some(piece) = coming.next().await? {
+        coming.guest.enter(Phase::Busy);
+        let handed = Instant::now();
+        if !feed.more(piece).await {
+            // The answer tells why nobody takes it.
+            pending::<()>().await;
+        }
+        coming.since += handed.elapsed();
+    }
+    coming.guest.enter(Phase::Busy);
+    upload.into_iter().for_each(Upload::end);
+    feed.end().await;
+    Ok(())
+}
+
 /// The last answer on its connection.
-fn closing(status: StatusCode, part: &'static str) -> Response<Full<Bytes>> {
+fn closing(status: StatusCode, part: &'static str) -> Response<Outgoing> {
     let mut response = plain(status, part);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn encode(answer: Answer) -> Response<Full<Bytes>> {
+fn encode(answer: Answer, guest: &Arc<Guest>) -> Response<Outgoing> {
     match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
+        Answer::Served(Reply::Whole(body)) => Response::new(whole(body)),
+        Answer::Served(Reply::Passing(passing)) => Response::new(Outgoing::Passing(passing, guest.clone())),
         Answer::Refused { retry_after: advice } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
             if let Some(value) = advice.and_then(|span| retry_after(span).parse().ok()) {
@@ -118,8 +215,12 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn whole(body: Bytes) -> Outgoing {
+    Outgoing::Whole((!body.is_empty()).then_some(body))
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
+    let mut response = Response::new(whole(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
@@ -133,7 +234,7 @@
 }
 
 impl Service<Request<Incoming>> for Visit {
-    type Response = Response<Full<Bytes>>;
+    type Response = Response<Outgoing>;
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
 
@@ -150,7 +251,9 @@
             if doors.borrow().closing() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            guest.enter(Phase::Idle(Instant::now()));
+            let passes = matches!(answer.body(), Outgoing::Passing(..));
+            let now = Instant::now();
+            guest.enter(if passes { Phase::Passing(now) } else { Phase::Idle(now) });
             Ok(answer)
         })
     }
@@ -244,7 +347,7 @@
                 Pin::new(&mut connection).graceful_shutdown();
             }
             Over::Done => break,
-            Over::Overdue if matches!(guest.phase(), Phase::Asking(_)) => {
+            Over::Overdue if matches!(guest.phase(), Phase::Asking(_) | Phase::Sending { .. }) => {
                 let mut stream = connection.into_parts().io.into_inner().stream;
                 // A few bytes, of which nothing else has been written: they find room, or the client is gone.
                 if stream.try_write(TOO_SLOW).is_ok() {
@@ -304,7 +407,7 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.guest.heard();
+            self.guest.heard(&buf.filled()[before..]);
         }
         polled
     }
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's front: HTTP/1.1 to typed calls and back.
 
+mod body;
 mod decode;
 mod front;
 mod room;
@@ -8,9 +9,12 @@
 pub use front::{serve, Front};
 pub use room::Room;
 
-/// No body holds more.
+/// What holds more passes in pieces.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
+/// No body holds more.
+pub const LONGEST_BODY: u64 = 32 << 20;
+
 /// No head holds more.
 pub const HEAD_LIMIT: usize = 16 * 1024;
 
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -10,13 +10,15 @@
 
 /// A request's last byte comes this long after its client has connected, or after its first byte on a
 /// connection that has carried others. Clients that do not keep to it are owed an end within 3 s.
-const REQUEST: Duration = Duration::from_millis(2500);
+pub const REQUEST: Duration = Duration::from_millis(2500);
 /// A connection without a request is kept so long, and for the second time as long as all find room.
 const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
 /// How dispensable an idle connection is: only one that is ending anyway is more so. And one that has not
 /// been idle for long: the last to go.
 const IDLE_RANK: u8 = 1;
 const LATELY_IDLE_RANK: u8 = 4;
+/// A client that takes nothing of a long answer for so long has left.
+const STALLED: Duration = Duration::from_secs(15);
 /// A client that has been answered for the last time may take so long to read that and close.
 const PARTING: Duration = Duration::from_secs(1);
 /// Whoever connects to ask has begun to by then: before, silence is no sign of one who never will.
@@ -31,8 +33,17 @@
     Silent(Instant),
     /// A request is coming.
     Asking(Instant),
+    /// A body is coming, the next piece by then.
+    Sending {
+        /// Since when its client has been asking.
+        since: Instant,
+        /// When the next piece is due.
+        by: Instant,
+    },
     /// A request is being worked on.
     Busy,
+    /// A long answer is on its way, of which the client has taken some then.
+    Passing(Instant),
     /// Between requests.
     Idle(Instant),
     /// The last answer is given; the client reads it.
@@ -44,7 +55,10 @@
     pub fn until(self) -> Option<Instant> {
         match self {
             Self::Silent(since) | Self::Asking(since) => Some(since + REQUEST),
+            // Whoever reads the body sees to the time, and answers.
+            Self::Sending { by, .. } => Some(by + PARTING),
             Self::Busy => None,
+            Self::Passing(since) => Some(since + STALLED),
             Self::Idle(since) => Some(since + IDLE.0),
             Self::Parting(since) => Some(since + PARTING),
         }
@@ -66,20 +80,72 @@
             // Its client just opens another; the first request of a silent one may be on its way.
             Self::Idle(since) if lasting(since) >= IDLE.0 => (IDLE_RANK, since, IDLE.0),
             Self::Silent(since) => (2, since, SETTLED),
-            Self::Asking(since) => (3, since, DRAGGING),
+            Self::Asking(since) | Self::Sending { since, .. } => (3, since, DRAGGING),
             // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while
             // the client of an idle connection asks again on another.
             Self::Idle(since) => (LATELY_IDLE_RANK, since, SETTLED),
-            Self::Busy => return None,
+            Self::Busy | Self::Passing(_) => return None,
         };
         (lasting(since) >= after).then_some((rank, since))
     }
 }
 
+/// How often a head tells the length of its body. hyper shows one where there are two, by which another
+/// request may be hidden.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Once or not at all.
+    One,
+    /// By its length and by a coding.
+    Two,
+    /// It came before its turn.
+    Unknown,
+}
+
+/// The head that is coming, as far as its lengths go.
+#[derive(Clone, Debug, Default)]
+struct Head {
+    /// The beginning of the line that is coming, in lower case, and how long it is.
+    line: [u8; 18],
+    at: usize,
+    begun: bool,
+    length: bool,
+    coding: bool,
+    /// The blank line has come.
+    over: bool,
+    /// It was looked at; what comes is not its own.
+    stale: bool,
+}
+
+impl Head {
+    fn note(&mut self, bytes: &[u8]) {
+        for byte in bytes.iter().filter(|byte| **byte != b'\r') {
+            if self.over || self.stale {
+                return;
+            }
+            if *byte != b'\n' {
+                if let Some(place) = self.line.get_mut(self.at) {
+                    *place = byte.to_ascii_lowercase();
+                }
+                self.at += 1;
+                continue;
+            }
+            let line = &self.line[..self.at.min(self.line.len())];
+            self.length |= line.starts_with(b"content-length:");
+            self.coding |= line.starts_with(b"transfer-encoding:");
+            // Before the first line, a blank one ends nothing.
+            self.over = self.at == 0 && self.begun;
+            self.begun |= self.at > 0;
+            self.at = 0;
+        }
+    }
+}
+
 /// One connection's entry.
 #[derive(Debug)]
 pub struct Guest {
     phase: Mutex<Phase>,
+    head: Mutex<Head>,
     /// Told when it has to make way.
     pub leave: Notify,
 }
@@ -100,17 +166,38 @@
         *lock(&self.phase) = phase;
     }
 
+    /// What the head of the request at hand says of its body's length, in all; once for each.
+    pub fn framing(&self) -> Framing {
+        let mut head = lock(&self.head);
+        let told = match *head {
+            Head { over: true, length: true, coding: true, .. } => Framing::Two,
+            Head { over: true, .. } => Framing::One,
+            _ => Framing::Unknown,
+        };
+        head.over = false;
+        head.stale = true;
+        told
+    }
+
     /// Bytes have come. The first request is timed from its connection on.
-    pub fn heard(&self) {
+    pub fn heard(&self, bytes: &[u8]) {
         let mut phase = lock(&self.phase);
+        if matches!(*phase, Phase::Idle(_)) {
+            *lock(&self.head) = Head::default();
+        }
+        lock(&self.head).note(bytes);
         match *phase {
             Phase::Silent(since) => *phase = Phase::Asking(since),
             Phase::Idle(_) => *phase = Phase::Asking(Instant::now()),
-            Phase::Asking(_) | Phase::Busy | Phase::Parting(_) => {}
+            Phase::Asking(_)
+            | Phase::Sending { .. }
+            | Phase::Busy
+            | Phase::Passing(_)
+            | Phase::Parting(_) => {}
         }
     }
 
-    /// A request's head is there; gives back when the rest must be. Until then it can be spared like one
+    /// A request's head is there; gives back since when it has been coming. Until then it can be spared like one
     /// whose head is still to come: bodies that never end keep nobody out either.
     pub fn begin(&self) -> Instant {
         let mut phase = lock(&self.phase);
@@ -119,7 +206,7 @@
             _ => Instant::now(),
         };
         *phase = Phase::Asking(since);
-        since + REQUEST
+        since
     }
 }
 
@@ -193,7 +280,11 @@
         }
         let number = seats.next;
         seats.next += 1;
-        let guest = Arc::new(Guest { phase: Mutex::new(Phase::Silent(now)), leave: Notify::new() });
+        let guest = Arc::new(Guest {
+            phase: Mutex::new(Phase::Silent(now)),
+            head: Mutex::default(),
+            leave: Notify::new(),
+        });
         seats.taken.insert(number, guest.clone());
         Some(Seat { room: self.clone(), number, guest })
     }
--- a/src/net/node/http.rs
+++ b/src/net/node/http.rs
@@ -5,34 +5,82 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::{Connection, Counted, Done, Job, Written};
-use crate::core::{Attempt, Work};
-use crate::net::http::{headers, BODY_LIMIT, HEAD_LIMIT};
+use crate::core::{stream, Attempt, BrokenOff, Feed, Passing, Pieces, Reply, Upload, Work};
+use crate::net::http::{headers, BODY_LIMIT, HEAD_LIMIT, LONGEST_BODY};
 use crate::End;
 
-type Driver = http1::Connection<TokioIo<Counted>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<Counted>, Sending>;
 
-/// The rest of an answer follows its head within this time. Guards against waiting for one that stopped short
+/// A request's body on its way to a node.
+struct Sending {
+    held: Option<Bytes>,
+    /// The rest, its length where that is told, and whom to tell that it has ended.
+    rest: Option<(Pieces, Option<u64>, Arc<Written>)>,
+}
+
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        if let Some(held) = self.held.take() {
+            return Poll::Ready(Some(Ok(Frame::data(held))));
+        }
+        let Some((pieces, _, written)) = &mut self.rest else { return Poll::Ready(None) };
+        let next = ready!(pieces.poll_next(cx));
+        if next.is_none() {
+            written.last();
+        }
+        Poll::Ready(next.map(|piece| piece.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_none() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.rest {
+            None => SizeHint::with_exact(self.held.as_ref().map_or(0, |held| held.len() as u64)),
+            Some((_, length, _)) => length.map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
+
+/// The next piece of an answer follows within this time. Guards against waiting for one that stopped short
 /// for as long as for a node that is slow, and against taking the node for slow.
 const REST: Duration = Duration::from_millis(50);
+/// The same where the answer is on its way to the client.
+const STALL: Duration = Duration::from_secs(3);
+
+/// An answer as it came.
+enum Came {
+    /// Whole.
+    Whole(End, Bytes),
+    /// Served, and longer than what is held: its length where it is told, what has come, and what is to come.
+    Long(Option<u64>, Bytes, Incoming),
+}
 
 /// One connection to such a node; it carries one attempt at a time and is closed when dropped.
 pub struct HttpConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Sending>,
     driver: Pin<Box<Driver>>,
     written: Arc<Written>,
     over: bool,
@@ -85,12 +133,12 @@
 
     /// Sends a request and takes its answer; `None` where there is none to be made out. This is the one check
     /// on answers: a head that can be read, one length, no longer than any body, and as many bytes.
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Option<(End, Bytes)> {
+    async fn exchange(&mut self, request: Request<Sending>) -> Option<Came> {
         let sending = self.sender.send_request(request);
-        let (head, body) = self.drive(sending).await.ok()?.into_parts();
+        let (head, mut body) = self.drive(sending).await.ok()?.into_parts();
         let lengths =
             [CONTENT_LENGTH, TRANSFER_ENCODING].iter().filter(|h| head.headers.contains_key(*h)).count();
-        if lengths != 1 || body.size_hint().lower() > BODY_LIMIT as u64 {
+        if lengths > 1 || body.size_hint().lower() > LONGEST_BODY {
             return None;
         }
         let rejected = head.headers.get(headers::REJECTED).is_some_and(|v| v == "1");
@@ -99,10 +147,39 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => End::Full,
             _ => End::Error,
         };
-        let whole_by = Instant::now() + REST;
-        let body =
-            timeout_at(whole_by, self.drive(Limited::new(body, BODY_LIMIT).collect())).await.ok()?.ok()?;
-        Some((end, body.to_bytes()))
+        let length = body.size_hint().exact();
+        let mut held = BytesMut::new();
+        loop {
+            if end == End::Served && length.map_or(held.len(), |l| l as usize) > BODY_LIMIT {
+                return Some(Came::Long(length, held.freeze(), body));
+            }
+            match timeout_at(Instant::now() + REST, self.drive(body.frame())).await.ok()? {
+                Some(frame) => held.extend_from_slice(frame.ok()?.data_ref().unwrap_or(&Bytes::new())),
+                None => return Some(Came::Whole(end, held.freeze())),
+            }
+            if end != End::Served && held.len() > BODY_LIMIT {
+                return None;
+            }
+        }
+    }
+
+    /// Passes the rest of an answer on, for as long as it moves; gives the connection back if it can carry
+    /// another attempt.
+    async fn pass(mut self, held: Bytes, mut body: Incoming, feed: Feed) -> Option<Self> {
+        let mut passed = held.len() as u64;
+        if !held.is_empty() && !feed.more(held).await {
+            return None;
+        }
+        while let Some(frame) = timeout_at(Instant::now() + STALL, self.drive(body.frame())).await.ok()? {
+            let Ok(piece) = frame.ok()?.into_data() else { continue };
+            passed += piece.len() as u64;
+            if passed > LONGEST_BODY || !feed.more(piece).await {
+                return None;
+            }
+        }
+        let sound = self.sound().await;
+        feed.end().await;
+        sound.then_some(self)
     }
 
     /// False once it can't carry another request, or where more has come than its last answer.
@@ -153,24 +230,44 @@
             },
         };
         if attempt.gate.is_shut() {
-            return Done { end: End::Moot, body: Bytes::new(), idle: Some(connection) };
+            return Done::back(End::Moot, Bytes::new(), connection);
         }
-        let Ok(request) = encode(&attempt, address) else { return Done::lost(End::Moot) };
-        connection.written.begin(attempt.work.body.len(), attempt.tries.clone());
-        let tried = async {
-            if !connection.ready().await {
-                return None;
+        // One that has grown stale takes nothing of a request.
+        if !connection.ready().await {
+            if reused {
+                continue;
             }
-            Some(connection.exchange(request).await)
+            return Done::lost(End::NotConnected);
+        }
+        let (Ok(request), length) = encode(&attempt, address, &connection.written) else {
+            return Done::lost(End::Moot);
+        };
+        connection.written.begin(length, attempt.tries.clone());
+        let tried = connection.exchange(request);
+        let expired = async {
+            match &attempt.work.rest {
+                Some(upload) => upload.expired().await,
+                None => sleep_until(attempt.until).await,
+            }
+        };
+        let tried = tokio::select! {
+            tried = tried => Ok(tried),
+            () = expired => Err(()),
         };
-        match timeout_at(attempt.until, tried).await {
-            Ok(Some(Some((end, body)))) => {
+        match tried {
+            Ok(Some(Came::Whole(end, body))) => {
                 let idle = if connection.sound().await { Some(connection) } else { None };
-                return Done { end, body, idle };
+                return Done { end, body: Reply::Whole(body), idle, rest: None };
+            }
+            Ok(Some(Came::Long(length, held, body))) => {
+                let (feed, pieces) = stream();
+                let rest = connection.pass(held, body, feed);
+                let body = Reply::Passing(Passing::new(length, pieces));
+                return Done { end: End::Served, body, idle: None, rest: Some(Box::pin(rest)) };
             }
             // Guards against taking a connection that had grown stale for a node that is down: the node has
             // not had the request, so that this is still the same attempt.
-            Ok(_) if reused && !connection.written.whole() => {}
+            Ok(_) if reused && !connection.written.whole() && repeatable(&attempt) => {}
             Ok(_) if !connection.written.whole() => return Done::lost(End::NotConnected),
             Ok(_) if connection.written.broken() => return Done::lost(End::Reset),
             // The node is there and has said something that makes no sense. Guards against taking it for one
@@ -181,9 +278,19 @@
     }
 }
 
-fn encode(attempt: &Attempt, address: SocketAddr) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    let Work { call, class, write, target, once, body, .. } = &*attempt.work;
-    let left = attempt.until.saturating_duration_since(Instant::now()).as_millis();
+/// Nothing of it has been taken that can't be sent again.
+fn repeatable(attempt: &Attempt) -> bool {
+    attempt.work.rest.as_ref().is_none_or(Upload::untouched)
+}
+
+type Encoded = Result<Request<Sending>, hyper::http::Error>;
+
+/// The request, and the length of its body where that is told.
+fn encode(attempt: &Attempt, address: SocketAddr, written: &Arc<Written>) -> (Encoded, Option<usize>) {
+    let Work { call, class, write, target, once, body, rest, .. } = &*attempt.work;
+    let left = attempt.until.saturating_duration_since(Instant::now());
+    let left = rest.as_ref().map_or(left, Upload::budget).as_millis();
+    let length = rest.as_ref().map_or(Some(body.len()), |upload| upload.length().map(|l| l as usize));
     let method = if *write { Method::PUT } else { Method::GET };
     let mut request = Request::builder().method(method).uri(&**target);
     request = request.header(HOST, address.to_string());
@@ -192,8 +299,10 @@
     if let Some(once) = once {
         request = request.header(headers::ONCE, &**once);
     }
-    if *write || !body.is_empty() {
-        request = request.header(CONTENT_LENGTH, body.len());
+    if let Some(length) = length.filter(|_| *write || !body.is_empty()) {
+        request = request.header(CONTENT_LENGTH, length);
     }
-    request.body(Full::new(body.clone()))
+    let pieces = rest.as_ref().and_then(|upload| Some((upload.take()?, upload.length(), written.clone())));
+    let sending = Sending { held: (!body.is_empty()).then(|| body.clone()), rest: pieces };
+    (request.body(sending), length)
 }
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::core::{report, Attempt, Message};
+use crate::core::{report, Attempt, Message, Reply};
 use crate::settings::Deployment;
 use crate::End;
 
@@ -52,15 +52,22 @@
     /// How the attempt ended.
     pub end: End,
     /// What came with [`End::Served`].
-    pub body: Bytes,
+    pub body: Reply,
     /// The connection, if it can carry another.
     pub idle: Option<C>,
+    /// What passes the rest of an answer on, and gives the connection back then.
+    pub rest: Option<BoxFuture<'static, Option<C>>>,
 }
 
 impl<C> Done<C> {
     /// An attempt that brought nothing back and whose connection is closed.
     pub fn lost(end: End) -> Self {
-        Self { end, body: Bytes::new(), idle: None }
+        Self { end, body: Reply::Whole(Bytes::new()), idle: None, rest: None }
+    }
+
+    /// One that is over, on a connection that can carry another.
+    pub fn back(end: End, body: Bytes, connection: C) -> Self {
+        Self { end, body: Reply::Whole(body), idle: Some(connection), rest: None }
     }
 }
 
@@ -145,7 +152,13 @@
     mailbox
 }
 
-type Finished<C> = (Attempt, Done<C>, Option<Permit>);
+/// What has come to its end on a connection.
+enum Finished<C> {
+    /// An attempt.
+    Attempt(Attempt, Done<C>, Option<Permit>),
+    /// The rest of an answer.
+    Rest(Option<C>, Permit),
+}
 
 struct Actor<L, C> {
     link: L,
@@ -194,7 +207,7 @@
         if permit.is_none() {
             // No descriptor for it: it never ran, and that says nothing about the node.
             let done = Done::lost(End::Moot);
-            return self.running.push(Box::pin(async move { (attempt, done, None) }));
+            return self.running.push(Box::pin(async move { Finished::Attempt(attempt, done, None) }));
         }
         let trying = self.link.call(Job {
             attempt: attempt.clone(),
@@ -203,19 +216,33 @@
         });
         self.running.push(Box::pin(async move {
             let Ok(done) = trying.await;
-            (attempt, done, permit)
+            Finished::Attempt(attempt, done, permit)
         }));
     }
 
-    async fn finish(&mut self, (attempt, done, permit): Finished<C>, listed: bool) {
-        if let (Some(link), Some(permit), true) = (done.idle, permit, listed) {
+    async fn finish(&mut self, finished: Finished<C>, listed: bool) {
+        let (attempt, done, permit) = match finished {
+            Finished::Rest(link, permit) => return self.keep(link, permit, listed),
+            Finished::Attempt(attempt, done, permit) => (attempt, done, permit),
+        };
+        if let Some(permit) = permit {
+            match done.rest {
+                Some(rest) => self.running.push(Box::pin(async move { Finished::Rest(rest.await, permit) })),
+                None => self.keep(done.idle, permit, listed),
+            }
+        }
+        report(&self.core, &attempt, done.end, done.body).await;
+    }
+
+    /// Keeps a connection for another attempt.
+    fn keep(&mut self, link: Option<C>, permit: Permit, listed: bool) {
+        if let (Some(link), true) = (link, listed) {
             let Figures { idle, most_idle, .. } = self.pool.figures();
             self.idle.push_back(Idle { link, permit, until: Instant::now() + idle });
             if self.idle.len() > most_idle {
                 self.idle.pop_front();
             }
         }
-        report(&self.core, &attempt, done.end, done.body).await;
     }
 }
 
--- a/src/net/node/wire.rs
+++ b/src/net/node/wire.rs
@@ -11,6 +11,11 @@
 
 use crate::core::Tries;
 
+/// The blank line that ends a head, and the chunk that ends a body.
+const END: &[u8] = b"\r\n\r\n";
+/// Stands for a body's length where none is told.
+const UNTOLD: usize = usize::MAX;
+
 /// How far the request that a connection carries has been written. Whether an attempt can have run hangs on
 /// this alone, so it counts bytes that the socket has taken, not what was meant to be sent.
 #[derive(Debug, Default)]
@@ -19,18 +24,26 @@
     ending: AtomicUsize,
     /// Bytes of the body still to come.
     body: AtomicUsize,
+    last: AtomicBool,
     whole: AtomicBool,
     tries: Mutex<Tries>,
     broken: AtomicBool,
 }
 
 impl Written {
-    /// A request begins whose body holds so many bytes.
-    pub fn begin(&self, body: usize, tries: Tries) {
+    /// A request begins whose body holds so many bytes, where that is told; else it goes in chunks.
+    pub fn begin(&self, body: impl Into<Option<usize>>, tries: Tries) {
+        let body = body.into().unwrap_or(UNTOLD);
         *self.tries.lock().unwrap_or_else(PoisonError::into_inner) = tries;
         self.ending.store(0, Ordering::Relaxed);
         self.body.store(body, Ordering::Relaxed);
         self.whole.store(false, Ordering::Relaxed);
+        self.last.store(false, Ordering::Relaxed);
+    }
+
+    /// All of a body has been handed to the connection: what is written from now on may hold the last of it.
+    pub fn last(&self) {
+        self.last.store(true, Ordering::Relaxed);
     }
 
     /// The last byte of the request has reached the socket.
@@ -45,7 +58,6 @@
 
     /// Takes note of bytes that the socket has taken.
     pub fn note(&self, bytes: &[u8]) {
-        const END: &[u8] = b"\r\n\r\n";
         let (mut ending, mut rest) = (self.ending.load(Ordering::Relaxed), bytes);
         while let Some((&byte, after)) = rest.split_first().filter(|_| ending < END.len()) {
             ending = if byte == END[ending] { ending + 1 } else { usize::from(byte == END[0]) };
@@ -53,7 +65,13 @@
         }
         self.ending.store(ending, Ordering::Relaxed);
         if ending == END.len() {
-            let left = self.body.load(Ordering::Relaxed).saturating_sub(rest.len());
+            let mut left = self.body.load(Ordering::Relaxed);
+            if left == UNTOLD {
+                let over = self.last.load(Ordering::Relaxed) && rest.ends_with(END);
+                left = if over { 0 } else { left };
+            } else {
+                left = left.saturating_sub(rest.len());
+            }
             self.body.store(left, Ordering::Relaxed);
             if left == 0 && !self.whole.swap(true, Ordering::Relaxed) {
                 self.tries.lock().unwrap_or_else(PoisonError::into_inner).count();
--- a/src/net/nvme/controller.rs
+++ b/src/net/nvme/controller.rs
@@ -17,7 +17,7 @@
 use super::map::Map;
 use super::pdu::{Fatal, Pdu, MOST_DATA};
 use super::wire::{Broken, Wire};
-use crate::core::{Answer, Call, Core, Work};
+use crate::core::{Answer, Call, Core, Reply, Work};
 use crate::{Effect, KeyId};
 
 /// A host has so long to open a queue, and to take in why its connection ends.
@@ -99,6 +99,7 @@
             units: self.map.units(blocks.count),
             length: Some(blocks.count as usize * self.map.block as usize),
             body,
+            rest: None,
         };
         Ok(Call {
             class: class.id,
@@ -545,7 +546,14 @@
         self.open.insert(cid, Some(handle));
         self.running.push(Box::pin(async move {
             // A core that has stopped promises nothing.
-            let answer = answer.await.map(|a| a.unwrap_or(Answer::Failed { ran: true, late: false }));
+            let failed = Answer::Failed { ran: true, late: false };
+            let answer = match answer.await {
+                Ok(Ok(Answer::Served(reply))) => match reply.whole(MOST_DATA).await {
+                    Some(body) => Ok(Answer::Served(Reply::Whole(body))),
+                    None => Ok(failed),
+                },
+                other => other.map(|a| a.unwrap_or(failed)),
+            };
             Finished { cid, read, answer }
         }));
     }
@@ -553,7 +561,7 @@
     async fn finish(&mut self, Finished { cid, read, answer }: Finished) -> Result<(), Broken> {
         self.open.remove(&cid);
         match (read, &answer) {
-            (Some(size), Ok(Answer::Served(body))) => {
+            (Some(size), Ok(Answer::Served(Reply::Whole(body)))) => {
                 let mut data = BytesMut::from(&body[..body.len().min(size)]);
                 // What was never written reads as zeros.
                 data.resize(size, 0);
--- a/src/net/nvme/initiator.rs
+++ b/src/net/nvme/initiator.rs
@@ -238,11 +238,11 @@
                 continue;
             }
             if attempt.gate.is_shut() {
-                return Done { end: End::Moot, body: Bytes::new(), idle: Some(connection) };
+                return Done::back(End::Moot, Bytes::new(), connection);
             }
             let exchange = connection.exchange(work.write, blocks, data.clone(), size, &attempt.tries);
             return match timeout_at(until, exchange).await {
-                Ok(Ok((status, body))) => Done { end: end_of(status), body, idle: Some(connection) },
+                Ok(Ok((status, body))) => Done::back(end_of(status), body, connection),
                 // The target has not had the command whole: on an old queue it is still the same attempt.
                 Ok(Err(BrokeOff { whole: false, .. })) if reused => continue,
                 Ok(Err(BrokeOff { whole: false, .. })) => Done::lost(End::NotConnected),
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,15 @@
 }
 
 impl Job {
+    /// Units that it holds at a node while an attempt of it is out.
+    pub(crate) fn load(&self) -> f64 {
+        if self.request.passes {
+            0.0
+        } else {
+            f64::from(self.request.units)
+        }
+    }
+
     pub(crate) fn new(
         request: Request,
         due: Micros,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -67,6 +67,8 @@
         key: None,
         hosts: 1,
         repeat: false,
+
+        passes: false,
     }
 }
 
--- a/tests/net/ops.rs
+++ b/tests/net/ops.rs
@@ -156,6 +156,7 @@
         units: 1,
         length: None,
         body: Bytes::new(),
+        rest: None,
     };
     let (by, gate, tries) = (Instant::now() + PATIENCE, Gate::default(), Tries::default());
     gate.set(out);
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -180,6 +180,8 @@
         key,
         hosts: rng.u32(1..3),
         repeat: false,
+
+        passes: false,
     };
     let effect = set.classes[class as usize].effect;
     let seen = Seen {
