--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -7,4 +7,5 @@
 mod ops;
 mod parsers;
 mod process;
+mod size;
 mod support;
--- /dev/null
+++ b/tests/net/size.rs
@@ -0,0 +1,130 @@
+//! Bodies of any size and form, on real sockets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use crate::support::*;
+
+const LONG: usize = 3 << 20;
+
+/// A node that takes one request whole, told by its length or in chunks, says what its body was, and answers
+/// with these pieces, one after the other.
+async fn node(pieces: Vec<Vec<u8>>) -> (SocketAddr, oneshot::Receiver<(String, Vec<u8>)>) {
+    let (listener, address) = listen().await;
+    let (tell, told) = oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let (head, _, body) = read_message(&mut stream).await.unwrap();
+        let _ = tell.send((head, body));
+        for piece in pieces {
+            // The client may have left.
+            let _ = stream.write_all(&piece).await;
+            sleep(Duration::from_millis(2)).await;
+        }
+    });
+    (address, told)
+}
+
+fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let chunk = |part: &[u8]| [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
+    [body.chunks(size).flat_map(chunk).collect::<Vec<_>>(), b"0\r\nx-trailer: t\r\n\r\n".to_vec()].concat()
+}
+
+fn noise(size: usize) -> Vec<u8> {
+    (0..size).map(|at| (at * 31 % 251) as u8).collect()
+}
+
+/// Answers of every form, in pieces cut anywhere.
+#[rstest]
+#[case::length("content-length: 3145728\r\n", false)]
+#[case::chunks("transfer-encoding: chunked\r\n", true)]
+#[case::until_closed("", false)]
+#[tokio::test]
+async fn a_long_answer_passes_whole(#[case] framing: &str, #[case] chunks: bool) {
+    let body = noise(LONG);
+    let sent = if chunks { chunked(&body, 70_001) } else { body.clone() };
+    let mut pieces = vec![format!("HTTP/1.1 200 OK\r\n{framing}\r").into_bytes(), b"\n".to_vec()];
+    pieces.extend(sent.chunks(500_003).map(<[u8]>::to_vec));
+    let (address, _told) = node(pieces).await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let (status, _, got) = rig.ask(&request("consulta", 1, 0, 900, "")).await;
+    assert!(status == 200 && got == body, "{status}, {} bytes", got.len());
+}
+
+/// Guards against an answer that ends well for its client though its node broke off, and, while it passes,
+/// against another request under its id.
+#[tokio::test]
+async fn what_the_node_breaks_off_is_broken_off_for_the_client() {
+    let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    let part = chunked(&noise(200_000), 100_000);
+    let (address, _told) = node(vec![head, part[..150_000].to_vec()]).await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    stream.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
+    let mut got = Vec::new();
+    // Closed or reset.
+    let _ = timeout(PATIENCE, stream.read_to_end(&mut got)).await.expect("an end");
+    assert!(got.starts_with(b"HTTP/1.1 200 OK") && !got.ends_with(b"0\r\n\r\n"), "{} bytes", got.len());
+    let figures = rig.core.figures().await.unwrap();
+    assert_eq!((figures.active, figures.counters.total().served), (0, 1));
+}
+
+/// Bodies of every form: held, passed on, told by their length or not, slow ones past the deadline's span.
+#[rstest]
+#[case::short_chunks(1000, true, 64)]
+#[case::long(LONG, false, 400_000)]
+#[case::long_chunks(LONG, true, 400_000)]
+#[tokio::test]
+async fn a_body_passes_whole(#[case] size: usize, #[case] chunks: bool, #[case] piece: usize) {
+    let answer_text = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".to_vec();
+    let (address, told) = node(vec![answer_text]).await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let body = noise(size);
+    let sent = if chunks { chunked(&body, 9001) } else { body.clone() };
+    let framing =
+        if chunks { "Transfer-Encoding: chunked".to_owned() } else { format!("Content-Length: {size}") };
+    let head = request("pedido", 1, 0, 300, "").replace("Content-Length: 0", &framing);
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for part in sent.chunks(piece) {
+        stream.write_all(part).await.unwrap();
+        // In all longer than the client will wait after its last byte.
+        sleep(Duration::from_millis(50)).await;
+    }
+    let (status, _, got) = answer(&mut stream).await;
+    assert_eq!((status, got.as_slice()), (200, b"ok".as_slice()));
+    let (head, seen) = told.await.unwrap();
+    assert!(seen == body, "{} bytes of {size}: {head}", seen.len());
+    assert!(header(&head, "x-budget-ms").unwrap().parse::<u32>().unwrap() <= 300, "{head}");
+    assert_eq!(rig.core.figures().await.unwrap().counters.tries, 1, "its last byte was written");
+}
+
+/// Guards against sending a part of a body a second time: what passes is tried once.
+#[tokio::test]
+async fn what_is_not_held_whole_is_not_repeated() {
+    let log = Log::default();
+    let address = http_node(0, &[Does::Error], &log).await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let body = "x".repeat(200_000);
+    assert_eq!(rig.ask(&request("pedido", 1, 0, 900, &body)).await.0, 502);
+    assert_eq!((log.all().len(), log.all()[0].body.len()), (1, 200_000));
+}
+
+/// A body that stops coming is given up, and its id is free again.
+#[tokio::test]
+async fn a_body_that_stops_coming_is_given_up() {
+    let (address, _told) = node(Vec::new()).await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let text = request("pedido", 1, 0, 900, &"x".repeat(200_000));
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    stream.write_all(&text.as_bytes()[..100_000]).await.unwrap();
+    assert_eq!(answer(&mut stream).await.0, 408);
+    rig.until(|c| c.gone == 1).await;
+    assert_eq!(rig.core.figures().await.unwrap().active, 0);
+}
--- a/tests/net/support.rs
+++ b/tests/net/support.rs
@@ -149,6 +149,17 @@
     let small = head.to_lowercase();
     let length = header(&small, "content-length").map_or(0, |v| v.parse().unwrap());
     let mut body = bytes.split_off(end);
+    if header(&small, "transfer-encoding") == Some("chunked") {
+        let whole = loop {
+            if let Some(whole) = unchunk(&body) {
+                break whole;
+            }
+            if stream.read_buf(&mut body).await.ok()? == 0 {
+                return None;
+            }
+        };
+        return Some((small, head, whole));
+    }
     while body.len() < length {
         if stream.read_buf(&mut body).await.ok()? == 0 {
             return None;
@@ -157,6 +168,20 @@
     Some((small, head, body))
 }
 
+/// What chunks hold, once the last of them is there.
+fn unchunk(mut bytes: &[u8]) -> Option<Vec<u8>> {
+    let mut whole = Vec::new();
+    loop {
+        let end = bytes.windows(2).position(|w| w == b"\r\n")?;
+        let size = usize::from_str_radix(std::str::from_utf8(&bytes[..end]).unwrap(), 16).unwrap();
+        if size == 0 {
+            return bytes.ends_with(b"\r\n\r\n").then_some(whole);
+        }
+        whole.extend_from_slice(bytes.get(end + 2..end + 2 + size)?);
+        bytes = bytes.get(end + 4 + size..)?;
+    }
+}
+
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
 }
