Pauses between watches at discovery are drawn, so that a fleet does not come back as one

Seen: all schedulers that are killed at once opened broken watches anew at the same times (discovery.rs stay: 50 ms, doubled to 1 s).

--- a/src/main.rs
+++ b/src/main.rs
@@ -283,7 +283,7 @@
         taken.serve(core.clone(), tell.clone()).await;
         eprintln!("heathward: took over from the process before");
     }
-    tokio::spawn(discovery::follow(addresses, revision, core.mailbox()));
+    tokio::spawn(discovery::follow(addresses, revision, core.mailbox(), seed));
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await?;
         eprintln!("heathward: operations on {}", listener.local_addr()?);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -104,13 +104,19 @@
 }
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
-/// mailbox was told last. At a new one the watch opens while the old one still stands: until that ends by
+/// mailbox was told last; pauses between watches are drawn by that seed. At a new one the watch opens while the old one still stands: until that ends by
 /// itself, or for 5 s, whatever either of them tells counts.
-pub async fn follow(mut addresses: watch::Receiver<SocketAddr>, known: u64, core: mpsc::Sender<Message>) {
+pub async fn follow(
+    mut addresses: watch::Receiver<SocketAddr>,
+    known: u64,
+    core: mpsc::Sender<Message>,
+    seed: u64,
+) {
+    let mut rng = fastrand::Rng::with_seed(seed);
     let heard = Arc::new(AtomicU64::new(known));
     loop {
         let (address, current) = (*addresses.borrow_and_update(), Arc::new(Notify::new()));
-        let staying = tokio::spawn(stay(address, heard.clone(), core.clone(), current.clone()));
+        let staying = tokio::spawn(stay(address, heard.clone(), core.clone(), current.clone(), rng.fork()));
         loop {
             tokio::select! {
                 changed = addresses.changed() => if changed.is_err() {
@@ -133,6 +139,7 @@
     heard: Arc<AtomicU64>,
     core: mpsc::Sender<Message>,
     replaced: Arc<Notify>,
+    mut rng: fastrand::Rng,
 ) {
     let mut replaced = pin!(replaced.notified());
     let mut revision = heard.load(Ordering::Relaxed);
@@ -153,8 +160,10 @@
         // One that brought something, or stood for a while, was sound.
         let sound = revision != before || opened.elapsed() > SILENCE * 2;
         pause = if sound { PAUSE.0 } else { (pause * 2).min(PAUSE.1) };
+        // Guards against a fleet whose watches all broke at once, and that comes back as one time after time.
+        let drawn = pause.mul_f64(0.5 + 0.5 * rng.f64());
         tokio::select! {
-            () = sleep_until(Instant::now() + pause) => {}
+            () = sleep_until(Instant::now() + drawn) => {}
             () = replaced.as_mut() => return,
         }
     }
--- a/tests/net/http.rs
+++ b/tests/net/http.rs
@@ -492,7 +492,7 @@
     let rig = rig(&[], None).await;
     let (listener, address) = listen().await;
     let (_keep, addresses) = watch::channel(address);
-    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox()));
+    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), 1));
     let entry = member("s0", address, 0, "in_service", 0).replace('\n', "");
     let line = format!("{{\"revision\":9,\"complete\":false,\"members\":[{entry}]}}\n");
     let (mut watch, head) = watched(&listener).await;
@@ -521,3 +521,31 @@
         assert_eq!(rig.ask(&request("consulta", revision, 0, 900, "")).await.0, status, "{list}");
     }
 }
+
+/// Guards against a fleet that comes back to discovery as one, and against calls without a pause: with two
+/// seeds, watches that are refused are opened anew at other times, ever more seldom.
+#[tokio::test]
+async fn refused_watches_are_opened_anew_at_times_of_their_own() {
+    let rig = rig(&[], None).await;
+    let mut gaps = Vec::new();
+    for seed in [1, 2] {
+        let (listener, address) = listen().await;
+        let (_keep, addresses) = watch::channel(address);
+        let following = tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), seed));
+        let mut seen = Vec::new();
+        while seen.len() < 5 {
+            // Closed as soon as it is there.
+            drop(timeout(PATIENCE, listener.accept()).await.expect("a watch").unwrap());
+            seen.push(Instant::now());
+        }
+        following.abort();
+        gaps.push(seen.windows(2).map(|pair| pair[1] - pair[0]).collect::<Vec<_>>());
+    }
+    // Half of 100, 200, 400 and 800 ms at the least, and hardly more than the whole of them: not to the
+    // millisecond alike.
+    for (gap, least) in gaps.iter().flat_map(|gaps| gaps.iter().zip([50, 100, 200, 400])) {
+        assert!(*gap >= Duration::from_millis(least), "{gaps:?}");
+    }
+    let apart = gaps[0].iter().zip(&gaps[1]).map(|(a, b)| a.abs_diff(*b)).max();
+    assert!(apart > Some(Duration::from_millis(3)), "{gaps:?}");
+}
