--- a/src/core/body.rs
+++ b/src/core/body.rs
@@ -110,7 +110,8 @@
 }
 
 impl Upload {
-    /// Pieces of a body of that length in all, where it is told, and how long its client waits after the last.
+    /// Pieces of a body of that length in all, where it is told, and how long its client waits after the
+    /// last.
     pub fn new(length: Option<u64>, budget: Duration, pieces: Pieces) -> Self {
         let (pieces, ended) = (Mutex::new(Some(pieces)), watch::channel(None).0);
         Self(Arc::new(Coming { length, budget, pieces, ended }))
--- a/src/main.rs
+++ b/src/main.rs
@@ -83,8 +83,8 @@
     /// Another process of this scheduler runs.
     joint: bool,
     listen: SocketAddr,
-    /// The sockets that clients, and hosts where that front is on, connect to. Kept while another process takes
-    /// what comes: it may end first.
+    /// The sockets that clients, and hosts where that front is on, connect to. Kept while another process
+    /// takes what comes: it may end first.
     listening: Vec<OwnedFd>,
     nvme: Option<Arc<Subsystem>>,
     accepting: Vec<AbortHandle>,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -104,8 +104,8 @@
 }
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
-/// mailbox was told last; pauses between watches are drawn by that seed. At a new one the watch opens while the old one still stands: until that ends by
-/// itself, or for 5 s, whatever either of them tells counts.
+/// mailbox was told last; pauses between watches are drawn by that seed. At a new one the watch opens while
+/// the old one still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
 pub async fn follow(
     mut addresses: watch::Receiver<SocketAddr>,
     known: u64,
--- a/src/net/handover/link.rs
+++ b/src/net/handover/link.rs
@@ -35,8 +35,8 @@
         self.stream.write_all(format!("{line}\n").as_bytes()).await
     }
 
-    /// The next line without its end; `None` once the other side is gone, or has sent what is no line. What has
-    /// come of one stays if this is dropped.
+    /// The next line without its end; `None` once the other side is gone, or has sent what is no line. What
+    /// has come of one stays if this is dropped.
     pub(super) async fn line(&mut self) -> Option<Vec<u8>> {
         let mut seen = 0;
         loop {
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -1,8 +1,8 @@
 //! Two processes of one scheduler: the running one hands its listening sockets and its state to the one that
 //! starts beside it, and while both run, what staff order to one is carried out by both.
 //!
-//! They meet at a Unix socket in `$TMPDIR` that the client address names. Whatever is wrong with the other side,
-//! a start goes on without it.
+//! They meet at a Unix socket in `$TMPDIR` that the client address names. Whatever is wrong with the other
+//! side, a start goes on without it.
 
 mod codec;
 mod link;
@@ -66,8 +66,8 @@
     link: Link,
 }
 
-/// Asks the running process for all it has; `None` if there is none, or none that answers in time and in words
-/// that can be understood.
+/// Asks the running process for all it has; `None` if there is none, or none that answers in time and in
+/// words that can be understood.
 pub async fn take(path: &Path) -> Option<Taken> {
     let asked = async {
         let mut link = Link::new(UnixStream::connect(path).await.ok()?);
--- a/src/net/handover/partner.rs
+++ b/src/net/handover/partner.rs
@@ -55,8 +55,8 @@
     }
 }
 
-/// What is to be said to a line of the other process, if anything. One that does not know a node sends nothing
-/// there, which is what was to be had.
+/// What is to be said to a line of the other process, if anything. One that does not know a node sends
+/// nothing there, which is what was to be had.
 async fn answer(line: &[u8], core: &Core, waiting: &mut VecDeque<Waiting>) -> Option<String> {
     if line.starts_with(b"OK") || line.starts_with(b"ERR") {
         if let Some(done) = waiting.pop_front().and_then(|(_, done)| done) {
--- a/src/net/http/room.rs
+++ b/src/net/http/room.rs
@@ -197,8 +197,8 @@
         }
     }
 
-    /// A request's head is there; gives back since when it has been coming. Until then it can be spared like one
-    /// whose head is still to come: bodies that never end keep nobody out either.
+    /// A request's head is there; gives back since when it has been coming. Until then it can be spared like
+    /// one whose head is still to come: bodies that never end keep nobody out either.
     pub fn begin(&self) -> Instant {
         let mut phase = lock(&self.phase);
         let since = match *phase {
--- a/tests/net/handover.rs
+++ b/tests/net/handover.rs
@@ -158,8 +158,8 @@
     ask(&mut TcpStream::connect(at).await.unwrap(), call, shard).await.0
 }
 
-/// The whole of it: state passes, the old one leaves and turns nobody back, orders hold in both, and the old one
-/// goes on when the new one dies.
+/// The whole of it: state passes, the old one leaves and turns nobody back, orders hold in both, and the old
+/// one goes on when the new one dies.
 #[tokio::test]
 async fn a_new_version_takes_over_under_load() {
     let log = Log::default();
