A workspace: the module, core, wires, load, configuration and programs are crates

Cause: half of the lines lay in net/, the decision module lay loose at the root with a circle between choice.rs and state.rs, and nothing but discipline kept I/O out of it. What comes next (records, report, console, kept bodies) needs places of its own.

Change: files moved with git mv to crates by concern. The constant that choice.rs and state.rs shared lies in state.rs. One stand-in crate takes the tests' support, the toy node and the NVMe target and host.

--- a/Makefile
+++ b/Makefile
@@ -16,5 +16,5 @@
 	GW_CONFIG=examples/config.json target/release/heathward --nvme examples/nvme.json
 
 toy:
-	cargo build --locked --example toy_node
-	target/debug/examples/toy_node 127.0.0.1:9100 & target/debug/examples/toy_node 127.0.0.1:9101; wait
+	cargo build --locked -p heathward-standin
+	target/debug/heathward-toy-node 127.0.0.1:9100 & target/debug/heathward-toy-node 127.0.0.1:9101; wait
--- a/src/net/config.rs
+++ b/crates/config/src/lib.rs
@@ -5,12 +5,12 @@
 
 use miniserde::json::{self, Value};
 
-use super::discovery;
-use super::nvme::Map;
-use crate::core::News;
-use crate::load::Rules;
-use crate::settings::{Deployment, Named, Tree, Wrong};
-use crate::ListKind;
+use heathward_core::News;
+use heathward_load::Rules;
+use heathward_module::settings::{Deployment, Named, Tree, Wrong};
+use heathward_module::ListKind;
+use heathward_wires::discovery;
+use heathward_wires::nvme::Map;
 
 /// Descriptors where the file sets no limit.
 const SOCKETS: usize = 1024;
--- a/src/core/actor.rs
+++ b/crates/core/src/actor.rs
@@ -17,8 +17,8 @@
     Answer, Attempt, Call, Clock, Counters, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
     Order, Passing, Reply, State, Tries, Upload,
 };
-use crate::settings::{Deployment, Wrong};
-use crate::*;
+use heathward_module::settings::{Deployment, Wrong};
+use heathward_module::*;
 
 /// Messages that wait for the module's actor at most; whoever brings more waits.
 const MAILBOX: usize = 4096;
@@ -423,9 +423,10 @@
             }
             Urgent::Figures(reply) => {
                 let counters = Counters { tries: self.tries.so_far(), ..self.counters.clone() };
+                let now = self.clock.at(Instant::now());
                 let listed = || self.nodes.iter().filter(|(_, node)| node.mailbox.is_some());
-                let avoided =
-                    listed().filter(|(id, _)| self.scheduler.node(**id).is_none_or(|n| n.avoided())).count();
+                let avoided = |id| self.scheduler.standing(now, id).is_none_or(|node| node.avoided());
+                let avoided = listed().filter(|(id, _)| avoided(**id)).count();
                 let active = self.limits.len() + self.calls.passing();
                 let _ = reply.send(Figures { counters, active, listed: listed().count(), avoided });
             }
@@ -438,7 +439,7 @@
         let listed = || self.nodes.iter().filter(|(_, node)| node.mailbox.is_some());
         let members = listed().map(|(_, node)| node.member.clone()).collect();
         let cold = listed().filter_map(|(id, node)| {
-            let since = self.scheduler.node(*id)?.cold_since(now)?;
+            let since = self.scheduler.standing(now, *id)?.cold_since?;
             Some((node.member.id.clone(), since))
         });
         State {
--- a/src/core/call.rs
+++ b/crates/core/src/call.rs
@@ -11,7 +11,9 @@
 
 use super::body::{Reply, Upload};
 use super::counters::{Counters, Tries};
-use crate::{ClassId, End, KeyId, ListKind, Micros, NodeId, NodeState, PlanId, RequestId, ShardId, VolumeId};
+use heathward_module::{
+    ClassId, End, KeyId, ListKind, Micros, NodeId, NodeState, PlanId, RequestId, ShardId, VolumeId,
+};
 
 /// What a node needs to know of a request to do it, whatever wire it speaks.
 #[derive(Clone, Debug)]
--- a/src/core/counters.rs
+++ b/crates/core/src/counters.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
-use crate::{ClassId, End};
+use heathward_module::{ClassId, End};
 
 /// Counts since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/core/mod.rs
+++ b/crates/core/src/lib.rs
@@ -1,8 +1,8 @@
 //! The module at work: requests, attempts and outcomes, no wire.
 //!
-//! One actor owns the [`Scheduler`](crate::Scheduler), the clock, one timer, the open requests and the
-//! counters. A front hands it a [`Call`] through [`Core`], a tower service, and gets one [`Answer`]; a node's
-//! actor takes [`Attempt`]s from it and gives back [`Ended`]s; discovery brings [`News`].
+//! One actor owns the [`Scheduler`](heathward_module::Scheduler), the clock, one timer, the open requests and
+//! the counters. A front hands it a [`Call`] through [`Core`], a tower service, and gets one [`Answer`]; a
+//! node's actor takes [`Attempt`]s from it and gives back [`Ended`]s; discovery brings [`News`].
 
 mod actor;
 mod body;
@@ -17,3 +17,6 @@
 };
 pub use clock::Clock;
 pub use counters::{Answers, Counters, Tries};
+
+/// Bytes of a body that is held whole at most; what is longer passes in pieces.
+pub const BODY_LIMIT: usize = 64 * 1024;
--- a/src/bin/heathward-drill/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,5 +1,4 @@
 //! Hosts many schedulers on the simulator's wire: decode, dispatch to the instance, encode. Decides nothing.
-#![forbid(unsafe_code)]
 
 mod wire;
 
@@ -7,7 +6,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use heathward::{Action, Scheduler};
+use heathward_module::{Action, Scheduler};
 use wire::{Fault, Message, Names, Reader};
 
 /// One simulated host: its scheduler and the names it was told.
--- a/src/bin/heathward-drill/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -6,8 +6,8 @@
 use std::hash::Hasher;
 use std::io::BufRead;
 
-use heathward::settings::{Deployment, Named, Wrong};
-use heathward::*;
+use heathward_module::settings::{Deployment, Named, Wrong};
+use heathward_module::*;
 
 use crate::Instance;
 
--- a/src/load/mod.rs
+++ b/crates/load/src/lib.rs
@@ -14,9 +14,9 @@
 use miniserde::{json, Deserialize};
 use tokio::time::Instant;
 
-use crate::core::{Call, Work};
-use crate::settings::{Deployment, Wrong};
-use crate::{ClassId, KeyId, Micros, PlanId, ShardId, VolumeId};
+use heathward_core::{Call, Work};
+use heathward_module::settings::{Deployment, Wrong};
+use heathward_module::{ClassId, KeyId, Micros, PlanId, ShardId, VolumeId};
 
 pub use access_log::access_log;
 pub use har::har;
--- a/src/api.rs
+++ b/crates/module/src/api.rs
@@ -400,3 +400,23 @@
         node: Option<NodeId>,
     },
 }
+
+/// How the module treats a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// It is listed as in service.
+    pub ready: bool,
+    /// Since when it counts as down or silent: it gets only a try now and then.
+    pub silent_since: Option<Micros>,
+    /// Since when it is cold or may be. It is warm [`Settings::cold_time`] later at the latest.
+    pub cold_since: Option<Micros>,
+    /// Units of the attempts that are out there.
+    pub out_units: f64,
+}
+
+impl Standing {
+    /// It drains, is out, or is down or silent.
+    pub fn avoided(&self) -> bool {
+        !self.ready || self.silent_since.is_some()
+    }
+}
--- a/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -45,8 +45,6 @@
 const USE_SPAN: f64 = 2.0;
 /// Attempts in a row that time out, and periods without a word, after which a node is silent and not paused.
 const SILENT: (u32, u64) = (3, 7);
-/// A start that the list has not told of after this time was none, microseconds.
-pub(crate) const CONFIRMED: Micros = 6_000_000;
 /// Length of a turn at a cold node in windows of its rule, one of them lost, and the part of a window that
 /// stays free at each end for clocks and ways that differ.
 const COLD_SLOT: Micros = 4;
@@ -120,9 +118,9 @@
         Ok(())
     }
 
-    /// What is known of a node.
-    pub(crate) fn node(&self, id: NodeId) -> Option<&Node> {
-        self.nodes.get(&id)
+    /// How a node is treated now.
+    pub fn standing(&self, now: Micros, id: NodeId) -> Option<Standing> {
+        self.nodes.get(&id).map(|node| node.standing(now))
     }
 
     /// Takes one event and appends the actions that answer it.
--- a/src/lib.rs
+++ b/crates/module/src/lib.rs
@@ -1,14 +1,11 @@
-//! heathward is a host-side I/O scheduler for a shared disk pool: its decisions, and the program round them.
+//! The decision module of heathward, a host-side I/O scheduler for a shared disk pool.
 //!
-//! The decision module is [`Scheduler`]: a host hands it [`Event`]s with the current time; it answers with
-//! [`Action`]s. It does no I/O, reads no clock, starts no thread and keeps no global state. All decisions
-//! are in `src/choice.rs`; the types that cross its border are in `src/api.rs`.
-//!
-//! Round it, [`core`] drives the module for real requests, [`net`] has the wires, [`load`] reads recorded
-//! requests, and [`settings`] reads what a deployment says.
+//! A host hands the [`Scheduler`] [`Event`]s with the current time; it answers with [`Action`]s. It does no
+//! I/O, reads no clock, starts no thread, keeps no global state and depends on no runtime. All decisions are
+//! in `choice.rs`; the types that cross its border are in `api.rs`. [`settings`] reads a deployment's.
 //!
 //! ```
-//! use heathward::*;
+//! use heathward_module::*;
 //!
 //! let settings = Settings {
 //!     hosts: 1,
@@ -31,14 +28,9 @@
 //! scheduler.handle(2_000, Event::Arrival(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { node: NodeId(1), .. })));
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod api;
 mod choice;
-pub mod core;
-pub mod load;
-pub mod net;
 pub mod settings;
 mod state;
 
--- a/src/state.rs
+++ b/crates/module/src/state.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::api::*;
-use crate::choice::CONFIRMED;
+
+/// A start that the list has not told of after this time was none, microseconds.
+pub(crate) const CONFIRMED: Micros = 6_000_000;
 
 /// Where a request's units stand in its plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -201,9 +203,9 @@
         self.started.max(guess).max(self.suspect.map(|_| now))
     }
 
-    /// It drains, is out, or was seen down or silent and has not been heard since.
-    pub(crate) fn avoided(&self) -> bool {
-        !self.ready || self.suspect.is_some()
+    pub(crate) fn standing(&self, now: Micros) -> Standing {
+        let cold_since = self.cold_since(now);
+        Standing { ready: self.ready, silent_since: self.suspect, cold_since, out_units: self.out_units }
     }
 }
 
--- a/tests/cold.rs
+++ b/crates/module/tests/cold.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{entry, req, settings};
-use heathward::*;
+use heathward_module::*;
 
 const START: Micros = 40_000_000;
 const COLD: Micros = 16_000_000;
--- a/tests/property.rs
+++ b/crates/module/tests/property.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{entry, settings};
-use heathward::*;
+use heathward_module::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One request as the world sees it.
--- a/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use heathward::*;
+use heathward_module::*;
 
 /// Guards against taking one attempt that hangs for the wait of all at that node.
 #[test]
--- a/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -1,5 +1,4 @@
 //! The scheduler as a program: configuration, start, other configurations, the end, counters.
-#![forbid(unsafe_code)]
 
 use std::io;
 use std::net::SocketAddr;
@@ -8,16 +7,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use heathward::core::{self, Core, Member, Message};
-use heathward::load::{self, Rules};
-use heathward::net::config::{self, Config, Source};
-use heathward::net::discovery;
-use heathward::net::handover::{self, Heard};
-use heathward::net::http::{self, Front, Room};
-use heathward::net::node::{self, Figures, HttpLink, Pool};
-use heathward::net::nvme::{self, Map, NvmeLink, Subsystem};
-use heathward::net::ops;
-use heathward::settings::{Deployment, Wrong};
+use heathward_config::{self as config, Config, Source};
+use heathward_core::{self as core, Core, Member, Message};
+use heathward_load::{self as load, Rules};
+use heathward_module::settings::{Deployment, Wrong};
+use heathward_wires::discovery;
+use heathward_wires::handover::{self, Heard};
+use heathward_wires::http::{self, Front, Room};
+use heathward_wires::node::{self, Figures, HttpLink, Pool};
+use heathward_wires::nvme::{self, Map, NvmeLink, Subsystem};
+use heathward_wires::ops;
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
--- a/tests/net/handover.rs
+++ b/crates/scheduler/tests/net/handover.rs
@@ -6,15 +6,15 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use heathward::core::{Member, News, State};
-use heathward::net::handover::{decode, encode};
-use heathward::{ListKind, NodeState, ShardId};
+use heathward_core::{Member, News, State};
+use heathward_module::{ListKind, NodeState, ShardId};
+use heathward_wires::handover::{decode, encode};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream, UnixListener};
 use tokio::time::{sleep, timeout, Duration, Instant};
 
-use crate::support::*;
+use heathward_standin::*;
 
 #[test]
 fn the_state_comes_back_as_it_was() {
--- a/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -2,16 +2,16 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use heathward::core::{Answers, Counters, Message};
-use heathward::net::discovery;
-use heathward::End;
+use heathward_core::{Answers, Counters, Message};
+use heathward_module::End;
+use heathward_wires::discovery;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::support::*;
+use heathward_standin::*;
 
 fn count(counters: &Counters, end: End) -> u64 {
     let at = Counters::ENDS.iter().position(|(known, _)| *known == end).unwrap();
--- a/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -8,4 +8,3 @@
 mod parsers;
 mod process;
 mod size;
-mod support;
--- a/tests/net/nvme.rs
+++ b/crates/scheduler/tests/net/nvme.rs
@@ -1,27 +1,21 @@
 //! The rules over NVMe/TCP: stand-in hosts before the front, HTTP nodes and stand-in targets mixed behind it.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::{Bytes, BytesMut};
-use heathward::core::Answers;
-use heathward::net::nvme::{
-    serve, Blocks, Body, Command, Completion, Connect, ConnectData, Fatal, Map, Pdu, Sgl, Status, Subsystem,
-    Wire,
-};
-use heathward::End;
+use bytes::Bytes;
+use heathward_core::Answers;
+use heathward_module::End;
+use heathward_wires::nvme::{serve, Blocks, Body, Fatal, Map, Pdu, Sgl, Status, Subsystem, Wire};
 use rstest::rstest;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::support::*;
+use heathward_standin::nvme::*;
+use heathward_standin::*;
 
-const FRONT: &str = "nqn.2026-12.org.heathward:test";
-const NODE: &str = "nqn.2026-12.org.heathward:node";
-const SMALL: usize = 512;
 const LARGE: usize = 32 * 1024;
 
 /// Namespace 1 lies on shards 0 (HTTP) and 1 (a target) in turn, 256 blocks each; 2 on shard 2, an address
@@ -61,7 +55,7 @@
         member("s1", target, 1, "in_service", up_since_ms),
         member("s2", nobody, 2, "in_service", 0),
     ];
-    let deployment = heathward::net::config::parse(&config_text("127.0.0.1:1", "127.0.0.1:1", ""));
+    let deployment = heathward_config::parse(&config_text("127.0.0.1:1", "127.0.0.1:1", ""));
     let map = Arc::new(Map::parse(&map(), &deployment.unwrap().deployment).unwrap());
     let rig = rig(&members, Some(map.clone())).await;
     let subsystem = Subsystem::new(map, rig.core.clone(), 1);
@@ -71,217 +65,9 @@
     Mixed { rig, log, address, stop, _kept: kept }
 }
 
-/// A target that keeps what is written to it. The call's id is not on this wire; the block stands for it.
-async fn target(number: u32, script: &[Does], log: &Log) -> SocketAddr {
-    let (listener, address) = listen().await;
-    let (script, log) = (Arc::new(Mutex::new((script.to_vec(), 0))), log.clone());
-    let disk = Arc::new(Mutex::new(HashMap::new()));
-    tokio::spawn(async move {
-        loop {
-            let (stream, _) = listener.accept().await.unwrap();
-            let (script, log, disk) = (script.clone(), log.clone(), disk.clone());
-            tokio::spawn(async move {
-                target_queue(Wire::new(stream).unwrap(), number, &script, &log, &disk).await
-            });
-        }
-    });
-    address
-}
-
-/// One queue of it; `None` once it has ended.
-async fn target_queue(
-    mut wire: Wire,
-    number: u32,
-    script: &Mutex<(Vec<Does>, usize)>,
-    log: &Log,
-    disk: &Mutex<HashMap<u64, Bytes>>,
-) -> Option<()> {
-    let Pdu::IcReq { .. } = wire.next().await.ok()? else { return None };
-    wire.send(&[Pdu::IcResp { pfv: 0, cpda: 0, digests: 0, max_h2c: 4096 }]).await.ok()?;
-    let mut cc = 0;
-    loop {
-        let Pdu::Capsule { command, data } = wire.next().await.ok()? else { return None };
-        let (mut result, mut status, mut out) = (0, Status::SUCCESS, Vec::new());
-        match command.body {
-            Body::Connect(_) => {
-                assert_eq!(ConnectData::decode(&data)?.subsystem, NODE);
-                result = 1;
-            }
-            Body::PropertySet { value, .. } => cc = value,
-            Body::PropertyGet { .. } => result = cc & 1,
-            Body::SetFeatures { .. } => {}
-            Body::Identify { .. } => {
-                // A capsule takes 4 KiB of data.
-                let mut page = BytesMut::zeroed(4096);
-                page[1792..1794].copy_from_slice(&260u16.to_le_bytes());
-                let data = page.freeze();
-                out.push(Pdu::C2hData { cid: command.cid, offset: 0, last: true, data });
-            }
-            Body::Read(blocks) | Body::Write(blocks) => {
-                let does = next(script);
-                if does == Does::HangUp {
-                    return None;
-                }
-                let write = matches!(command.body, Body::Write(_));
-                let mut body = BytesMut::from(&*data);
-                if write && body.is_empty() {
-                    let length = command.sgl.length();
-                    let ask = Pdu::R2t { cid: command.cid, ttag: 9, offset: 0, length };
-                    wire.send(&[ask]).await.ok()?;
-                    while body.len() < length as usize {
-                        let Pdu::H2cData { ttag: 9, data, .. } = wire.next().await.ok()? else { return None };
-                        body.extend_from_slice(&data);
-                    }
-                }
-                let call = format!("block {}", blocks.first);
-                log.note(number, "", &call, &body);
-                let end = answer_io(&mut wire, does, command, blocks, write, body.freeze(), disk).await;
-                log.over(&call);
-                let (ended, data) = end?;
-                status = ended;
-                out.extend(data);
-            }
-            _ => return None,
-        }
-        out.push(Pdu::Response(Completion { result, head: 0, cid: command.cid, status }));
-        wire.send(&out).await.ok()?;
-    }
-}
-
-async fn answer_io(
-    wire: &mut Wire,
-    does: Does,
-    command: Command,
-    Blocks { first, count, .. }: Blocks,
-    write: bool,
-    body: Bytes,
-    disk: &Mutex<HashMap<u64, Bytes>>,
-) -> Option<(Status, Option<Pdu>)> {
-    let (cid, size) = (command.cid, count as usize * SMALL);
-    match does {
-        Does::Serve | Does::ServeThenClose if write => {
-            disk.lock().unwrap().insert(first, body);
-            Some((Status::SUCCESS, None))
-        }
-        Does::Serve | Does::ServeThenClose => {
-            let kept = disk.lock().unwrap().get(&first).cloned().unwrap_or_default();
-            let mut data = BytesMut::from(&*kept);
-            data.resize(size, 0);
-            Some((Status::SUCCESS, Some(Pdu::C2hData { cid, offset: 0, last: true, data: data.freeze() })))
-        }
-        Does::Error | Does::LateError => Some((Status::INTERNAL, None)),
-        Does::Reject => Some((Status::NOT_READY, None)),
-        Does::Silent => {
-            // Until the scheduler closes.
-            let _ = wire.next().await;
-            None
-        }
-        // Data that nobody asked for.
-        Does::Say(_) => Some((
-            Status::SUCCESS,
-            Some(Pdu::C2hData { cid, offset: 8, last: true, data: Bytes::from_static(&[0; 8]) }),
-        )),
-        Does::Reset | Does::HangUp | Does::Cut => None,
-    }
-}
-
-/// A host: an admin queue and an I/O queue.
-struct Host {
-    admin: Wire,
-    io: Wire,
-}
-
-async fn wire(address: SocketAddr) -> Wire {
-    let mut wire = Wire::new(TcpStream::connect(address).await.unwrap()).unwrap();
-    wire.send(&[Pdu::IcReq { pfv: 0, hpda: 0, digests: 0, max_r2t: 0 }]).await.unwrap();
-    assert!(matches!(next_pdu(&mut wire).await, Pdu::IcResp { pfv: 0, digests: 0, .. }));
-    wire
-}
-
-async fn next_pdu(wire: &mut Wire) -> Pdu {
-    timeout(PATIENCE, wire.next()).await.expect("in time").expect("a sound PDU")
-}
-
-const NONE: Sgl = Sgl::Transport { length: 0 };
-
-fn capsule(cid: u16, body: Body, sgl: Sgl, data: Bytes) -> Pdu {
-    Pdu::Capsule { command: Command::new(cid, sgl, body), data }
-}
-
-/// Sends a command and gives back its completion, and data that came before.
-async fn ask(wire: &mut Wire, cid: u16, body: Body, sgl: Sgl, data: Bytes) -> (Completion, Vec<u8>) {
-    wire.send(&[capsule(cid, body, sgl, data.clone())]).await.unwrap();
-    finish(wire, cid, data).await
-}
-
-async fn finish(wire: &mut Wire, cid: u16, data: Bytes) -> (Completion, Vec<u8>) {
-    let mut page = Vec::new();
-    loop {
-        match next_pdu(wire).await {
-            Pdu::Response(completion) => {
-                assert_eq!(completion.cid, cid);
-                return (completion, page);
-            }
-            Pdu::C2hData { data, .. } => page.extend_from_slice(&data),
-            Pdu::R2t { ttag, offset: 0, length, .. } => {
-                let (half, end) = (length as usize / 2, length as usize);
-                for (from, to) in [(0, half), (half, end)] {
-                    let (data, last) = (data.slice(from..to), to == end);
-                    wire.send(&[Pdu::H2cData { cid, ttag, offset: from as u32, last, data }]).await.unwrap();
-                }
-            }
-            other => panic!("{other:?}"),
-        }
-    }
-}
-
-fn connect(queue: u16, controller: u16, keep_alive: u32) -> (Body, Bytes) {
-    let body = Body::Connect(Connect { format: 0, queue, size: 31, keep_alive });
-    let names = ConnectData { controller, subsystem: FRONT.to_owned(), host: "nqn.host".to_owned() };
-    (body, names.encode())
-}
-
-async fn join(wire: &mut Wire, queue: u16, controller: u16, keep_alive: u32) -> Completion {
-    let (body, data) = connect(queue, controller, keep_alive);
-    ask(wire, 0, body, Sgl::InCapsule { offset: 0, length: 1024 }, data).await.0
-}
-
-impl Host {
-    async fn connect(address: SocketAddr) -> Self {
-        let mut admin = wire(address).await;
-        let id = join(&mut admin, 0, 0xffff, 0).await.result as u16;
-        let set = Body::PropertySet { wide: false, offset: 0x14, value: 0x46_0001 };
-        assert_eq!(ask(&mut admin, 1, set, NONE, Bytes::new()).await.0.status, Status::SUCCESS);
-        let mut io = wire(address).await;
-        assert_eq!(join(&mut io, 1, id, 0).await.status, Status::SUCCESS);
-        Self { admin, io }
-    }
-
-    async fn read(&mut self, nsid: u32, first: u64, size: usize) -> (Completion, Vec<u8>) {
-        let (body, sgl) = read_of(nsid, first, size);
-        ask(&mut self.io, 3, body, sgl, Bytes::new()).await
-    }
-
-    async fn write(&mut self, nsid: u32, first: u64, data: Vec<u8>) -> Status {
-        let (length, count) = (data.len() as u32, (data.len() / SMALL) as u32);
-        let small = data.len() <= 8192;
-        let sgl = if small { Sgl::InCapsule { offset: 0, length } } else { Sgl::Transport { length } };
-        let body = Body::Write(Blocks { nsid, first, count });
-        let data = Bytes::from(data);
-        let inside = if small { data.clone() } else { Bytes::new() };
-        self.io.send(&[capsule(4, body, sgl, inside)]).await.unwrap();
-        finish(&mut self.io, 4, data).await.0.status
-    }
-}
-
 /// A write of one block.
 const WRITE: Body = Body::Write(Blocks { nsid: 1, first: 0, count: 1 });
 
-fn read_of(nsid: u32, first: u64, size: usize) -> (Body, Sgl) {
-    let blocks = Blocks { nsid, first, count: (size / SMALL) as u32 };
-    (Body::Read(blocks), Sgl::Transport { length: size as u32 })
-}
-
 #[tokio::test]
 async fn a_host_finds_what_it_needs_and_reads_and_writes_on_both_kinds_of_node() {
     let mixed = mixed(&[Does::Serve], 0).await;
@@ -354,7 +140,7 @@
     assert_eq!(Status { delay: 0, ..status }, ends);
     assert_eq!(status.delay > 0, ends == Status::INTERRUPTED, "a hint when to come again");
     let counters = mixed.rig.counters().await;
-    let at = heathward::core::Counters::ENDS.iter().position(|(known, _)| *known == end).unwrap();
+    let at = heathward_core::Counters::ENDS.iter().position(|(known, _)| *known == end).unwrap();
     assert!(counters.ends[at] == tries && counters.sent == tries, "{counters}");
     let seen = mixed.log.all();
     assert!(seen.iter().all(|s| s.node == u32::from(first >= 256)), "only at its shard: {seen:?}");
@@ -381,7 +167,7 @@
     let status = host.write(1, 256, vec![7; size]).await;
     assert_eq!(Status { delay: 0, ..status }, ends);
     let counters = mixed.rig.counters().await;
-    let at = heathward::core::Counters::ENDS.iter().position(|(known, _)| *known == end).unwrap();
+    let at = heathward_core::Counters::ENDS.iter().position(|(known, _)| *known == end).unwrap();
     // A reset is repeated, as an error is.
     assert_eq!(counters.ends[at], if end == End::Reset { 3 } else { 1 }, "{counters}");
 }
--- a/tests/net/ops.rs
+++ b/crates/scheduler/tests/net/ops.rs
@@ -1,17 +1,17 @@
 //! The second address: one test with real sockets for each rule.
 
 use bytes::Bytes;
-use heathward::core::{Attempt, Gate, Message, Tries, Work};
-use heathward::net::node::{HttpLink, Job};
-use heathward::net::{discovery, ops};
-use heathward::{End, KeyId, NodeId, RequestId, VolumeId};
+use heathward_core::{Attempt, Gate, Message, Tries, Work};
+use heathward_module::{End, KeyId, NodeId, RequestId, VolumeId};
+use heathward_wires::node::{HttpLink, Job};
+use heathward_wires::{discovery, ops};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Duration, Instant};
 use tower::Service;
 
-use crate::support::*;
+use heathward_standin::*;
 
 /// A scheduler before such nodes, and its second address with room for so many callers.
 async fn attended(members: &[String], most: usize) -> (Rig, std::net::SocketAddr) {
--- a/tests/net/parsers.rs
+++ b/crates/scheduler/tests/net/parsers.rs
@@ -3,20 +3,20 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use heathward::core::Tries;
-use heathward::load::{access_log, har, Recorded, Rules};
-use heathward::net::discovery;
-use heathward::net::http::retry_after;
-use heathward::net::node::Written;
-use heathward::net::nvme::{
+use heathward_core::Tries;
+use heathward_load::{access_log, har, Recorded, Rules};
+use heathward_module::settings::Deployment;
+use heathward_module::{KeyId, ListKind, NodeState, ShardId, VolumeId};
+use heathward_wires::discovery;
+use heathward_wires::http::retry_after;
+use heathward_wires::node::Written;
+use heathward_wires::nvme::{
     Blocks, Body, Command, Completion, Connect, ConnectData, Fatal, Map, Pdu, Sgl, Status, MOST_DATA,
 };
-use heathward::settings::Deployment;
-use heathward::{KeyId, ListKind, NodeState, ShardId, VolumeId};
 use rstest::rstest;
 use tokio::time::Instant;
 
-use crate::support::*;
+use heathward_standin::*;
 
 #[rstest]
 #[case::whole("GET / HTTP/1.1\r\na: b\r\n\r\n", 0, true)]
@@ -199,7 +199,7 @@
 
 fn deployment() -> Deployment {
     let text = config_text("127.0.0.1:1", "127.0.0.1:2", "");
-    heathward::net::config::parse(&text).unwrap().deployment
+    heathward_config::parse(&text).unwrap().deployment
 }
 
 /// The deployment's own file: guards against one that only the tests could read.
@@ -217,7 +217,7 @@
 #[case::subsystem("nqn.2026", "2026", Some("subsystem"))]
 #[case::missing("\"depth\": 32,", "", Some("nvme"))]
 fn the_map_of_namespaces(#[case] from: &str, #[case] to: &str, #[case] wrong: Option<&str>) {
-    let text = include_str!("../../deploy/nvme.json");
+    let text = include_str!("../../../../deploy/nvme.json");
     assert!(text.contains(from));
     let map = Map::parse(&text.replacen(from, to, 1), &deployment());
     assert_eq!(map.as_ref().err().map(|wrong| wrong.field.as_str()), wrong);
--- a/tests/net/process.rs
+++ b/crates/scheduler/tests/net/process.rs
@@ -6,13 +6,13 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 
-use heathward::net::nvme::{Pdu, Wire};
+use heathward_wires::nvme::{Pdu, Wire};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::support::*;
+use heathward_standin::*;
 
 fn file(name: &str, text: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.json", std::process::id()));
@@ -45,7 +45,7 @@
     let config = file("nvme-config", &config_text("127.0.0.1:0", "127.0.0.1:1", ""));
     let (mut off, ..) = listening(start(&config, &[]));
     off.kill().unwrap();
-    let map = include_str!("../../deploy/nvme.json").replace("127.0.0.1:4420", "127.0.0.1:0");
+    let map = include_str!("../../../../deploy/nvme.json").replace("127.0.0.1:4420", "127.0.0.1:0");
     let map = file("nvme-map", &map);
     let mut child = start(&config, &["--nvme", map.to_str().unwrap()]);
     let mut lines = BufReader::new(child.stderr.take().unwrap());
@@ -203,7 +203,7 @@
 
 #[test]
 fn a_source_of_load_is_listed_and_what_was_skipped_is_said() {
-    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/examples");
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
     let config = PathBuf::from(examples).join("config.json");
     let (log, rules) = (format!("{examples}/access.log"), format!("{examples}/rules.json"));
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
--- a/tests/net/size.rs
+++ b/crates/scheduler/tests/net/size.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-use crate::support::*;
+use heathward_standin::*;
 
 const LONG: usize = 3 << 20;
 
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,19 @@
+//! Stand-ins on loopback that all tests and tools share: storage nodes that do as a script says, on HTTP and
+//! on NVMe over TCP, discovery, clients, and the scheduler before them. Ports are chosen by the system. What
+//! goes wrong here panics: it is a fault of the test.
+
+mod discovery;
+mod message;
+mod node;
+pub mod nvme;
+mod rig;
+
+use std::time::Duration;
+
+pub use discovery::{member, tell, watched};
+pub use message::{answer, header, listen, nobody, read_message, request};
+pub use node::{http_node, Does, Log, Script, Seen, LATE};
+pub use rig::{config_text, rig, rig_of, Rig, ROOM};
+
+/// Nothing here takes longer, however loaded the machine.
+pub const PATIENCE: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/crates/standin/src/node.rs
@@ -0,0 +1,165 @@
+//! A storage node that does as a script says, and the log of what it saw.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, Instant};
+
+use crate::message::{header, listen, read_message};
+
+/// How late [`Does::LateError`] is.
+pub const LATE: Duration = Duration::from_millis(200);
+
+/// What a node does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Does {
+    /// Answers well.
+    Serve,
+    /// Answers well and closes.
+    ServeThenClose,
+    /// An error.
+    Error,
+    /// An error after [`LATE`].
+    LateError,
+    /// Turns it away unseen.
+    Reject,
+    /// Reads it all and never answers.
+    Silent,
+    /// Reads it all and closes.
+    Reset,
+    /// Closes with the request unread.
+    HangUp,
+    /// Promises more of a body than it sends.
+    Cut,
+    /// Answers that, and keeps the connection.
+    Say(&'static str),
+}
+
+/// What nodes have seen, all together.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The node's number.
+    pub node: u32,
+    /// The request's head.
+    pub head: String,
+    /// Its id.
+    pub call: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When it was read whole.
+    pub at: Instant,
+    /// Attempts with this call's id whose connection was open at some node, this one included.
+    pub beside: usize,
+}
+
+/// The nodes' common log.
+#[derive(Clone, Default)]
+pub struct Log {
+    /// What came, in order.
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// Attempts that are open, by call.
+    pub open: Arc<Mutex<HashMap<String, usize>>>,
+}
+
+impl Log {
+    /// What came so far.
+    pub fn all(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// A request was read whole.
+    pub fn note(&self, node: u32, head: &str, call: &str, body: &[u8]) {
+        let (head, call, at) = (head.to_owned(), call.to_owned(), Instant::now());
+        let beside =
+            self.open.lock().unwrap().entry(call.clone()).and_modify(|n| *n += 1).or_insert(1).to_owned();
+        self.seen.lock().unwrap().push(Seen { node, head, call, body: body.to_vec(), at, beside });
+    }
+
+    /// It is answered, or broken off.
+    pub fn over(&self, call: &str) {
+        *self.open.lock().unwrap().get_mut(call).unwrap() -= 1;
+    }
+
+    /// No attempt began beside another of its call.
+    pub fn check_one_at_a_time(&self) {
+        assert!(self.all().iter().all(|s| s.beside == 1), "two attempts at once: {:?}", self.all());
+    }
+}
+
+/// What a node does with one request after another, the last step for ever; all its clones are one.
+#[derive(Clone, Debug)]
+pub struct Script(Arc<Mutex<(Vec<Does>, usize)>>);
+
+impl Script {
+    /// These steps.
+    pub fn new(steps: &[Does]) -> Self {
+        Self(Arc::new(Mutex::new((steps.to_vec(), 0))))
+    }
+
+    /// The next step.
+    pub fn next(&self) -> Does {
+        let (steps, at) = &mut *self.0.lock().unwrap();
+        *at += 1;
+        steps[(*at - 1).min(steps.len() - 1)]
+    }
+
+    /// From now on this, for ever.
+    pub fn set(&self, does: Does) {
+        *self.0.lock().unwrap() = (vec![does], 0);
+    }
+}
+
+/// An HTTP node that does `script` in turn, the last of it for ever.
+pub async fn http_node(number: u32, script: &[Does], log: &Log) -> SocketAddr {
+    let (listener, address) = listen().await;
+    let (script, log) = (Script::new(script), log.clone());
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(node_connection(stream, number, script.clone(), log.clone()));
+        }
+    });
+    address
+}
+
+async fn node_connection(mut stream: TcpStream, number: u32, script: Script, log: Log) {
+    loop {
+        let mut first = [0];
+        if stream.peek(&mut first).await.unwrap_or(0) == 0 {
+            return;
+        }
+        let does = script.next();
+        if does == Does::HangUp {
+            return;
+        }
+        let Some((small, head, body)) = read_message(&mut stream).await else { return };
+        let call = header(&small, "x-call-id").unwrap().to_owned();
+        log.note(number, &head, &call, &body);
+        if does == Does::LateError {
+            sleep(LATE).await;
+        }
+        let answer = match does {
+            Does::Serve | Does::ServeThenClose => "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+            Does::Error | Does::LateError => "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
+            Does::Reject => "HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
+            Does::Cut => "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
+            Does::Silent => {
+                // Until the scheduler closes.
+                let _ = stream.read(&mut first).await;
+                log.over(&call);
+                return;
+            }
+            Does::Say(this) => this,
+            Does::Reset | Does::HangUp => "",
+        };
+        log.over(&call);
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        if matches!(does, Does::Reset | Does::Cut | Does::ServeThenClose) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rig.rs
@@ -0,0 +1,115 @@
+//! The scheduler's core and HTTP front in this process, before stand-in nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use heathward_config::{self as config, Config};
+use heathward_core::{self as core, Core, Counters, Member, Message};
+use heathward_wires::http::{self, Front, Room};
+use heathward_wires::node::{self, Figures, HttpLink, Pool};
+use heathward_wires::nvme::{Map, NvmeLink};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, Instant};
+
+use crate::message::{answer, listen};
+use crate::PATIENCE;
+
+/// Clients' connections that the front holds.
+pub const ROOM: usize = 32;
+
+/// A configuration whose known list is `members`.
+pub fn config_text(listen: &str, discovery: &str, members: &str) -> String {
+    let class = |name: &str, aim: u32, deadline: u32, repeat: &str| {
+        format!(
+            r#"{{"name":"{name}","aimMs":{aim},"deadlineMs":{deadline},"credit":2,"lateWorth":0.2,
+            "repeat":"{repeat}","dedupScope":"cell","dedupWindowMs":2500.0,"stream":false}}"#
+        )
+    };
+    let plan = |name: &str, reserve: f64| {
+        format!(r#"{{"name":"{name}","usualRate":500.0,"reserve":{reserve},"parts":1,"price":1}}"#)
+    };
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},
+        "known":{{"revision":7,"complete":true,"members":[{members}]}},
+        "settings":{{"balancers":1,"slotNo":0,"discovery":"pushed","resolutionMs":2.0,
+        "lanes":[{},{}],"contracts":[{},{}],
+        "familyInfo":{{"unitMean":2.0,"maxUnits":8,"withinShare":0.3,"spareWorth":0.05,"youngLimit":24.0,
+            "changesData":[false,true]}},
+        "limits":{{"sendCap":3,"connectTimeoutMs":1000.0,"idleCloseMs":15000.0,"retryAfter":true,
+            "maxRetryAfterMs":2000.0}},
+        "safety":{{"coldShare":0.24,"coldMs":6000.0,"fallMs":500.0}}}}}}"#,
+        class("consulta", 150, 1000, "free"),
+        class("pedido", 250, 700, "guarded"),
+        plan("basico", 0.0),
+        plan("prioritario", 500.0),
+    )
+}
+
+/// The scheduler before such nodes.
+pub struct Rig {
+    /// The core.
+    pub core: Core,
+    /// Where its HTTP front listens.
+    pub front: SocketAddr,
+    /// Ends it when dropped.
+    pub _stop: watch::Sender<bool>,
+}
+
+/// With that list of nodes.
+pub async fn rig(members: &[String], nvme: Option<Arc<Map>>) -> Rig {
+    rig_of(&config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(",")), nvme).await
+}
+
+/// With that configuration.
+pub async fn rig_of(text: &str, nvme: Option<Arc<Map>>) -> Rig {
+    let Config { seed, known, deployment, .. } = config::parse(text).unwrap();
+    let deployment = Arc::new(deployment);
+    let (_, figures) = watch::channel(Figures::new(&deployment, 64, 4));
+    let pool = Pool::new(figures);
+    let dial = move |member: &Member, core: mpsc::Sender<Message>| {
+        if let Some(map) = &nvme {
+            if let Some(target) = map.targets.iter().find(|t| *t.node == *member.id) {
+                let link = NvmeLink::new(member.address, &target.subsystem, map.clone());
+                return node::spawn(link, pool.clone(), core);
+            }
+        }
+        node::spawn(HttpLink::new(member.address), pool.clone(), core)
+    };
+    let core = core::start(deployment.clone(), seed, Box::new(dial)).unwrap();
+    core.mailbox().send(Message::News(known)).await.unwrap();
+    let (listener, front) = listen().await;
+    let (stop, stopping) = watch::channel(false);
+    tokio::spawn(http::serve(listener, Front::new(core.clone()), Room::new(ROOM), stopping));
+    Rig { core, front, _stop: stop }
+}
+
+impl Rig {
+    /// The counters now.
+    pub async fn counters(&self) -> Counters {
+        self.core.figures().await.unwrap().counters
+    }
+
+    /// Waits until the counters are so.
+    pub async fn until(&self, so: impl Fn(&Counters) -> bool) -> Counters {
+        let by = Instant::now() + PATIENCE;
+        loop {
+            let counters = self.counters().await;
+            if so(&counters) {
+                return counters;
+            }
+            assert!(Instant::now() < by, "never came: {counters}");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Asks on a connection of its own.
+    pub async fn ask(&self, request: &str) -> (u16, String, Vec<u8>) {
+        let mut stream = TcpStream::connect(self.front).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        answer(&mut stream).await
+    }
+}
--- a/src/net/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -20,8 +20,8 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::core::{Member, Message, News};
-use crate::{ListKind, NodeState, ShardId};
+use heathward_core::{Member, Message, News};
+use heathward_module::{ListKind, NodeState, ShardId};
 
 /// An empty line comes every 2 s: a watch without one for this long is broken.
 const SILENCE: Duration = Duration::from_millis(2750);
--- a/src/net/handover/codec.rs
+++ b/crates/wires/src/handover/codec.rs
@@ -2,8 +2,8 @@
 
 use miniserde::{json, Deserialize, Serialize};
 
-use crate::core::State;
-use crate::net::discovery::List;
+use crate::discovery::List;
+use heathward_core::State;
 
 #[derive(Deserialize, Serialize)]
 struct Line {
--- a/src/net/handover/mod.rs
+++ b/crates/wires/src/handover/mod.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{timeout_at, Instant};
 
-use crate::core::{Core, State};
+use heathward_core::{Core, State};
 use link::Link;
 
 pub use codec::{decode, encode};
--- a/src/net/handover/partner.rs
+++ b/crates/wires/src/handover/partner.rs
@@ -7,8 +7,8 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::link::Link;
-use crate::core::{Core, Forwarded, NotDone};
-use crate::net::ops::{Command, Reply};
+use crate::ops::{Command, Reply};
+use heathward_core::{Core, Forwarded, NotDone};
 
 /// The other process has so long to carry an order out: staff are owed an answer within 1 s.
 const PATIENCE: Duration = Duration::from_millis(600);
--- a/src/net/http/body.rs
+++ b/crates/wires/src/http/body.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::room::{Guest, Phase};
-use crate::core::{BrokenOff, Passing};
+use heathward_core::{BrokenOff, Passing};
 
 /// The body of an answer to a client.
 pub enum Outgoing {
--- a/src/net/http/front.rs
+++ b/crates/wires/src/http/front.rs
@@ -25,8 +25,8 @@
 
 use super::body::Outgoing;
 use super::room::{Framing, Guest, Phase, Room, Seat, REQUEST};
-use super::{decode, headers, retry_after, Bad, BODY_LIMIT, HEAD_LIMIT, LONGEST_BODY};
-use crate::core::{stream, Answer, Call, Core, Doors, Feed, Reply, Upload};
+use super::{decode, headers, retry_after, Bad, HEAD_LIMIT, LONGEST_BODY};
+use heathward_core::{stream, Answer, Call, Core, Doors, Feed, Reply, Upload, BODY_LIMIT};
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
--- a/src/net/http/mod.rs
+++ b/crates/wires/src/http/mod.rs
@@ -9,9 +9,6 @@
 pub use front::{serve, Front};
 pub use room::Room;
 
-/// What holds more passes in pieces.
-pub const BODY_LIMIT: usize = 64 * 1024;
-
 /// No body holds more.
 pub const LONGEST_BODY: u64 = 32 << 20;
 
--- a/src/net/mod.rs
+++ b/crates/wires/src/lib.rs
@@ -1,6 +1,5 @@
 //! The wires: the platform's HTTP front, the storage nodes, discovery, and NVMe over TCP.
 
-pub mod config;
 pub mod discovery;
 pub mod handover;
 pub mod http;
--- a/src/net/node/http.rs
+++ b/crates/wires/src/node/http.rs
@@ -20,9 +20,9 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::{Connection, Counted, Done, Job, Written};
-use crate::core::{stream, Attempt, BrokenOff, Feed, Passing, Pieces, Reply, Upload, Work};
-use crate::net::http::{headers, BODY_LIMIT, HEAD_LIMIT, LONGEST_BODY};
-use crate::End;
+use crate::http::{headers, HEAD_LIMIT, LONGEST_BODY};
+use heathward_core::{stream, Attempt, BrokenOff, Feed, Passing, Pieces, Reply, Upload, Work, BODY_LIMIT};
+use heathward_module::End;
 
 type Driver = http1::Connection<TokioIo<Counted>, Sending>;
 
--- a/src/net/node/mod.rs
+++ b/crates/wires/src/node/mod.rs
@@ -16,9 +16,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::core::{report, Attempt, Message, Reply};
-use crate::settings::Deployment;
-use crate::End;
+use heathward_core::{report, Attempt, Message, Reply};
+use heathward_module::settings::Deployment;
+use heathward_module::End;
 
 pub use http::HttpLink;
 pub use wire::{Counted, Written};
--- a/src/net/node/wire.rs
+++ b/crates/wires/src/node/wire.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::core::Tries;
+use heathward_core::Tries;
 
 /// The blank line that ends a head, and the chunk that ends a body.
 const END: &[u8] = b"\r\n\r\n";
--- a/src/net/nvme/controller.rs
+++ b/crates/wires/src/nvme/controller.rs
@@ -17,8 +17,8 @@
 use super::map::Map;
 use super::pdu::{Fatal, Pdu, MOST_DATA};
 use super::wire::{Broken, Wire};
-use crate::core::{Answer, Call, Core, Reply, Work};
-use crate::{Effect, KeyId};
+use heathward_core::{Answer, Call, Core, Reply, Work};
+use heathward_module::{Effect, KeyId};
 
 /// A host has so long to open a queue, and to take in why its connection ends.
 const HANDSHAKE: Duration = Duration::from_secs(5);
--- a/src/net/nvme/initiator.rs
+++ b/crates/wires/src/nvme/initiator.rs
@@ -16,9 +16,9 @@
 use super::map::Map;
 use super::pdu::{Pdu, MOST_DATA};
 use super::wire::{Broken, Wire};
-use crate::core::{Tries, Work};
-use crate::net::node::{Connection, Done, Job};
-use crate::End;
+use crate::node::{Connection, Done, Job};
+use heathward_core::{Tries, Work};
+use heathward_module::End;
 
 /// Entries of a queue, from 0: a queue carries one command at a time.
 const QUEUE_SIZE: u16 = 1;
--- a/src/net/nvme/map.rs
+++ b/crates/wires/src/nvme/map.rs
@@ -6,8 +6,8 @@
 
 use super::command::Blocks;
 use super::pdu::MOST_DATA;
-use crate::settings::{Deployment, Wrong};
-use crate::{ClassId, KeyId, PlanId, ShardId, VolumeId};
+use heathward_module::settings::{Deployment, Wrong};
+use heathward_module::{ClassId, KeyId, PlanId, ShardId, VolumeId};
 
 /// As the file has it.
 #[derive(Deserialize)]
--- a/src/net/ops/codec.rs
+++ b/crates/wires/src/ops/codec.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::core::{Figures, NotDone, Order};
+use heathward_core::{Figures, NotDone, Order};
 
 /// The longest id of a storage node.
 const LONGEST_ID: usize = 128;
--- a/src/net/ops/server.rs
+++ b/crates/wires/src/ops/server.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::codec::{Command, Reply};
-use crate::core::Core;
+use heathward_core::Core;
 
 /// No call is longer.
 const LINE: usize = 512;
