--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,7 +7,7 @@
 
 use heathward_core::News;
 use heathward_load::Rules;
-use heathward_module::settings::{Deployment, Named, Tree, Wrong};
+use heathward_module::settings::{ConfigError, Deployment, Named, Tree};
 use heathward_module::ListKind;
 use heathward_wires::discovery;
 use heathward_wires::nvme::Map;
@@ -48,23 +48,23 @@
 }
 
 /// Reads the file that the environment names, and the one that the arguments may.
-pub fn load(mut arguments: impl Iterator<Item = String>) -> Result<Config, Wrong> {
+pub fn load(mut arguments: impl Iterator<Item = String>) -> Result<Config, ConfigError> {
     let mut config = reread()?;
     let (mut source, mut rules) = (None, None);
     while let Some(argument) = arguments.next() {
-        let mut value = || arguments.next().ok_or_else(|| Wrong::missing(&argument));
+        let mut value = || arguments.next().ok_or_else(|| ConfigError::missing(&argument));
         match argument.as_str() {
             "--nvme" => config.nvme = Some(Map::parse(&read("--nvme", &value()?)?, &config.deployment)?),
             "--har" => source = Some(Source::Har(read("--har", &value()?)?)),
             "--access-log" => source = Some(Source::AccessLog(read("--access-log", &value()?)?)),
             "--rules" => rules = Some(read("--rules", &value()?)?),
-            _ => return Err(Wrong::value("argument", &argument)),
+            _ => return Err(ConfigError::value("argument", &argument)),
         }
     }
     config.source = match (source, rules) {
         (None, None) => None,
-        (None, Some(_)) => return Err(Wrong::missing("--har or --access-log")),
-        (Some(_), None) => return Err(Wrong::missing("--rules")),
+        (None, Some(_)) => return Err(ConfigError::missing("--har or --access-log")),
+        (Some(_), None) => return Err(ConfigError::missing("--rules")),
         (Some(source), Some(rules)) => {
             Some((source, Rules::parse(&rules, Arc::new(config.deployment.clone()))?))
         }
@@ -73,40 +73,40 @@
 }
 
 /// Reads the file that the environment names, as it is now.
-pub fn reread() -> Result<Config, Wrong> {
-    let path = std::env::var("GW_CONFIG").map_err(|_| Wrong::missing("GW_CONFIG"))?;
+pub fn reread() -> Result<Config, ConfigError> {
+    let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::missing("GW_CONFIG"))?;
     let mut config = parse(&read("GW_CONFIG", &path)?)?;
     if let (None, Ok(ops)) = (config.ops, std::env::var("GW_OPS")) {
-        config.ops = Some(ops.parse().map_err(|_| Wrong::value("GW_OPS", &ops))?);
+        config.ops = Some(ops.parse().map_err(|_| ConfigError::value("GW_OPS", &ops))?);
     }
     Ok(config)
 }
 
-fn read(field: &str, path: &str) -> Result<String, Wrong> {
+fn read(field: &str, path: &str) -> Result<String, ConfigError> {
     let text = std::fs::read_to_string(path);
-    text.map_err(|e| Wrong { field: field.to_owned(), why: format!("{path}: {e}") })
+    text.map_err(|e| ConfigError { field: field.to_owned(), why: format!("{path}: {e}") })
 }
 
 /// Decodes a configuration.
-pub fn parse(text: &str) -> Result<Config, Wrong> {
-    let broken = |_| Wrong { field: "configuration".to_owned(), why: "not JSON".to_owned() };
+pub fn parse(text: &str) -> Result<Config, ConfigError> {
+    let broken = |_| ConfigError { field: "configuration".to_owned(), why: "not JSON".to_owned() };
     let value: Value = json::from_str(text).map_err(broken)?;
     let tree = Tree(&value);
     let seed = tree.need("seed")?;
     let sockets = tree.or("limits.sockets", SOCKETS)?;
     if sockets < LEAST_SOCKETS {
-        return Err(Wrong::value("limits.sockets", &sockets.to_string()));
+        return Err(ConfigError::value("limits.sockets", &sockets.to_string()));
     }
-    let part = |name: &str| match &value {
-        Value::Object(object) => object.get(name).ok_or_else(|| Wrong::missing(name)),
-        _ => Err(Wrong::missing(name)),
+    let section = |name: &str| match &value {
+        Value::Object(object) => object.get(name).ok_or_else(|| ConfigError::missing(name)),
+        _ => Err(ConfigError::missing(name)),
     };
-    let inside = |wrong: Wrong| Wrong { field: format!("settings.{}", wrong.field), ..wrong };
-    let known = discovery::parse(&json::to_string(part("known")?));
-    let known = known.map_err(|why| Wrong { field: "known".to_owned(), why })?;
-    let deployment = Deployment::read(&Tree(part("settings")?)).map_err(inside)?;
+    let inside = |error: ConfigError| ConfigError { field: format!("settings.{}", error.field), ..error };
+    let known = discovery::parse(&json::to_string(section("known")?));
+    let known = known.map_err(|why| ConfigError { field: "known".to_owned(), why })?;
+    let deployment = Deployment::read(&Tree(section("settings")?)).map_err(inside)?;
     let checked = deployment.settings.check();
-    checked.map_err(|e| Wrong { field: "settings".to_owned(), why: e.to_string() })?;
+    checked.map_err(|e| ConfigError { field: "settings".to_owned(), why: e.to_string() })?;
     Ok(Config {
         listen: tree.number("listen")?,
         ops: match tree.get("ops") {
@@ -114,7 +114,7 @@
             None => None,
         },
         discovery: tree.number("discovery")?,
-        seed: u64::from_str_radix(&seed, 16).map_err(|_| Wrong::value("seed", &seed))?,
+        seed: u64::from_str_radix(&seed, 16).map_err(|_| ConfigError::value("seed", &seed))?,
         sockets,
         known: News { kind: ListKind::Saved, ..known },
         deployment,
--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -14,11 +14,14 @@
 
 use super::body::{Ids, OpenId};
 use super::{
-    Answer, Attempt, Call, Clock, Counters, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
+    Answer, Attempt, Call, Clock, Counters, Draining, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
     Order, Passing, Reply, State, Tries, Upload,
 };
-use heathward_module::settings::{Deployment, Wrong};
-use heathward_module::*;
+use heathward_module::settings::{ConfigError, Deployment};
+use heathward_module::{
+    Action, Effect, End, Event, ListEntry, ListKind, Micros, NodeId, NodeState, Outcome, Request, RequestId,
+    Scheduler, SettingsError,
+};
 
 /// Messages that wait for the module's actor at most; whoever brings more waits.
 const MAILBOX: usize = 4096;
@@ -60,7 +63,7 @@
     /// Discovery has news.
     News(News),
     /// The deployment's settings have changed; the reply says whether they stand.
-    Settings(Arc<Deployment>, oneshot::Sender<Result<(), Wrong>>),
+    Settings(Arc<Deployment>, oneshot::Sender<Result<(), ConfigError>>),
     /// The program ends: every answer has to be there by then.
     EndBy(Instant),
     /// A configuration was read again: it is gone by, or not taken.
@@ -107,7 +110,7 @@
     urgent: mpsc::Sender<Urgent>,
     next: Arc<AtomicU64>,
     status: watch::Receiver<Status>,
-    doors: Arc<watch::Sender<Doors>>,
+    draining: Arc<watch::Sender<Draining>>,
     deployment: watch::Receiver<Arc<Deployment>>,
 }
 
@@ -123,13 +126,13 @@
     }
 
     /// Whether clients are to be sent away.
-    pub fn doors(&self) -> watch::Receiver<Doors> {
-        self.doors.subscribe()
+    pub fn draining(&self) -> watch::Receiver<Draining> {
+        self.draining.subscribe()
     }
 
     /// Another process of this scheduler takes what comes from now on, or no longer does.
     pub fn replace(&self, replaced: bool) {
-        set(&self.doors, |doors| doors.replaced = replaced);
+        set(&self.draining, |draining| draining.replaced = replaced);
     }
 
     /// The state for a process that takes over, and the orders that follow it.
@@ -152,8 +155,8 @@
     }
 
     /// Goes on with other settings, or with the old ones where these make no sense.
-    pub async fn settle(&self, deployment: Arc<Deployment>) -> Result<(), Wrong> {
-        let gone = || Wrong { field: "settings".to_owned(), why: Gone.to_string() };
+    pub async fn settle(&self, deployment: Arc<Deployment>) -> Result<(), ConfigError> {
+        let gone = || ConfigError { field: "settings".to_owned(), why: Gone.to_string() };
         let (reply, answer) = oneshot::channel();
         self.mailbox.send(Message::Settings(deployment, reply)).await.map_err(|_| gone())?;
         answer.await.unwrap_or_else(|_| Err(gone()))
@@ -217,11 +220,11 @@
     }
 }
 
-fn set(doors: &watch::Sender<Doors>, change: impl FnOnce(&mut Doors)) {
-    doors.send_if_modified(|doors| {
-        let before = *doors;
-        change(doors);
-        before != *doors
+fn set(draining: &watch::Sender<Draining>, change: impl FnOnce(&mut Draining)) {
+    draining.send_if_modified(|draining| {
+        let before = *draining;
+        change(draining);
+        before != *draining
     });
 }
 
@@ -245,7 +248,7 @@
     let scheduler = Scheduler::new(deployment.settings.clone(), seed)?;
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (urgent, orders) = mpsc::channel(ORDERS);
-    let doors = Arc::new(watch::channel(Doors::default()).0);
+    let draining = Arc::new(watch::channel(Draining::default()).0);
     let (status, watched) = watch::channel(Status::default());
     let (deployment, settings) = watch::channel(deployment);
     let actor = Actor {
@@ -255,7 +258,7 @@
         dial,
         mailbox: mailbox.downgrade(),
         status,
-        doors: doors.clone(),
+        draining: draining.clone(),
         partner: None,
         open: HashMap::new(),
         calls: Ids::default(),
@@ -278,7 +281,7 @@
         urgent,
         next: Arc::new(AtomicU64::new(1)),
         status: watched,
-        doors,
+        draining,
         deployment: settings,
     })
 }
@@ -320,7 +323,7 @@
     dial: Dial,
     mailbox: mpsc::WeakSender<Message>,
     status: watch::Sender<Status>,
-    doors: Arc<watch::Sender<Doors>>,
+    draining: Arc<watch::Sender<Draining>>,
     /// Orders for the other process, while there is one.
     partner: Option<mpsc::Sender<Forwarded>>,
     open: HashMap<RequestId, Open>,
@@ -446,14 +449,14 @@
             list: News { revision: self.revision, kind: ListKind::Whole, members },
             suspended: self.suspended.iter().cloned().collect(),
             cold: cold.collect(),
-            paused: self.doors.borrow().paused,
+            paused: self.draining.borrow().paused,
         }
     }
 
     fn go_on_from(&mut self, state: State) {
         let State { list, suspended, cold, paused } = state;
         self.suspended.extend(suspended);
-        set(&self.doors, |doors| doors.paused = paused);
+        set(&self.draining, |draining| draining.paused = paused);
         self.news(list);
         for (name, since) in cold {
             let Some(&id) = self.ids.get(&name) else { continue };
@@ -463,7 +466,7 @@
     }
 
     fn pause(&mut self, paused: bool) -> Result<(), NotDone> {
-        set(&self.doors, |doors| doors.paused = paused);
+        set(&self.draining, |draining| draining.paused = paused);
         Ok(())
     }
 
@@ -698,10 +701,10 @@
     }
 
     /// Open requests go by the places of their class and plan, so that these stay as they are.
-    fn resettle(&mut self, deployment: Arc<Deployment>) -> Result<(), Wrong> {
+    fn resettle(&mut self, deployment: Arc<Deployment>) -> Result<(), ConfigError> {
         let old = self.deployment.borrow().clone();
         let names =
-            |field: &str| Wrong { field: field.to_owned(), why: "names may only be added".to_owned() };
+            |field: &str| ConfigError { field: field.to_owned(), why: "names may only be added".to_owned() };
         if !deployment.classes.starts_with(&old.classes) {
             return Err(names("settings.lanes"));
         }
@@ -709,7 +712,7 @@
             return Err(names("settings.contracts"));
         }
         let resettled = self.scheduler.resettle(deployment.settings.clone());
-        resettled.map_err(|e| Wrong { field: "settings".to_owned(), why: e.to_string() })?;
+        resettled.map_err(|e| ConfigError { field: "settings".to_owned(), why: e.to_string() })?;
         self.deployment.send_replace(deployment);
         Ok(())
     }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -136,14 +136,14 @@
 
 /// Why clients are sent away; either holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Doors {
+pub struct Draining {
     /// Staff empty the scheduler.
     pub paused: bool,
     /// Another process of the same scheduler takes what comes.
     pub replaced: bool,
 }
 
-impl Doors {
+impl Draining {
     /// Connections are ended by their answers.
     pub fn closing(self) -> bool {
         self.paused || self.replaced
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,7 +13,8 @@
 pub use actor::{report, start, Core, Dial, Gone, Message, Status};
 pub use body::{stream, BrokenOff, Feed, Passing, Pieces, Reply, Upload};
 pub use call::{
-    Answer, Attempt, Call, Doors, Ended, Figures, Forwarded, Gate, Member, News, NotDone, Order, State, Work,
+    Answer, Attempt, Call, Draining, Ended, Figures, Forwarded, Gate, Member, News, NotDone, Order, State,
+    Work,
 };
 pub use clock::Clock;
 pub use counters::{Answers, Counters, Tries};
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -6,8 +6,11 @@
 use std::hash::Hasher;
 use std::io::BufRead;
 
-use heathward_module::settings::{Deployment, Named, Wrong};
-use heathward_module::*;
+use heathward_module::settings::{ConfigError, Deployment, Named};
+use heathward_module::{
+    Action, ClassId, End, Event, KeyId, ListEntry, ListKind, Micros, NodeId, NodeState, Outcome, PlanId,
+    Request, RequestId, Scheduler, ShardId, VolumeId,
+};
 
 use crate::Instance;
 
@@ -77,11 +80,11 @@
         Fault { line: self.line, field: field.to_owned(), why: why.to_owned() }
     }
 
-    fn read_line(&mut self) -> Result<bool, Wrong> {
+    fn read_line(&mut self) -> Result<bool, ConfigError> {
         self.text.clear();
         self.line += 1;
         let size = self.input.read_line(&mut self.text);
-        let size = size.map_err(|e| Wrong { field: "input".to_owned(), why: e.to_string() })?;
+        let size = size.map_err(|e| ConfigError { field: "input".to_owned(), why: e.to_string() })?;
         while self.text.ends_with(['\n', '\r']) {
             self.text.pop();
         }
@@ -90,10 +93,10 @@
 
     /// Reads the line that opens a batch; `None` at the end of the input.
     pub fn open_batch(&mut self) -> Result<Option<Micros>, Fault> {
-        self.opening().map_err(|wrong| self.fault(&wrong.field, &wrong.why))
+        self.opening().map_err(|error| self.fault(&error.field, &error.why))
     }
 
-    fn opening(&mut self) -> Result<Option<Micros>, Wrong> {
+    fn opening(&mut self) -> Result<Option<Micros>, ConfigError> {
         loop {
             if !self.read_line()? {
                 return Ok(None);
@@ -105,19 +108,22 @@
         let fields = Fields::new(&self.text);
         if fields.verb != "TURN" {
             let why = format!("expected TURN, found {:?}", fields.verb);
-            return Err(Wrong { field: "first word".to_owned(), why });
+            return Err(ConfigError { field: "first word".to_owned(), why });
         }
         fields.micros("simTimeMs").map(Some)
     }
 
     /// Reads the next event of the batch; `None` when it closes.
     pub fn next(&mut self, instances: &mut BTreeMap<u32, Instance>) -> Result<Option<(u32, Message)>, Fault> {
-        self.event(instances).map_err(|wrong| self.fault(&wrong.field, &wrong.why))
+        self.event(instances).map_err(|error| self.fault(&error.field, &error.why))
     }
 
-    fn event(&mut self, instances: &mut BTreeMap<u32, Instance>) -> Result<Option<(u32, Message)>, Wrong> {
+    fn event(
+        &mut self,
+        instances: &mut BTreeMap<u32, Instance>,
+    ) -> Result<Option<(u32, Message)>, ConfigError> {
         if !self.read_line()? {
-            return Err(Wrong { field: "input".to_owned(), why: "ended inside a batch".to_owned() });
+            return Err(ConfigError { field: "input".to_owned(), why: "ended inside a batch".to_owned() });
         }
         if self.text == "OVER_TO_YOU" {
             return Ok(None);
@@ -131,7 +137,7 @@
             _ => {}
         }
         let Some(instance) = instances.get_mut(&who) else {
-            return Err(Wrong::value("who", "an instance that is not up"));
+            return Err(ConfigError::value("who", "an instance that is not up"));
         };
         let names = &mut instance.names;
         let event = match verb.as_str() {
@@ -141,14 +147,14 @@
                     "F" => ListKind::Whole,
                     "C" => ListKind::Saved,
                     "X" => ListKind::Failed,
-                    other => return Err(Wrong::value("form", other)),
+                    other => return Err(ConfigError::value("form", other)),
                 };
                 let count: usize = fields.or("entries", 0)?;
                 let mut entries = Vec::new();
                 for _ in 0..count {
                     if !self.read_line()? {
                         let why = "input ended inside a list".to_owned();
-                        return Err(Wrong { field: "entries".to_owned(), why });
+                        return Err(ConfigError { field: "entries".to_owned(), why });
                     }
                     entries.push(entry(&Fields::new(&self.text), names)?);
                 }
@@ -162,7 +168,7 @@
             "MESSAGE" | "STATUS_BACK" => return Ok(Some((who, Message::Unused))),
             other => {
                 let why = format!("unknown event {other:?}");
-                return Err(Wrong { field: "first word".to_owned(), why });
+                return Err(ConfigError { field: "first word".to_owned(), why });
             }
         };
         Ok(Some((who, Message::Event(event))))
@@ -199,15 +205,15 @@
     hasher.finish()
 }
 
-fn entry(fields: &Fields<'_>, names: &mut Names) -> Result<ListEntry, Wrong> {
+fn entry(fields: &Fields<'_>, names: &mut Names) -> Result<ListEntry, ConfigError> {
     if fields.verb != "M" {
-        return Err(Wrong::value("first word", fields.verb));
+        return Err(ConfigError::value("first word", fields.verb));
     }
     let state = match &*fields.need("lifecycle")? {
         "in_service" => NodeState::Ready,
         "terminating" => NodeState::Draining,
         "terminated" => NodeState::Gone,
-        other => return Err(Wrong::value("lifecycle", other)),
+        other => return Err(ConfigError::value("lifecycle", other)),
     };
     let zone = fields.get("az").unwrap_or_default();
     let zone = names.zones.iter().position(|z| *z == zone).unwrap_or_else(|| {
@@ -224,7 +230,7 @@
     })
 }
 
-fn arrival(fields: &Fields<'_>, names: &Names) -> Result<Request, Wrong> {
+fn arrival(fields: &Fields<'_>, names: &Names) -> Result<Request, ConfigError> {
     let shard: f64 = fields.or("slotNo", -1.0)?;
     Ok(Request {
         id: RequestId(fields.number("xid")?),
@@ -241,7 +247,7 @@
     })
 }
 
-fn outcome(fields: &Fields<'_>, names: &mut Names) -> Result<Outcome, Wrong> {
+fn outcome(fields: &Fields<'_>, names: &mut Names) -> Result<Outcome, ConfigError> {
     let end = match &*fields.need("rc")? {
         "OK" => End::Served,
         "INTERNAL" => End::Error,
@@ -251,12 +257,13 @@
         "ABORTED" => End::Reset,
         "CANCELLED" => End::Cancelled,
         "TOO_LATE" => End::Moot,
-        other => return Err(Wrong::value("rc", other)),
+        other => return Err(ConfigError::value("rc", other)),
     };
     let report = fields.get("telemetry").unwrap_or_default();
     let busy = report.split(',').filter_map(|pair| pair.split_once(':'));
     let busy = busy.filter(|(name, _)| *name == "utilization").map(|(_, value)| value).next();
-    let busy = busy.map(|value| value.parse().map_err(|_| Wrong::value("telemetry", value))).transpose()?;
+    let busy =
+        busy.map(|value| value.parse().map_err(|_| ConfigError::value("telemetry", value))).transpose()?;
     Ok(Outcome {
         request: RequestId(fields.number("xid")?),
         attempt: fields.number("sendNo")?,
@@ -270,10 +277,10 @@
     })
 }
 
-fn start(fields: &Fields<'_>) -> Result<Message, Wrong> {
+fn start(fields: &Fields<'_>) -> Result<Message, ConfigError> {
     let Deployment { settings, classes, plans, .. } = Deployment::read(fields)?;
     let scheduler = Scheduler::new(settings, fields.number("prng")?)
-        .map_err(|e| Wrong { field: "env".to_owned(), why: e.to_string() })?;
+        .map_err(|e| ConfigError { field: "env".to_owned(), why: e.to_string() })?;
     let names = Names { classes, plans, ..Names::default() };
     Ok(Message::Start { scheduler: Box::new(scheduler), names })
 }
--- a/crates/load/src/har.rs
+++ b/crates/load/src/har.rs
@@ -27,7 +27,7 @@
 
 fn one(entry: &Value, place: usize, rules: &Rules) -> Result<Recorded, String> {
     let entry = Tree(entry);
-    let need = |name: &str| entry.need(name).map_err(|wrong| wrong.to_string());
+    let need = |name: &str| entry.need(name).map_err(|error| error.to_string());
     let started = need("startedDateTime")?;
     let at = OffsetDateTime::parse(&started, &Rfc3339).ok().and_then(micros);
     let at = at.ok_or_else(|| format!("startedDateTime: {started:?}"))?;
@@ -38,7 +38,7 @@
         return Err(format!("request.postData.text: {} bytes, {BODY_LIMIT} at most", body.len()));
     }
     // The sizes are -1 where the recorder did not know them.
-    let size = |name: &str| entry.or(name, 0.0_f64).map_err(|wrong| wrong.to_string());
+    let size = |name: &str| entry.or(name, 0.0_f64).map_err(|error| error.to_string());
     let moved = size("response.content.size")?.max(size("request.bodySize")?).max(body.len() as f64);
     let (bytes, body) = (moved as u64, Bytes::from(body));
     rules.request(place, Entry { at, method: &method, target, owner, bytes, body })
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use heathward_core::{Call, Work};
-use heathward_module::settings::{Deployment, Wrong};
+use heathward_module::settings::{ConfigError, Deployment};
 use heathward_module::{ClassId, KeyId, Micros, PlanId, ShardId, VolumeId};
 
 pub use access_log::access_log;
@@ -100,13 +100,13 @@
 
 impl Rules {
     /// Decodes a file of rules.
-    pub fn parse(text: &str, deployment: Arc<Deployment>) -> Result<Self, Wrong> {
+    pub fn parse(text: &str, deployment: Arc<Deployment>) -> Result<Self, ConfigError> {
         let broken =
-            |_| Wrong { field: "rules".to_owned(), why: "not JSON, or a field is missing".to_owned() };
+            |_| ConfigError { field: "rules".to_owned(), why: "not JSON, or a field is missing".to_owned() };
         let file: File = json::from_str(text).map_err(broken)?;
         let place = |field: &str, name: &str, among: &[String]| {
             let at = among.iter().position(|known| known == name);
-            at.map(|at| at as u16).ok_or_else(|| Wrong::value(field, name))
+            at.map(|at| at as u16).ok_or_else(|| ConfigError::value(field, name))
         };
         let (read, write) = (
             place("read", &file.read, &deployment.classes)?,
@@ -116,7 +116,7 @@
         let figures =
             [("unit_bytes", file.unit_bytes), ("shards", file.shards.into()), ("hosts", file.hosts.into())];
         if let Some((field, _)) = figures.iter().find(|(_, value)| *value == 0) {
-            return Err(Wrong::value(field, "0"));
+            return Err(ConfigError::value(field, "0"));
         }
         let File { unit_bytes, shards, hosts, .. } = file;
         let (read, write, plan) = (ClassId(read), ClassId(write), PlanId(plan));
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -5,8 +5,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
-use crate::api::*;
-use crate::state::*;
+use crate::api::{
+    Action, Effect, End, Event, Group, KeyId, ListEntry, ListKind, ListMode, Micros, NodeId, NodeState,
+    Outcome, PlanSettings, Request, RequestId, Settings, SettingsError, ShardId, Standing, VolumeId,
+};
+use crate::state::{
+    seconds, Following, Held, Job, Lines, Meter, Node, Portion, Stage, Tally, Volume, CONFIRMED,
+};
 
 /// Lookback of the admission test, from the design page: long enough for a whole surge.
 const LOOKBACK: Micros = 30_000_000;
@@ -20,7 +25,7 @@
 const FLOOR_REQUESTS: f64 = 4.0;
 const CEILING_REQUESTS: f64 = 32.0;
 /// Wait at a node, in shortest aims, at which a request of highest and of no worth finds no room any more.
-/// Room shrinks evenly up to there; .55, .75 and 1.5 did worse.
+/// ConnectionTable shrinks evenly up to there; .55, .75 and 1.5 did worse.
 const PATIENCE: (f64, f64) = (1.1, 0.15);
 /// An attempt is given up after this many times the time to its due: some nodes drop it then.
 const GIVE_UP: Micros = 3;
@@ -270,7 +275,7 @@
             limit: Meter { tokens: 0.0, at: born },
             plan: request.plan,
             stores: [plan.reserve, plan.rate].map(|tokens| Meter { tokens, at: now }),
-            part: 1.0 / f64::from(request.hosts.max(1)),
+            local_share: 1.0 / f64::from(request.hosts.max(1)),
             ..Volume::default()
         });
         volume.hosts = volume.hosts.max(request.hosts).max(1);
@@ -281,8 +286,8 @@
         let demand = fleet * (volume.asked + even) / (volume.sent.min(volume.asked) + even);
         let demand = demand.max(volume.asked).max(1e-9);
         volume.asked += units / USE_SPAN;
-        volume.part += 0.2 * ((volume.asked / demand).clamp(0.5 / hosts, 1.0) - volume.part);
-        let part = volume.part;
+        volume.local_share += 0.2 * ((volume.asked / demand).clamp(0.5 / hosts, 1.0) - volume.local_share);
+        let part = volume.local_share;
         let burst = most * (part * BURST_PART).min(1.0);
         let luck = self.rng.f64() * units;
         let mut covered = 0.0;
--- a/crates/module/src/settings.rs
+++ b/crates/module/src/settings.rs
@@ -5,18 +5,18 @@
 
 use miniserde::json::{Number, Value};
 
-use crate::api::*;
+use crate::api::{AttemptBudget, ClassSettings, Effect, Group, ListMode, Micros, PlanSettings, Settings};
 
 /// A named value that is missing or makes no sense.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Wrong {
+pub struct ConfigError {
     /// Its name, as a path.
     pub field: String,
     /// What is wrong with it.
     pub why: String,
 }
 
-impl Wrong {
+impl ConfigError {
     /// A value that cannot be.
     pub fn value(field: &str, value: &str) -> Self {
         Self { field: field.to_owned(), why: format!("impossible value {value:?}") }
@@ -28,13 +28,13 @@
     }
 }
 
-impl fmt::Display for Wrong {
+impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.field, self.why)
     }
 }
 
-impl std::error::Error for Wrong {}
+impl std::error::Error for ConfigError {}
 
 /// Values that are found by name. A list's length stands under `.count`, its items under `.0`, `.1`, …
 pub trait Named {
@@ -42,73 +42,73 @@
     fn get(&self, name: &str) -> Option<Cow<'_, str>>;
 
     /// A value that must be there.
-    fn need(&self, name: &str) -> Result<Cow<'_, str>, Wrong> {
-        self.get(name).ok_or_else(|| Wrong::missing(name))
+    fn need(&self, name: &str) -> Result<Cow<'_, str>, ConfigError> {
+        self.get(name).ok_or_else(|| ConfigError::missing(name))
     }
 
     /// A number that must be there.
-    fn number<T: std::str::FromStr>(&self, name: &str) -> Result<T, Wrong> {
+    fn number<T: std::str::FromStr>(&self, name: &str) -> Result<T, ConfigError> {
         let value = self.need(name)?;
-        value.parse().map_err(|_| Wrong::value(name, &value))
+        value.parse().map_err(|_| ConfigError::value(name, &value))
     }
 
     /// A number, or what stands for it where it is absent.
-    fn or<T: std::str::FromStr>(&self, name: &str, absent: T) -> Result<T, Wrong> {
-        self.get(name).map_or(Ok(absent), |value| value.parse().map_err(|_| Wrong::value(name, &value)))
+    fn or<T: std::str::FromStr>(&self, name: &str, absent: T) -> Result<T, ConfigError> {
+        self.get(name).map_or(Ok(absent), |value| value.parse().map_err(|_| ConfigError::value(name, &value)))
     }
 
     /// Yes or no; no where it is absent.
-    fn flag(&self, name: &str) -> Result<bool, Wrong> {
+    fn flag(&self, name: &str) -> Result<bool, ConfigError> {
         match self.get(name).as_deref() {
             None | Some("0" | "false") => Ok(false),
             Some("1" | "true") => Ok(true),
-            Some(other) => Err(Wrong::value(name, other)),
+            Some(other) => Err(ConfigError::value(name, other)),
         }
     }
 
     /// A figure that may not be negative, 0 where it is absent.
-    fn figure(&self, name: &str) -> Result<f64, Wrong> {
+    fn figure(&self, name: &str) -> Result<f64, ConfigError> {
         let value: f64 = self.or(name, 0.0)?;
         let sound = value.is_finite() && value >= 0.0;
         if sound {
             Ok(value)
         } else {
-            Err(Wrong::value(name, &value.to_string()))
+            Err(ConfigError::value(name, &value.to_string()))
         }
     }
 
     /// A whole number that may be written with a fraction of zero.
-    fn whole(&self, name: &str) -> Result<u32, Wrong> {
+    fn whole(&self, name: &str) -> Result<u32, ConfigError> {
         let value = self.figure(name)?;
         let sound = value.fract() == 0.0 && value <= f64::from(u32::MAX);
         if sound {
             Ok(value as u32)
         } else {
-            Err(Wrong::value(name, &value.to_string()))
+            Err(ConfigError::value(name, &value.to_string()))
         }
     }
 
     /// A span of milliseconds, 0 where it is absent.
-    fn span(&self, name: &str) -> Result<Micros, Wrong> {
+    fn span(&self, name: &str) -> Result<Micros, ConfigError> {
         let micros = (self.figure(name)? * 1000.0).round();
         if micros < 9.0e15 {
             Ok(micros as Micros)
         } else {
-            Err(Wrong::value(name, "too large"))
+            Err(ConfigError::value(name, "too large"))
         }
     }
 
     /// A moment or a span in milliseconds that must be there.
-    fn micros(&self, name: &str) -> Result<Micros, Wrong> {
+    fn micros(&self, name: &str) -> Result<Micros, ConfigError> {
         self.need(name)?;
         self.span(name)
     }
 
     /// The place of a name among those that are known.
-    fn place(&self, name: &str, among: &[String]) -> Result<u16, Wrong> {
+    fn place(&self, name: &str, among: &[String]) -> Result<u16, ConfigError> {
         let value = self.need(name)?;
         let at = among.iter().position(|known| *known == value);
-        at.map(|at| at as u16).ok_or_else(|| Wrong::value(name, &value))
+        at.map(|at| at as u16).ok_or_else(|| ConfigError::value(name, &value))
     }
 }
 
@@ -162,7 +162,7 @@
 
 impl Deployment {
     /// Reads it from values under the names that the settings have on every wire.
-    pub fn read(from: &impl Named) -> Result<Self, Wrong> {
+    pub fn read(from: &impl Named) -> Result<Self, ConfigError> {
         let (mut names, mut classes) = (Vec::new(), Vec::new());
         for i in 0..from.whole("lanes.count")? {
             let at = |key: &str| format!("lanes.{i}.{key}");
@@ -176,13 +176,13 @@
                     "free" => Effect::Safe,
                     "guarded" => Effect::Keyed,
                     "single_shot" => Effect::Unsafe,
-                    other => return Err(Wrong::value(&at("repeat"), other)),
+                    other => return Err(ConfigError::value(&at("repeat"), other)),
                 },
                 group: match from.get(&at("dedupScope")).as_deref().unwrap_or("cell") {
                     "all" => Group::All,
                     "zone" => Group::Zone,
                     "cell" => Group::Shard,
-                    other => return Err(Wrong::value(&at("dedupScope"), other)),
+                    other => return Err(ConfigError::value(&at("dedupScope"), other)),
                 },
                 window: from.span(&at("dedupWindowMs"))?,
                 in_order: from.flag(&at("inTurn"))?,
@@ -209,7 +209,7 @@
         let list = match from.get("discovery").as_deref().unwrap_or("pushed") {
             "pushed" => ListMode::Pushed,
             "on_request" => ListMode::Asked { within: from.span("safety.mustAskInMs")? },
-            other => return Err(Wrong::value("discovery", other)),
+            other => return Err(ConfigError::value("discovery", other)),
         };
         let hints = from.flag("limits.retryAfter")?;
         let settings = Settings {
--- a/crates/module/src/state.rs
+++ b/crates/module/src/state.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::api::*;
+use crate::api::{
+    KeyId, Micros, NodeId, PlanId, PlanSettings, Request, RequestId, ShardId, Standing, VolumeId,
+};
 
 /// A start that the list has not told of after this time was none, microseconds.
 pub(crate) const CONFIRMED: Micros = 6_000_000;
@@ -138,8 +140,8 @@
     /// Units a second served everywhere, as answers tell it.
     pub(crate) fleet: f64,
     pub(crate) told_at: Micros,
-    /// Smoothed part of the demand that comes through here.
-    pub(crate) part: f64,
+    /// Smoothed share of the demand that comes through here.
+    pub(crate) local_share: f64,
 }
 
 impl Volume {
--- /dev/null
+++ b/crates/scheduler/src/serve.rs
@@ -0,0 +1,232 @@
+//! The scheduler at work: signals, other configurations, another process beside it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::sync::Arc;
+
+use heathward_config::{self as config, Config};
+use heathward_core::{Core, Message};
+use heathward_module::settings::ConfigError;
+use heathward_wires::http::{self, ConnectionTable, Front};
+use heathward_wires::node::{Figures, Pool};
+use heathward_wires::nvme::{self, Subsystem};
+use heathward_wires::{discovery, ops};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use crate::takeover::Meeting;
+use crate::{shutdown, start, takeover};
+
+/// What changes while the program runs: with another configuration, or with another process beside this one.
+pub struct Service {
+    core: Core,
+    connections: ConnectionTable,
+    figures: watch::Sender<Figures>,
+    discovery: watch::Sender<SocketAddr>,
+    stopping: watch::Receiver<bool>,
+    sockets: usize,
+    /// Another process of this scheduler runs.
+    joint: bool,
+    listen: SocketAddr,
+    /// The sockets that clients, and hosts where that front is on, connect to. Kept while another process
+    /// takes what comes: it may end first.
+    listening: Vec<OwnedFd>,
+    nvme: Option<Arc<Subsystem>>,
+    accepting: Vec<AbortHandle>,
+}
+
+impl Service {
+    /// The way to the core.
+    pub fn core(&self) -> &Core {
+        &self.core
+    }
+
+    /// Takes what comes, on all fronts.
+    fn accept(&mut self) -> io::Result<()> {
+        let mut accepting = Vec::new();
+        for (socket, nvme) in self.listening.iter().zip([None, self.nvme.clone()]) {
+            let (listener, stopping) = (start::listener(socket)?, self.stopping.clone());
+            accepting.push(match nvme {
+                None => {
+                    let (front, connections) = (Front::new(self.core.clone()), self.connections.clone());
+                    tokio::spawn(http::serve(listener, front, connections, stopping)).abort_handle()
+                }
+                Some(subsystem) => {
+                    let hosts = start::nvme_hosts(self.sockets);
+                    tokio::spawn(nvme::serve(listener, subsystem, hosts, stopping)).abort_handle()
+                }
+            });
+        }
+        self.accept_no_more();
+        self.accepting = accepting;
+        Ok(())
+    }
+
+    /// What is accepted is served on.
+    fn accept_no_more(&mut self) {
+        self.accepting.drain(..).for_each(|accepting| accepting.abort());
+    }
+
+    /// From now on descriptors are shared with another process, or no longer.
+    pub fn share(&mut self, joint: bool) {
+        self.joint = joint;
+        self.figures.send_replace(start::node_figures(&self.core.deployment(), self.sockets, joint));
+        let (most, cap) = start::client_figures(self.sockets, joint);
+        self.connections.resize(most, cap);
+    }
+
+    /// The other process takes what comes.
+    pub fn leave_to_other(&mut self) {
+        self.accept_no_more();
+        self.core.replace(true);
+    }
+
+    /// The other process is gone; this one takes what comes.
+    pub fn take_back(&mut self) -> io::Result<()> {
+        self.core.replace(false);
+        if self.accepting.is_empty() {
+            self.accept()?;
+        }
+        Ok(())
+    }
+
+    /// Reads the configuration again and goes by it as a whole, or says why the old one stands. Connections
+    /// and open requests go on; seed, NVMe front and second address stay as at the start.
+    async fn reload(&mut self) -> Result<(), ConfigError> {
+        let Config { listen: address, discovery, sockets, known, deployment, .. } = config::reread()?;
+        let unbound = |e: io::Error| ConfigError { field: "listen".to_owned(), why: e.to_string() };
+        // What may fail comes first.
+        let moved = match address == self.listen {
+            true => None,
+            false => Some(start::listen(address).map_err(unbound)?),
+        };
+        self.core.settle(Arc::new(deployment)).await?;
+        self.sockets = sockets;
+        self.share(self.joint);
+        // Without a core the program ends.
+        let _ = self.core.mailbox().send(Message::News(known)).await;
+        self.discovery.send_replace(discovery);
+        if let Some(socket) = moved {
+            self.listening[0] = socket;
+            self.listen = address;
+            self.accept().map_err(unbound)?;
+        }
+        Ok(())
+    }
+
+    /// Connections and accepting tasks that are left, this aside: each holds a receiver.
+    pub fn busy(&self, stop: &watch::Sender<bool>) -> bool {
+        self.core.status().open > 0 || stop.receiver_count() > self.accepting.len() + 1
+    }
+}
+
+/// The signals that the program heeds; heeded from the first moment on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+    report: Signal,
+}
+
+impl Signals {
+    fn heed() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+            report: signal(SignalKind::user_defined1())?,
+        })
+    }
+}
+
+/// Serves until a signal ends it.
+pub async fn run(config: Config) -> io::Result<()> {
+    let Config { listen, ops, discovery, seed, sockets, known, deployment, nvme, .. } = config;
+    let mut signals = Signals::heed()?;
+    let (mut meeting, mut phases, mut taken) = Meeting::come(listen).await;
+    let mut handed = taken.as_mut().map(|taken| std::mem::take(&mut taken.sockets)).unwrap_or_default();
+    let mut listening = vec![start::listen_on(&mut handed, listen)?];
+    let address = start::listener(&listening[0])?.local_addr()?;
+    let (deployment, joint) = (Arc::new(deployment), taken.is_some());
+    let (figures, drawn) = watch::channel(start::node_figures(&deployment, sockets, joint));
+    let nvme = nvme.map(Arc::new);
+    let core = start::core(deployment, seed, Pool::new(drawn), nvme.clone())?;
+    let revision = taken.as_ref().map_or(0, |taken| taken.state.list.revision).max(known.revision);
+    core.mailbox().send(Message::News(known)).await.map_err(io::Error::other)?;
+    let (discovery, addresses) = watch::channel(discovery);
+    let (stop, stopping) = watch::channel(false);
+    let nvme = match nvme {
+        None => None,
+        Some(map) => {
+            let socket = start::listen_on(&mut handed, map.listen)?;
+            eprintln!("heathward: NVMe front listening on {}", start::listener(&socket)?.local_addr()?);
+            listening.push(socket);
+            Some(Subsystem::new(map, core.clone(), seed))
+        }
+    };
+    let (most, cap) = start::client_figures(sockets, joint);
+    let connections = ConnectionTable::new(most);
+    connections.resize(most, cap);
+    let mut service = Service {
+        core: core.clone(),
+        connections,
+        figures,
+        discovery,
+        stopping,
+        sockets,
+        joint,
+        listen,
+        listening,
+        nvme,
+        accepting: Vec::new(),
+    };
+    service.accept()?;
+    if let Some(taken) = taken {
+        meeting.go_on(taken, core.clone()).await;
+    }
+    tokio::spawn(discovery::follow(addresses, revision, core.mailbox(), seed));
+    if let Some(ops) = ops {
+        let listener = TcpListener::bind(ops).await?;
+        eprintln!("heathward: operations on {}", listener.local_addr()?);
+        tokio::spawn(ops::serve(listener, core.clone(), start::staff_connections(sockets)));
+    }
+    meeting.open();
+    eprintln!("heathward: listening on {address}");
+    loop {
+        tokio::select! {
+            _ = signals.report.recv() => print(&service.core).await,
+            _ = signals.hangup.recv() => reload(&mut service).await,
+            Some(stream) = meeting.next(), if !service.joint => {
+                // Until it is known to be one, it is none; two at a time are one too many.
+                service.joint = true;
+                meeting.give(stream, core.clone(), &service.listening)?;
+            }
+            Some(phase) = phases.recv() => takeover::follow(phase, &mut service, &mut meeting)?,
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+        }
+    }
+    // Whoever starts from now on finds nobody to ask, and does not wait for an answer.
+    drop(meeting);
+    shutdown::finish(&service, &stop).await;
+    print(&core).await;
+    Ok(())
+}
+
+async fn reload(service: &mut Service) {
+    let read = service.reload().await;
+    service.core.configured(read.is_ok());
+    match read {
+        Ok(()) => eprintln!("heathward: configuration read again"),
+        Err(error) => eprintln!("heathward: configuration not taken: {error}"),
+    }
+}
+
+async fn print(core: &Core) {
+    if let Some(figures) = core.figures().await {
+        eprintln!("heathward: counters {}", figures.counters);
+    }
+}
--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -421,7 +421,7 @@
     let node = http_node(0, &[Does::Serve], &log).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     let mut kept = Vec::new();
-    for call in 0..ROOM as u32 {
+    for call in 0..CONNECTIONS as u32 {
         let mut stream = TcpStream::connect(rig.front).await.unwrap();
         stream.write_all(text.as_bytes()).await.unwrap();
         if ask {
@@ -456,7 +456,7 @@
     let node = http_node(0, &[Does::Serve], &log).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     let mut kept = Vec::new();
-    for call in 0..2 * ROOM as u32 {
+    for call in 0..2 * CONNECTIONS as u32 {
         let mut stream = TcpStream::connect(rig.front).await.unwrap();
         stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.unwrap();
         assert_eq!(answer(&mut stream).await.0, 200, "client {call}");
@@ -469,7 +469,7 @@
     for stream in &mut kept {
         open += usize::from(timeout(Duration::from_millis(1), stream.readable()).await.is_err());
     }
-    assert!(open <= ROOM * 2 / 3, "{open} kept");
+    assert!(open <= CONNECTIONS * 2 / 3, "{open} kept");
 }
 
 #[tokio::test]
--- a/crates/scheduler/tests/net/parsers.rs
+++ b/crates/scheduler/tests/net/parsers.rs
@@ -220,7 +220,7 @@
     let text = include_str!("../../../../deploy/nvme.json");
     assert!(text.contains(from));
     let map = Map::parse(&text.replacen(from, to, 1), &deployment());
-    assert_eq!(map.as_ref().err().map(|wrong| wrong.field.as_str()), wrong);
+    assert_eq!(map.as_ref().err().map(|error| error.field.as_str()), wrong);
     if let Ok(map) = map {
         let namespace = map.namespace(2).unwrap();
         assert_eq!([0, 255, 256, 512].map(|block| namespace.shard(block).0), [3, 3, 4, 3]);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,7 +13,7 @@
 pub use discovery::{member, tell, watched};
 pub use message::{answer, header, listen, nobody, read_message, request};
 pub use node::{http_node, Does, Log, Script, Seen, LATE};
-pub use rig::{config_text, rig, rig_of, Rig, ROOM};
+pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS};
 
 /// Nothing here takes longer, however loaded the machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -6,7 +6,7 @@
 
 use heathward_config::{self as config, Config};
 use heathward_core::{self as core, Core, Counters, Member, Message};
-use heathward_wires::http::{self, Front, Room};
+use heathward_wires::http::{self, ConnectionTable, Front};
 use heathward_wires::node::{self, Figures, HttpLink, Pool};
 use heathward_wires::nvme::{Map, NvmeLink};
 use tokio::io::AsyncWriteExt;
@@ -18,7 +18,7 @@
 use crate::PATIENCE;
 
 /// Clients' connections that the front holds.
-pub const ROOM: usize = 32;
+pub const CONNECTIONS: usize = 32;
 
 /// A configuration whose known list is `members`.
 pub fn config_text(listen: &str, discovery: &str, members: &str) -> String {
@@ -83,7 +83,12 @@
     core.mailbox().send(Message::News(known)).await.unwrap();
     let (listener, front) = listen().await;
     let (stop, stopping) = watch::channel(false);
-    tokio::spawn(http::serve(listener, Front::new(core.clone()), Room::new(ROOM), stopping));
+    tokio::spawn(http::serve(
+        listener,
+        Front::new(core.clone()),
+        ConnectionTable::new(CONNECTIONS),
+        stopping,
+    ));
     Rig { core, front, _stop: stop }
 }
 
--- a/crates/wires/src/handover/mod.rs
+++ b/crates/wires/src/handover/mod.rs
@@ -33,7 +33,7 @@
 
 /// What the running process hears of the other one, or that one of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
+pub enum PartnerPhase {
     /// It is starting: what two processes share is shared from now on.
     Starting,
     /// It serves.
@@ -82,7 +82,7 @@
 impl Taken {
     /// Takes the state in; the other process leaves. To be called once this one accepts. From then on orders
     /// pass between the two, in a task of its own, until the other is gone.
-    pub async fn serve(mut self, core: Core, heard: mpsc::Sender<Heard>) {
+    pub async fn serve(mut self, core: Core, phases: mpsc::Sender<PartnerPhase>) {
         let orders = core.take_over(self.state).await;
         let said = timeout_at(Instant::now() + PATIENCE, self.link.say(READY)).await;
         tokio::spawn(async move {
@@ -90,29 +90,29 @@
                 partner::follow(&mut self.link, &core, orders).await;
             }
             // Without a program there is nobody to tell.
-            let _ = heard.send(Heard::Gone).await;
+            let _ = phases.send(PartnerPhase::Gone).await;
         });
     }
 }
 
 /// Hands all to a process that has connected, if it is one that understands, and follows it to its end.
-pub async fn give(stream: UnixStream, core: Core, sockets: Vec<OwnedFd>, heard: mpsc::Sender<Heard>) {
+pub async fn give(stream: UnixStream, core: Core, sockets: Vec<OwnedFd>, phases: mpsc::Sender<PartnerPhase>) {
     let mut link = Link::new(stream);
     let greeting = timeout_at(Instant::now() + PATIENCE, link.line()).await;
     if greeting.is_ok_and(|line| line.as_deref() == Some(HELLO.as_bytes())) {
         // Without a program there is nobody to tell, here and below.
-        let _ = heard.send(Heard::Starting).await;
+        let _ = phases.send(PartnerPhase::Starting).await;
         // An end before it serves changes nothing here.
-        let _ = hand(&mut link, &core, sockets, &heard).await;
+        let _ = hand(&mut link, &core, sockets, &phases).await;
     }
-    let _ = heard.send(Heard::Gone).await;
+    let _ = phases.send(PartnerPhase::Gone).await;
 }
 
 async fn hand(
     link: &mut Link,
     core: &Core,
     sockets: Vec<OwnedFd>,
-    heard: &mpsc::Sender<Heard>,
+    phases: &mpsc::Sender<PartnerPhase>,
 ) -> Option<()> {
     let (state, orders) = core.hand_over().await?;
     let given = async {
@@ -126,7 +126,7 @@
         return None;
     }
     // Without a program there is nobody to tell.
-    let _ = heard.send(Heard::Serves).await;
+    let _ = phases.send(PartnerPhase::Serves).await;
     partner::follow(link, core, orders).await;
     Some(())
 }
--- a/crates/wires/src/http/body.rs
+++ b/crates/wires/src/http/body.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Instant;
 
-use super::room::{Guest, Phase};
+use super::connections::{Client, Phase};
 use heathward_core::{BrokenOff, Passing};
 
 /// The body of an answer to a client.
@@ -16,7 +16,7 @@
     /// Held whole.
     Whole(Option<Bytes>),
     /// On its way from a node, to that client.
-    Passing(Passing, Arc<Guest>),
+    Passing(Passing, Arc<Client>),
 }
 
 impl Body for Outgoing {
@@ -29,10 +29,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut *self {
             Self::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            Self::Passing(passing, guest) => {
+            Self::Passing(passing, client) => {
                 let next = ready!(passing.pieces.poll_next(cx));
                 // The connection has taken what came before.
-                guest.enter(Phase::Passing(Instant::now()));
+                client.enter(Phase::Passing(Instant::now()));
                 Poll::Ready(next.map(|piece| piece.map(Frame::data)))
             }
         }
@@ -52,8 +52,8 @@
 
 impl Drop for Outgoing {
     fn drop(&mut self) {
-        if let Self::Passing(_, guest) = self {
-            guest.enter(Phase::Idle(Instant::now()));
+        if let Self::Passing(_, client) = self {
+            client.enter(Phase::Idle(Instant::now()));
         }
     }
 }
--- a/crates/wires/src/http/room.rs
+++ b/crates/wires/src/http/connections.rs
@@ -143,7 +143,7 @@
 
 /// One connection's entry.
 #[derive(Debug)]
-pub struct Guest {
+pub struct Client {
     phase: Mutex<Phase>,
     head: Mutex<Head>,
     /// Told when it has to make way.
@@ -155,7 +155,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Guest {
+impl Client {
     /// What it is at.
     pub fn phase(&self) -> Phase {
         *lock(&self.phase)
@@ -211,36 +211,36 @@
 }
 
 #[derive(Debug, Default)]
-struct Seats {
+struct Slots {
     next: u64,
-    taken: BTreeMap<u64, Arc<Guest>>,
+    taken: BTreeMap<u64, Arc<Client>>,
 }
 
 /// The connections that the front holds. It never stops taking new ones: when it is full, the one that can
 /// best be spared makes way, so that those who hold a connection and say nothing keep nobody out.
 #[derive(Clone, Debug)]
-pub struct Room {
+pub struct ConnectionTable {
     /// What it holds by itself, by which it is told whether places are scarce, and what it may hold now.
     most: Arc<AtomicUsize>,
     cap: Arc<AtomicUsize>,
-    seats: Arc<Mutex<Seats>>,
+    slots: Arc<Mutex<Slots>>,
 }
 
-/// A place in the room, free again once dropped.
+/// A place in the table, free again once dropped.
 #[derive(Debug)]
-pub struct Seat {
-    /// The room.
-    pub room: Room,
+pub struct Slot {
+    /// The table.
+    pub table: ConnectionTable,
     number: u64,
     /// Its entry.
-    pub guest: Arc<Guest>,
+    pub client: Arc<Client>,
 }
 
-impl Room {
-    /// A room for so many.
+impl ConnectionTable {
+    /// A table of so many places.
     pub fn new(most: usize) -> Self {
         let (most, cap) = (Arc::new(AtomicUsize::new(most)), Arc::new(AtomicUsize::new(most)));
-        Self { most, cap, seats: Arc::default() }
+        Self { most, cap, slots: Arc::default() }
     }
 
     /// From now on it is for `most`, and takes no more than `cap` for a while; who is there stays.
@@ -251,14 +251,14 @@
 
     /// Half of the places are taken.
     pub fn crowded(&self) -> bool {
-        2 * lock(&self.seats).taken.len() >= self.most.load(Ordering::Relaxed)
+        2 * lock(&self.slots).taken.len() >= self.most.load(Ordering::Relaxed)
     }
 
     /// A place for a newcomer; `None` if all are taken by those who can't be spared.
-    pub fn enter(&self, now: Instant) -> Option<Seat> {
-        let (mut seats, most) = (lock(&self.seats), self.most.load(Ordering::Relaxed));
+    pub fn enter(&self, now: Instant) -> Option<Slot> {
+        let (mut slots, most) = (lock(&self.slots), self.most.load(Ordering::Relaxed));
         let cap = self.cap.load(Ordering::Relaxed);
-        let taken = seats.taken.len();
+        let taken = slots.taken.len();
         // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the
         // places: before it comes to that, the answered go, long idle or not.
         let ranks: &[u8] = match () {
@@ -269,29 +269,29 @@
         };
         if !ranks.is_empty() {
             let spared =
-                |(number, guest): (&u64, &Arc<Guest>)| Some((guest.phase().dispensable(now)?, *number));
+                |(number, client): (&u64, &Arc<Client>)| Some((client.phase().dispensable(now)?, *number));
             let least =
-                seats.taken.iter().filter_map(spared).filter(|((rank, _), _)| ranks.contains(rank)).min();
-            if let Some(guest) = least.and_then(|(_, number)| seats.taken.remove(&number)) {
-                guest.leave.notify_one();
+                slots.taken.iter().filter_map(spared).filter(|((rank, _), _)| ranks.contains(rank)).min();
+            if let Some(client) = least.and_then(|(_, number)| slots.taken.remove(&number)) {
+                client.leave.notify_one();
             } else if taken >= cap {
                 return None;
             }
         }
-        let number = seats.next;
-        seats.next += 1;
-        let guest = Arc::new(Guest {
+        let number = slots.next;
+        slots.next += 1;
+        let client = Arc::new(Client {
             phase: Mutex::new(Phase::Silent(now)),
             head: Mutex::default(),
             leave: Notify::new(),
         });
-        seats.taken.insert(number, guest.clone());
-        Some(Seat { room: self.clone(), number, guest })
+        slots.taken.insert(number, client.clone());
+        Some(Slot { table: self.clone(), number, client })
     }
 }
 
-impl Drop for Seat {
+impl Drop for Slot {
     fn drop(&mut self) {
-        lock(&self.room.seats).taken.remove(&self.number);
+        lock(&self.table.slots).taken.remove(&self.number);
     }
 }
--- a/crates/wires/src/http/front.rs
+++ b/crates/wires/src/http/front.rs
@@ -24,9 +24,9 @@
 use tower::{Service, ServiceExt};
 
 use super::body::Outgoing;
-use super::room::{Framing, Guest, Phase, Room, Seat, REQUEST};
+use super::connections::{Client, ConnectionTable, Framing, Phase, Slot, REQUEST};
 use super::{decode, headers, retry_after, Bad, HEAD_LIMIT, LONGEST_BODY};
-use heathward_core::{stream, Answer, Call, Core, Doors, Feed, Reply, Upload, BODY_LIMIT};
+use heathward_core::{stream, Answer, Call, Core, Draining, Feed, Reply, Upload, BODY_LIMIT};
 
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -58,11 +58,11 @@
     }
 
     /// Answers a request whose head has come.
-    async fn answer(self, request: Request<Incoming>, guest: &Arc<Guest>) -> Response<Outgoing> {
-        let since = guest.begin();
-        let framing = guest.framing();
+    async fn answer(self, request: Request<Incoming>, client: &Arc<Client>) -> Response<Outgoing> {
+        let since = client.begin();
+        let framing = client.framing();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
-            let ready = self.core.status().ready && !self.core.doors().borrow().paused;
+            let ready = self.core.status().ready && !self.core.draining().borrow().paused;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
@@ -77,7 +77,7 @@
         if body.size_hint().lower() > LONGEST_BODY {
             return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body");
         }
-        let mut coming = Coming { body, since, size: 0, guest: guest.clone() };
+        let mut coming = Coming { body, since, size: 0, client: client.clone() };
         let mut held = BytesMut::new();
         let whole = loop {
             match coming.next().await {
@@ -91,12 +91,12 @@
         };
         let held = held.freeze();
         if whole {
-            guest.enter(Phase::Busy);
+            client.enter(Phase::Busy);
             let call = match decode(&self.core.deployment(), &head, held, None, Instant::now()) {
                 Ok(call) => call,
                 Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
             };
-            return encode(self.ask(call).await, guest);
+            return encode(self.ask(call).await, client);
         }
         let (feed, pieces) = stream();
         let rest = Some((length, pieces));
@@ -111,7 +111,7 @@
             biased;
             answer = &mut asked => {
                 // Its client may send on for a while: it is told, and then its connection ends.
-                let mut answer = encode(answer, guest);
+                let mut answer = encode(answer, client);
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 return answer;
             }
@@ -121,7 +121,7 @@
                 Ok(()) => asked.await,
             },
         };
-        encode(answer, guest)
+        encode(answer, client)
     }
 
     async fn ask(mut self, call: Call) -> Answer {
@@ -145,7 +145,7 @@
     /// Since when its client has been asking.
     since: Instant,
     size: u64,
-    guest: Arc<Guest>,
+    client: Arc<Client>,
 }
 
 impl Coming {
@@ -154,7 +154,7 @@
     async fn next(&mut self) -> Result<Option<Bytes>, StatusCode> {
         loop {
             let by = self.since + REQUEST + Duration::from_millis(self.size / SLOWEST);
-            self.guest.enter(Phase::Sending { since: self.since, by });
+            self.client.enter(Phase::Sending { since: self.since, by });
             match timeout_at(by, self.body.frame()).await {
                 Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
                 Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
@@ -177,7 +177,7 @@
 /// Passes on what is still to come of a body. What the node does not take in time is not its client's fault.
 async fn pass(mut coming: Coming, feed: Feed, upload: Option<&Upload>) -> Result<(), StatusCode> {
     while let Some(piece) = coming.next().await? {
-        coming.guest.enter(Phase::Busy);
+        coming.client.enter(Phase::Busy);
         let handed = Instant::now();
         if !feed.more(piece).await {
             // The answer tells why nobody takes it.
@@ -185,7 +185,7 @@
         }
         coming.since += handed.elapsed();
     }
-    coming.guest.enter(Phase::Busy);
+    coming.client.enter(Phase::Busy);
     upload.into_iter().for_each(Upload::end);
     feed.end().await;
     Ok(())
@@ -198,10 +198,10 @@
     response
 }
 
-fn encode(answer: Answer, guest: &Arc<Guest>) -> Response<Outgoing> {
+fn encode(answer: Answer, client: &Arc<Client>) -> Response<Outgoing> {
     match answer {
         Answer::Served(Reply::Whole(body)) => Response::new(whole(body)),
-        Answer::Served(Reply::Passing(passing)) => Response::new(Outgoing::Passing(passing, guest.clone())),
+        Answer::Served(Reply::Passing(passing)) => Response::new(Outgoing::Passing(passing, client.clone())),
         Answer::Refused { retry_after: advice } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
             if let Some(value) = advice.and_then(|span| retry_after(span).parse().ok()) {
@@ -228,12 +228,12 @@
 
 /// The front as one connection sees it.
 #[derive(Clone)]
-struct Visit {
+struct ConnectionService {
     front: Front,
-    guest: Arc<Guest>,
+    client: Arc<Client>,
 }
 
-impl Service<Request<Incoming>> for Visit {
+impl Service<Request<Incoming>> for ConnectionService {
     type Response = Response<Outgoing>;
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
@@ -243,17 +243,17 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let Self { front, guest } = self.clone();
+        let Self { front, client } = self.clone();
         Box::pin(async move {
-            let doors = front.core.doors();
-            let mut answer = front.answer(request, &guest).await;
+            let draining = front.core.draining();
+            let mut answer = front.answer(request, &client).await;
             // Its client asks elsewhere from now on.
-            if doors.borrow().closing() {
+            if draining.borrow().closing() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             let passes = matches!(answer.body(), Outgoing::Passing(..));
             let now = Instant::now();
-            guest.enter(if passes { Phase::Passing(now) } else { Phase::Idle(now) });
+            client.enter(if passes { Phase::Passing(now) } else { Phase::Idle(now) });
             Ok(answer)
         })
     }
@@ -261,7 +261,12 @@
 
 /// Accepts connections until the task is dropped. Once `stopping` turns true, connections are closed between
 /// requests, and new ones carry a single request.
-pub async fn serve(listener: TcpListener, front: Front, room: Room, stopping: watch::Receiver<bool>) {
+pub async fn serve(
+    listener: TcpListener,
+    front: Front,
+    table: ConnectionTable,
+    stopping: watch::Receiver<bool>,
+) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -271,8 +276,8 @@
             }
         };
         // With none to spare, the newcomer's connection is closed at once.
-        if let Some(seat) = room.enter(Instant::now()) {
-            tokio::spawn(carry(stream, front.clone(), seat, stopping.clone()));
+        if let Some(slot) = table.enter(Instant::now()) {
+            tokio::spawn(serve_connection(stream, front.clone(), slot, stopping.clone()));
         }
     }
 }
@@ -292,27 +297,27 @@
     Turn,
 }
 
-async fn carry(stream: TcpStream, front: Front, seat: Seat, mut stopping: watch::Receiver<bool>) {
+async fn serve_connection(stream: TcpStream, front: Front, slot: Slot, mut stopping: watch::Receiver<bool>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let guest = seat.guest.clone();
+    let client = slot.client.clone();
     let mut last = *stopping.borrow_and_update();
-    let io = TokioIo::new(Heard { stream, guest: guest.clone() });
-    let mut doors = front.core.doors();
-    let told = doors.clone();
-    let mut closing = closes(*doors.borrow_and_update());
-    let visit = TowerToHyperService::new(Visit { front, guest: guest.clone() });
+    let io = TokioIo::new(ObservedStream { stream, client: client.clone() });
+    let mut draining = front.core.draining();
+    let told = draining.clone();
+    let mut closing = closes(*draining.borrow_and_update());
+    let service = TowerToHyperService::new(ConnectionService { front, client: client.clone() });
     let mut builder = http1::Builder::new();
     builder.keep_alive(!last).max_buf_size(HEAD_LIMIT);
-    let mut connection = builder.serve_connection(io, visit);
+    let mut connection = builder.serve_connection(io, service);
     // Until then an idle connection is kept.
     let mut kept = Instant::now();
     loop {
         let mut overdue = pin!(sleep_until(Instant::now()));
-        let mut leave = pin!(guest.leave.notified());
+        let mut leave = pin!(client.leave.notified());
         let mut stop = pin!(stopping.changed());
-        let mut turn = pin!(doors.changed());
+        let mut turn = pin!(draining.changed());
         let over = poll_fn(|cx| {
             // A client that breaks off ends its connection; its request is dropped, and the core hears of it.
             if connection.poll_without_shutdown(cx).is_ready() {
@@ -322,14 +327,14 @@
                 return Poll::Ready(Over::Leave);
             }
             // A connection that nothing has come on yet is not closed: its first request may be on its way.
-            if !last && !matches!(guest.phase(), Phase::Silent(_)) && stop.as_mut().poll(cx).is_ready() {
+            if !last && !matches!(client.phase(), Phase::Silent(_)) && stop.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(Over::Stop);
             }
             if turn.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(Over::Turn);
             }
-            let Some(until) = guest.phase().until() else { return Poll::Pending };
-            let until = match (guest.phase(), closing) {
+            let Some(until) = client.phase().until() else { return Poll::Pending };
+            let until = match (client.phase(), closing) {
                 (Phase::Idle(since), Some((told, span))) => since.max(told) + span,
                 (Phase::Idle(_), None) => until.max(kept),
                 _ => until,
@@ -347,38 +352,38 @@
                 Pin::new(&mut connection).graceful_shutdown();
             }
             Over::Done => break,
-            Over::Overdue if matches!(guest.phase(), Phase::Asking(_) | Phase::Sending { .. }) => {
+            Over::Overdue if matches!(client.phase(), Phase::Asking(_) | Phase::Sending { .. }) => {
                 let mut stream = connection.into_parts().io.into_inner().stream;
-                // A few bytes, of which nothing else has been written: they find room, or the client is gone.
+                // A few bytes, of which nothing else has been written: they find room, or it has left.
                 if stream.try_write(TOO_SLOW).is_ok() {
-                    part(&mut stream, &guest).await;
+                    close_after_answer(&mut stream, &client).await;
                 }
                 return;
             }
             Over::Overdue
                 if closing.is_none()
-                    && !seat.room.crowded()
-                    && guest.phase().kept_until() > Some(Instant::now()) =>
+                    && !slot.table.crowded()
+                    && client.phase().kept_until() > Some(Instant::now()) =>
             {
                 kept = Instant::now() + LOOK;
             }
             Over::Overdue | Over::Leave => return,
         }
     }
-    part(&mut connection.into_parts().io.into_inner().stream, &guest).await;
+    close_after_answer(&mut connection.into_parts().io.into_inner().stream, &client).await;
 }
 
 /// From now on idle connections are closed after so long, if clients are to be sent away.
-fn closes(doors: Doors) -> Option<(Instant, Duration)> {
-    let span = if doors.paused { PAUSED } else { REPLACED };
-    doors.closing().then(|| (Instant::now(), span))
+fn closes(draining: Draining) -> Option<(Instant, Duration)> {
+    let span = if draining.paused { PAUSED } else { REPLACED };
+    draining.closing().then(|| (Instant::now(), span))
 }
 
 /// Ends a connection so that its client can read what it was last told: says that no more comes, and takes in
 /// what is still on its way. A connection closed over unread bytes is reset, which may overtake the answer.
-async fn part(stream: &mut TcpStream, guest: &Guest) {
+async fn close_after_answer(stream: &mut TcpStream, client: &Client) {
     let phase = Phase::Parting(Instant::now());
-    guest.enter(phase);
+    client.enter(phase);
     if stream.shutdown().await.is_err() {
         return;
     }
@@ -388,17 +393,17 @@
     tokio::select! {
         // Whether it has closed by then or not, it had its time.
         _ = timeout_at(by, read) => {}
-        () = guest.leave.notified() => {}
+        () = client.leave.notified() => {}
     }
 }
 
 /// A client's stream, which takes note that bytes have come.
-struct Heard {
+struct ObservedStream {
     stream: TcpStream,
-    guest: Arc<Guest>,
+    client: Arc<Client>,
 }
 
-impl AsyncRead for Heard {
+impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -407,13 +412,13 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.guest.heard(&buf.filled()[before..]);
+            self.client.heard(&buf.filled()[before..]);
         }
         polled
     }
 }
 
-impl AsyncWrite for Heard {
+impl AsyncWrite for ObservedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
--- a/crates/wires/src/http/mod.rs
+++ b/crates/wires/src/http/mod.rs
@@ -1,13 +1,13 @@
 //! The platform's front: HTTP/1.1 to typed calls and back.
 
 mod body;
+mod connections;
 mod decode;
 mod front;
-mod room;
 
+pub use connections::ConnectionTable;
 pub use decode::{decode, retry_after, Bad};
 pub use front::{serve, Front};
-pub use room::Room;
 
 /// No body holds more.
 pub const LONGEST_BODY: u64 = 32 << 20;
--- a/crates/wires/src/node/http.rs
+++ b/crates/wires/src/node/http.rs
@@ -212,13 +212,13 @@
 
     fn call(&mut self, job: Job<HttpConnection>) -> Self::Future {
         let address = self.address;
-        Box::pin(async move { Ok(carry(address, job).await) })
+        Box::pin(async move { Ok(run(address, job).await) })
     }
 }
 
 /// One attempt. Whatever it is given up on is dropped, and so closed, before the end is told: no other
 /// attempt of the request may start while a connection of this one is open.
-async fn carry(address: SocketAddr, job: Job<HttpConnection>) -> Done<HttpConnection> {
+async fn run(address: SocketAddr, job: Job<HttpConnection>) -> Done<HttpConnection> {
     let Job { attempt, mut idle, connect_by } = job;
     loop {
         let reused = idle.is_some();
--- a/crates/wires/src/node/mod.rs
+++ b/crates/wires/src/node/mod.rs
@@ -110,7 +110,7 @@
         *self.figures.borrow()
     }
 
-    /// Room for a connection of so many descriptors, if there is.
+    /// ConnectionTable for a connection of so many descriptors, if there is.
     fn permit(&self, sockets: usize) -> Option<Permit> {
         let open = self.open.load(Ordering::Relaxed) + sockets;
         (open <= self.figures().open).then(|| {
--- a/crates/wires/src/nvme/controller.rs
+++ b/crates/wires/src/nvme/controller.rs
@@ -163,13 +163,13 @@
         };
         let (subsystem, stopping) = (subsystem.clone(), stopping.clone());
         tokio::spawn(async move {
-            carry(stream, subsystem, stopping).await;
+            serve_connection(stream, subsystem, stopping).await;
             drop(permit);
         });
     }
 }
 
-async fn carry(stream: TcpStream, subsystem: Arc<Subsystem>, mut stopping: watch::Receiver<bool>) {
+async fn serve_connection(stream: TcpStream, subsystem: Arc<Subsystem>, mut stopping: watch::Receiver<bool>) {
     let Ok(wire) = Wire::new(stream) else { return };
     let mut queue = Queue {
         subsystem,
--- a/crates/wires/src/nvme/initiator.rs
+++ b/crates/wires/src/nvme/initiator.rs
@@ -213,7 +213,7 @@
     }
 
     /// One attempt. As over HTTP, what is given up on is closed before the end is told.
-    async fn carry(self, job: Job<NvmeConnection>) -> Done<NvmeConnection> {
+    async fn run(self, job: Job<NvmeConnection>) -> Done<NvmeConnection> {
         let Job { attempt, mut idle, connect_by } = job;
         let (work, until) = (&attempt.work, attempt.until);
         let Some((blocks, size)) = self.blocks(work) else { return Done::lost(End::Moot) };
@@ -276,6 +276,6 @@
 
     fn call(&mut self, job: Job<NvmeConnection>) -> Self::Future {
         let link = self.clone();
-        Box::pin(async move { Ok(link.carry(job).await) })
+        Box::pin(async move { Ok(link.run(job).await) })
     }
 }
--- a/crates/wires/src/nvme/map.rs
+++ b/crates/wires/src/nvme/map.rs
@@ -6,7 +6,7 @@
 
 use super::command::Blocks;
 use super::pdu::MOST_DATA;
-use heathward_module::settings::{Deployment, Wrong};
+use heathward_module::settings::{ConfigError, Deployment};
 use heathward_module::{ClassId, KeyId, PlanId, ShardId, VolumeId};
 
 /// As the file has it.
@@ -99,14 +99,14 @@
 
 impl Map {
     /// Decodes the file.
-    pub fn parse(text: &str, deployment: &Deployment) -> Result<Self, Wrong> {
+    pub fn parse(text: &str, deployment: &Deployment) -> Result<Self, ConfigError> {
         let broken =
-            |_| Wrong { field: "nvme".to_owned(), why: "not JSON, or a field is missing".to_owned() };
+            |_| ConfigError { field: "nvme".to_owned(), why: "not JSON, or a field is missing".to_owned() };
         let file: File = json::from_str(text).map_err(broken)?;
         let class = |field: &str, name: &str, write: bool| {
             let at = deployment.classes.iter().position(|c| c == name);
             let at = at.filter(|at| deployment.writes[*at] == write);
-            let at = at.ok_or_else(|| Wrong::value(field, name))?;
+            let at = at.ok_or_else(|| ConfigError::value(field, name))?;
             Ok(Class { id: ClassId(at as u16), name: name.into() })
         };
         let (read, write) = (class("read", &file.read, false)?, class("write", &file.write, true)?);
@@ -114,7 +114,7 @@
             if sound {
                 Ok(())
             } else {
-                Err(Wrong::value(field, &value.to_string()))
+                Err(ConfigError::value(field, &value.to_string()))
             }
         };
         let block = file.block;
@@ -128,9 +128,9 @@
         for (at, from) in file.namespaces.into_iter().enumerate() {
             let field = |name: &str| format!("namespaces.{at}.{name}");
             let plan = deployment.plans.iter().position(|p| *p == from.plan);
-            let plan = plan.ok_or_else(|| Wrong::value(&field("plan"), &from.plan))?;
+            let plan = plan.ok_or_else(|| ConfigError::value(&field("plan"), &from.plan))?;
             let volume = u64::from_str_radix(&from.volume, 16);
-            let volume = volume.map_err(|_| Wrong::value(&field("volume"), &from.volume))?;
+            let volume = volume.map_err(|_| ConfigError::value(&field("volume"), &from.volume))?;
             fits((1..0xffff_ffff).contains(&from.nsid), &field("nsid"), from.nsid.into())?;
             fits(from.hosts > 0, &field("hosts"), from.hosts.into())?;
             fits(from.blocks > 0, &field("blocks"), from.blocks)?;
@@ -148,13 +148,13 @@
         }
         namespaces.sort_by_key(|n| n.nsid);
         let twice = namespaces.windows(2).find(|pair| pair[0].nsid == pair[1].nsid);
-        twice.map_or(Ok(()), |pair| Err(Wrong::value("namespaces.nsid", &pair[0].nsid.to_string())))?;
+        twice.map_or(Ok(()), |pair| Err(ConfigError::value("namespaces.nsid", &pair[0].nsid.to_string())))?;
         let subsystem = file.subsystem;
         if !subsystem.starts_with("nqn.") || subsystem.len() > 223 {
-            return Err(Wrong::value("subsystem", &subsystem));
+            return Err(ConfigError::value("subsystem", &subsystem));
         }
         Ok(Self {
-            listen: file.listen.parse().map_err(|_| Wrong::value("listen", &file.listen))?,
+            listen: file.listen.parse().map_err(|_| ConfigError::value("listen", &file.listen))?,
             subsystem,
             queues: file.queues,
             depth: file.depth,
