A command line on clap; heathward check; heathwardctl for operators

Cause: arguments were read by hand, a file could only be tried by starting the program with it, and staff spoke to the second address with nc, one scheduler at a time.

Change: heathward's arguments on clap, the flags as they were. check FILE says whether configurations, NVMe maps and rules would be taken and names the field, exit 2. heathwardctl sends orders and fetches figures from several second addresses at once (exit codes 0 done, 1 refused, 2 wrong use, 3 nobody answers), lists sources of load without a configuration, and prints completions. wires/ops has the caller's side, decoded once.

clap is the ecosystem's usual choice (help, completions, errors that name the argument).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,9 @@
 //! The program's configuration: the JSON file that `GW_CONFIG` names, and those that its arguments name.
 
+mod check;
+
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use miniserde::json::{self, Value};
@@ -12,11 +15,16 @@
 use heathward_wires::discovery;
 use heathward_wires::nvme::Map;
 
+pub use check::{check, deployment, Kind};
+
 /// Descriptors where the file sets no limit.
 const SOCKETS: usize = 1024;
 /// With fewer there is no room for clients and nodes.
 const LEAST_SOCKETS: usize = 64;
 
+/// No file that the arguments name is longer, bytes.
+const LONGEST_FILE: u64 = 16 << 20;
+
 /// All that the program is told.
 pub struct Config {
     /// Where clients connect.
@@ -47,26 +55,40 @@
     AccessLog(String),
 }
 
-/// Reads the file that the environment names, and the one that the arguments may.
-pub fn load(mut arguments: impl Iterator<Item = String>) -> Result<Config, ConfigError> {
+/// Files that the arguments name.
+#[derive(Clone, Debug, Default)]
+pub struct Files {
+    /// The NVMe front's map.
+    pub nvme: Option<PathBuf>,
+    /// A source of load that is to be listed.
+    pub har: Option<PathBuf>,
+    /// The same, as an access log.
+    pub access_log: Option<PathBuf>,
+    /// The rules for that.
+    pub rules: Option<PathBuf>,
+}
+
+/// Reads the file that the environment names, and those that the arguments name.
+///
+/// # Errors
+/// The first field that makes no sense, or the file that can't be read.
+pub fn load(files: &Files) -> Result<Config, ConfigError> {
     let mut config = reread()?;
-    let (mut source, mut rules) = (None, None);
-    while let Some(argument) = arguments.next() {
-        let mut value = || arguments.next().ok_or_else(|| ConfigError::missing(&argument));
-        match argument.as_str() {
-            "--nvme" => config.nvme = Some(Map::parse(&read("--nvme", &value()?)?, &config.deployment)?),
-            "--har" => source = Some(Source::Har(read("--har", &value()?)?)),
-            "--access-log" => source = Some(Source::AccessLog(read("--access-log", &value()?)?)),
-            "--rules" => rules = Some(read("--rules", &value()?)?),
-            _ => return Err(ConfigError::value("argument", &argument)),
-        }
+    if let Some(path) = &files.nvme {
+        config.nvme = Some(Map::parse(&read("--nvme", path)?, &config.deployment)?);
     }
-    config.source = match (source, rules) {
+    let source = match (&files.har, &files.access_log) {
+        (Some(path), _) => Some(Source::Har(read("--har", path)?)),
+        (None, Some(path)) => Some(Source::AccessLog(read("--access-log", path)?)),
+        (None, None) => None,
+    };
+    config.source = match (source, &files.rules) {
         (None, None) => None,
         (None, Some(_)) => return Err(ConfigError::missing("--har or --access-log")),
         (Some(_), None) => return Err(ConfigError::missing("--rules")),
-        (Some(source), Some(rules)) => {
-            Some((source, Rules::parse(&rules, Arc::new(config.deployment.clone()))?))
+        (Some(source), Some(path)) => {
+            let deployment = Arc::new(config.deployment.clone());
+            Some((source, Rules::parse(&read("--rules", path)?, deployment)?))
         }
     };
     Ok(config)
@@ -74,17 +96,26 @@
 
 /// Reads the file that the environment names, as it is now.
 pub fn reread() -> Result<Config, ConfigError> {
-    let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::missing("GW_CONFIG"))?;
-    let mut config = parse(&read("GW_CONFIG", &path)?)?;
+    let path = std::env::var_os("GW_CONFIG").ok_or_else(|| ConfigError::missing("GW_CONFIG"))?;
+    let mut config = parse(&read("GW_CONFIG", Path::new(&path))?)?;
     if let (None, Ok(ops)) = (config.ops, std::env::var("GW_OPS")) {
         config.ops = Some(ops.parse().map_err(|_| ConfigError::value("GW_OPS", &ops))?);
     }
     Ok(config)
 }
 
-fn read(field: &str, path: &str) -> Result<String, ConfigError> {
-    let text = std::fs::read_to_string(path);
-    text.map_err(|e| ConfigError { field: field.to_owned(), why: format!("{path}: {e}") })
+/// The text of a file that a field or an argument names.
+///
+/// # Errors
+/// The field, with the path and what the system says of it; a file over 16 MB is not read.
+pub fn read(field: &str, path: &Path) -> Result<String, ConfigError> {
+    let error =
+        |why: String| ConfigError { field: field.to_owned(), why: format!("{}: {why}", path.display()) };
+    let size = std::fs::metadata(path).map_err(|e| error(e.to_string()))?.len();
+    if size > LONGEST_FILE {
+        return Err(error(format!("{size} bytes, {LONGEST_FILE} at most")));
+    }
+    std::fs::read_to_string(path).map_err(|e| error(e.to_string()))
 }
 
 /// Decodes a configuration.
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,116 @@
+//! The arguments.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
+
+const EXAMPLES: &str = "\
+Examples:
+  heathwardctl status --at 127.0.0.1:9901,127.0.0.1:9902
+  heathwardctl metrics --at 127.0.0.1:9901 --json
+  heathwardctl suspend s-7 --at 127.0.0.1:9901
+  heathwardctl load list --access-log access.log --rules rules.json
+  heathwardctl completions bash > /etc/bash_completion.d/heathwardctl
+
+Exit codes: 0 done, 1 refused by the scheduler or found wrong, 2 wrong use, 3 nobody answers.
+Of several addresses the worst counts.";
+
+/// Operates heathward's schedulers: orders, figures, sources of load.
+#[derive(Parser)]
+#[command(name = "heathwardctl", version, after_help = EXAMPLES)]
+pub struct Arguments {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Whether the scheduler can serve
+    Status(To),
+    /// Its figures
+    Metrics {
+        #[command(flatten)]
+        to: To,
+        /// One JSON object for each address, a line each
+        #[arg(long)]
+        json: bool,
+        /// Again every so many seconds, until interrupted
+        #[arg(long, value_name = "SECONDS", value_parser = seconds)]
+        watch: Option<Duration>,
+    },
+    /// Takes a storage node out: nothing new goes there
+    Suspend {
+        /// Its id, as discovery lists it
+        node: String,
+        #[command(flatten)]
+        to: To,
+    },
+    /// Puts a storage node back
+    Restore {
+        /// Its id, as discovery lists it
+        node: String,
+        #[command(flatten)]
+        to: To,
+    },
+    /// Sends clients away
+    Pause(To),
+    /// Takes clients again
+    Resume(To),
+    /// Sources of load
+    #[command(subcommand)]
+    Load(LoadCommand),
+    /// Prints completions for a shell
+    Completions { shell: Shell },
+}
+
+/// Which schedulers.
+#[derive(Args, Clone, Debug)]
+pub struct To {
+    /// Second addresses, one or several
+    #[arg(
+        long = "at",
+        value_name = "ADDRESS",
+        env = "HEATHWARD_OPS",
+        value_delimiter = ',',
+        required = true
+    )]
+    pub addresses: Vec<SocketAddr>,
+    /// How long to wait for an answer
+    #[arg(long, value_name = "SECONDS", default_value = "3", value_parser = seconds)]
+    pub wait: Duration,
+}
+
+/// What to do with a source of load.
+#[derive(Subcommand)]
+pub enum LoadCommand {
+    /// Lists the requests of a HAR file or an access log, a line each; sends nothing
+    List(SourceOf),
+}
+
+/// A source of load and its rules.
+#[derive(Args)]
+pub struct SourceOf {
+    /// A HAR file
+    #[arg(long, value_name = "FILE", required_unless_present = "access_log", conflicts_with = "access_log")]
+    pub har: Option<PathBuf>,
+    /// An access log, Common or Combined Log Format
+    #[arg(long, value_name = "FILE")]
+    pub access_log: Option<PathBuf>,
+    /// How entries become requests
+    #[arg(long, value_name = "FILE")]
+    pub rules: PathBuf,
+}
+
+/// A span in seconds, with a fraction where wanted: 0.1 to 3600.
+fn seconds(text: &str) -> Result<Duration, String> {
+    let value: f64 = text.parse().map_err(|_| "no number of seconds".to_owned())?;
+    if (0.1..=3600.0).contains(&value) {
+        Ok(Duration::from_secs_f64(value))
+    } else {
+        Err("0.1 to 3600 seconds".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,32 @@
+//! `heathwardctl`, the operators' one tool.
+//!
+//! Exit codes: 0 done, 1 refused by the scheduler or found wrong, 2 wrong use, 3 nobody answers. Of several
+//! addresses the worst counts.
+
+mod cli;
+mod load;
+mod orders;
+mod outcome;
+
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser};
+use cli::{Arguments, Command, LoadCommand};
+
+fn main() -> ExitCode {
+    let outcome = match Arguments::parse().command {
+        Command::Status(to) => orders::status(&to),
+        Command::Metrics { to, json, watch } => orders::metrics(&to, json, watch),
+        Command::Suspend { node, to } => orders::order(&to, heathward_core::Order::Suspend(node.into())),
+        Command::Restore { node, to } => orders::order(&to, heathward_core::Order::Restore(node.into())),
+        Command::Pause(to) => orders::order(&to, heathward_core::Order::Pause),
+        Command::Resume(to) => orders::order(&to, heathward_core::Order::Resume),
+        Command::Load(LoadCommand::List(source)) => load::list(&source),
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "heathwardctl", &mut std::io::stdout());
+            outcome::Outcome::Done
+        }
+    };
+    outcome.into()
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -16,7 +16,9 @@
 
 use heathward_core::{Call, Work};
 use heathward_module::settings::{ConfigError, Deployment};
-use heathward_module::{ClassId, KeyId, Micros, PlanId, ShardId, VolumeId};
+use heathward_module::{
+    ClassId, ClassSettings, Effect, KeyId, Micros, PlanId, PlanSettings, Settings, ShardId, VolumeId,
+};
 
 pub use access_log::access_log;
 pub use har::har;
@@ -41,7 +43,7 @@
 pub struct Recorded {
     /// Its time in the source, as Unix time.
     pub at: Micros,
-    /// How long its client waits.
+    /// How long its client waits; 0 where nobody says.
     pub budget: Micros,
     /// All of it but the deadline.
     call: Call,
@@ -58,7 +60,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Work { target, write, units, .. } = &*self.call.work;
         let (ms, kind) = (self.at / 1000, if *write { "write" } else { "read" });
-        write!(f, "{ms} {kind} {target} units={units} budget_ms={}", self.budget / 1000)
+        write!(f, "{ms} {kind} {target} units={units}")?;
+        match self.budget {
+            0 => Ok(()),
+            budget => write!(f, " budget_ms={}", budget / 1000),
+        }
     }
 }
 
@@ -86,6 +92,14 @@
     hosts: u32,
 }
 
+impl File {
+    fn parse(text: &str) -> Result<Self, ConfigError> {
+        let broken =
+            |_| ConfigError { field: "rules".to_owned(), why: "not JSON, or a field is missing".to_owned() };
+        json::from_str(text).map_err(broken)
+    }
+}
+
 /// How entries become requests, where they don't say it themselves.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -99,11 +113,34 @@
 }
 
 impl Rules {
-    /// Decodes a file of rules.
+    /// Decodes a file of rules, whose classes and plan the deployment knows.
     pub fn parse(text: &str, deployment: Arc<Deployment>) -> Result<Self, ConfigError> {
-        let broken =
-            |_| ConfigError { field: "rules".to_owned(), why: "not JSON, or a field is missing".to_owned() };
-        let file: File = json::from_str(text).map_err(broken)?;
+        Self::check(File::parse(text)?, deployment)
+    }
+
+    /// Decodes a file of rules by itself: its own names are the classes and the plan, nobody's deadline is
+    /// known, and a request may be of any size.
+    pub fn alone(text: &str) -> Result<Self, ConfigError> {
+        let file = File::parse(text)?;
+        let class = |effect| ClassSettings { effect, ..ClassSettings::default() };
+        let settings = Settings {
+            most_units: u32::MAX,
+            classes: vec![class(Effect::Safe), class(Effect::Keyed)],
+            plans: vec![PlanSettings::default()],
+            ..Settings::default()
+        };
+        let deployment = Deployment {
+            settings,
+            classes: vec![file.read.clone(), file.write.clone()],
+            plans: vec![file.plan.clone()],
+            writes: vec![false, true],
+            connect: 0,
+            idle: 0,
+        };
+        Self::check(file, Arc::new(deployment))
+    }
+
+    fn check(file: File, deployment: Arc<Deployment>) -> Result<Self, ConfigError> {
         let place = |field: &str, name: &str, among: &[String]| {
             let at = among.iter().position(|known| known == name);
             at.map(|at| at as u16).ok_or_else(|| ConfigError::value(field, name))
--- /dev/null
+++ b/crates/scheduler/src/check.rs
@@ -0,0 +1,28 @@
+//! `heathward check`: whether files would be taken.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use heathward_config as config;
+
+/// A line for each file: taken as what, or the field at fault.
+pub fn run(files: &[PathBuf]) -> ExitCode {
+    let environment = std::env::var_os("GW_CONFIG").map(PathBuf::from);
+    let named = files.iter().chain(&environment).map(PathBuf::as_path);
+    let deployment = config::deployment(named);
+    let mut sound = true;
+    for path in files.iter().map(PathBuf::as_path) {
+        match config::check(path, deployment.as_ref()) {
+            Ok(kind) => println!("{}: {}, would be taken", path.display(), kind.name()),
+            Err(error) => {
+                eprintln!("{}: {error}", path.display());
+                sound = false;
+            }
+        }
+    }
+    if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(2)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/cli.rs
@@ -0,0 +1,71 @@
+//! The program's arguments.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+use heathward_config::Files;
+
+const EXAMPLES: &str = "\
+Examples:
+  GW_CONFIG=examples/config.json heathward
+      serves, as the configuration says
+  GW_CONFIG=examples/config.json heathward --nvme examples/nvme.json
+      serves NVMe hosts too
+  heathward check examples/config.json examples/nvme.json
+      says whether these files would be taken
+
+Signals:
+  TERM, INT   answers everything and ends
+  HUP         reads the configuration again
+  USR1        writes the counters to the log
+
+Environment:
+  GW_CONFIG   the configuration, JSON
+  GW_OPS      the second address, where the configuration names none";
+
+/// A storage scheduler: decides which requests go to which storage node and when, and gives each one answer.
+#[derive(Parser)]
+#[command(name = "heathward", version, after_help = EXAMPLES, args_conflicts_with_subcommands = true)]
+pub struct Arguments {
+    /// Without one it serves.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    #[command(flatten)]
+    pub serve: Serve,
+}
+
+/// What it serves.
+#[derive(Args)]
+pub struct Serve {
+    /// Turns the NVMe front on, as the file says
+    #[arg(long, value_name = "FILE")]
+    nvme: Option<PathBuf>,
+    /// Lists the requests of a HAR file and exits
+    #[arg(long, value_name = "FILE", requires = "rules", conflicts_with = "access_log")]
+    har: Option<PathBuf>,
+    /// Lists the requests of an access log and exits
+    #[arg(long, value_name = "FILE", requires = "rules")]
+    access_log: Option<PathBuf>,
+    /// How entries of a source of load become requests
+    #[arg(long, value_name = "FILE")]
+    rules: Option<PathBuf>,
+}
+
+impl Serve {
+    /// The files that it names.
+    pub fn files(self) -> Files {
+        let Self { nvme, har, access_log, rules } = self;
+        Files { nvme, har, access_log, rules }
+    }
+}
+
+/// What it does instead of serving.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Says whether files would be taken, and names the field at fault; exit code 2 if one would not
+    Check {
+        /// Configurations, NVMe maps, rules; names in them go by the first configuration, or GW_CONFIG's
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+}
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -1,5 +1,7 @@
 //! The scheduler as a program: its arguments, and its end by them.
 
+mod check;
+mod cli;
 mod listing;
 mod serve;
 mod shutdown;
@@ -8,8 +10,15 @@
 
 use std::process::ExitCode;
 
+use clap::Parser;
+use cli::{Arguments, Command};
+
 fn main() -> ExitCode {
-    let config = match heathward_config::load(std::env::args().skip(1)) {
+    let arguments = Arguments::parse();
+    if let Some(Command::Check { files }) = arguments.command {
+        return check::run(&files);
+    }
+    let config = match heathward_config::load(&arguments.serve.files()) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("heathward: {error}");
--- a/crates/scheduler/tests/net/process.rs
+++ b/crates/scheduler/tests/net/process.rs
@@ -214,3 +214,42 @@
     assert!(listed.lines().count() == 2 && listed.contains("write /pedido/0000000000000007/"), "{listed}");
     assert!(said.lines().count() == 1 && said.contains("entry 3"), "{said}");
 }
+
+fn check(files: &[&PathBuf]) -> (Option<i32>, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+    let output = command.env_remove("GW_CONFIG").arg("check").args(files).output().unwrap();
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code(), text(&output.stdout), text(&output.stderr))
+}
+
+#[test]
+fn check_says_of_each_file_whether_it_would_be_taken() {
+    let config = file("check-sound", &config_text("127.0.0.1:1", "127.0.0.1:2", ""));
+    let nvme = file("check-nvme", include_str!("../../../../deploy/nvme.json"));
+    let rules = file("check-rules", include_str!("../../../../examples/rules.json"));
+    let (code, out, err) = check(&[&nvme, &config, &rules]);
+    assert_eq!(code, Some(0), "{err}");
+    assert!(out.lines().count() == 3 && err.is_empty(), "{out}{err}");
+}
+
+#[rstest]
+#[case::configuration("\"aimMs\":150", "\"aimMs\":-150", "settings.lanes.0.aimMs")]
+#[case::cut_off("\"seed\"", "\"seed", "not JSON")]
+fn check_names_the_field_at_fault(#[case] from: &str, #[case] to: &str, #[case] field: &str) {
+    let sound = config_text("127.0.0.1:1", "127.0.0.1:2", "");
+    let path = file(&format!("check-{}", field.len()), &sound.replacen(from, to, 1));
+    let (code, out, err) = check(&[&path]);
+    assert_eq!(code, Some(2), "{out}{err}");
+    assert!(out.is_empty() && err.contains(field), "{out}{err}");
+}
+
+#[test]
+fn check_holds_an_nvme_map_against_its_configuration() {
+    let map = include_str!("../../../../deploy/nvme.json");
+    let config = file("check-held", &config_text("127.0.0.1:1", "127.0.0.1:2", ""));
+    let alone = check(&[&file("check-alone", map)]);
+    assert!(alone.0 == Some(2) && alone.2.contains("a configuration"), "{alone:?}");
+    let wrong = file("check-plan", &map.replacen("basico", "nobody", 1));
+    let held = check(&[&config, &wrong]);
+    assert!(held.0 == Some(2) && held.2.contains("namespaces.1.plan"), "{held:?}");
+}
--- /dev/null
+++ b/crates/wires/src/ops/client.rs
@@ -0,0 +1,91 @@
+//! A call at a scheduler's second address, from the caller's side.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+use super::codec::Command;
+
+/// No answer is longer, bytes.
+const LONGEST_ANSWER: u64 = 256 * 1024;
+
+/// Why a call was not carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// The scheduler says no, and why.
+    Refused(String),
+    /// Nobody answers there in time, and why.
+    Unanswered(String),
+    /// What came is no answer to such a call.
+    Unreadable,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(why) => write!(f, "refused: {why}"),
+            Self::Unanswered(why) => write!(f, "nobody answers: {why}"),
+            Self::Unreadable => f.write_str("the answer can't be read"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// The lines of a good answer, without the last one of a list; an order's has none.
+///
+/// # Errors
+/// [`CallError`] where the scheduler refuses, or does not answer by the deadline.
+pub async fn call(at: SocketAddr, command: &Command, deadline: Instant) -> Result<Vec<String>, CallError> {
+    let asked = async {
+        let mut stream = TcpStream::connect(at).await?;
+        stream.write_all(format!("{command}\n").as_bytes()).await?;
+        let mut text = String::new();
+        stream.take(LONGEST_ANSWER).read_to_string(&mut text).await?;
+        Ok::<_, std::io::Error>(text)
+    };
+    let text = match timeout_at(deadline, asked).await {
+        Ok(Ok(text)) => text,
+        Ok(Err(error)) => return Err(CallError::Unanswered(error.to_string())),
+        Err(_) => return Err(CallError::Unanswered("not in time".to_owned())),
+    };
+    read(&text, matches!(command, Command::Metrics))
+}
+
+/// An answer's lines, whether it is a list that ends with `END` or one line.
+fn read(text: &str, list: bool) -> Result<Vec<String>, CallError> {
+    if let Some(why) = text.strip_prefix("ERR") {
+        return Err(CallError::Refused(why.trim().to_owned()));
+    }
+    let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
+    match lines.pop().as_deref() {
+        Some("END") if list => Ok(lines),
+        Some(line) if !list && lines.is_empty() && line.starts_with("OK") => Ok(lines),
+        None => Err(CallError::Unanswered("closed without an answer".to_owned())),
+        Some(_) => Err(CallError::Unreadable),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_is_whole_or_none() {
+        let refused = |why: &str| Err(CallError::Refused(why.to_owned()));
+        let cases = [
+            ("OK\n", false, Ok(vec![])),
+            ("a=1\nb=2\nEND\n", true, Ok(vec!["a=1".to_owned(), "b=2".to_owned()])),
+            ("a=1\nb=", true, Err(CallError::Unreadable)),
+            ("OK\nOK\n", false, Err(CallError::Unreadable)),
+            ("ERR unknown storage node\n", false, refused("unknown storage node")),
+            ("", false, Err(CallError::Unanswered("closed without an answer".to_owned()))),
+        ];
+        for (text, list, expected) in cases {
+            assert_eq!(read(text, list), expected, "{text:?}");
+        }
+    }
+}
