Logs on tracing, and an operator file in Jsonnet, bounded in size, time and memory

Cause: log lines were free text, written at once by the core's only thread, so that a stuck reader of standard error held up every request; and what our installations want beside the platform's settings had no place.

tracing is what hyper and tower's world logs with; jrsonnet is the Jsonnet library in Rust.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -8,7 +8,7 @@
 use heathward_module::settings::{ConfigError, Deployment};
 use heathward_wires::nvme::Map;
 
-use crate::{parse, read};
+use crate::{parse, read, this_program, Operator};
 
 /// What a file is, by what it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     NvmeMap,
     /// Rules for a source of load.
     Rules,
+    /// The operator file.
+    Operator,
 }
 
 impl Kind {
@@ -28,6 +30,7 @@
             Self::Configuration => "configuration",
             Self::NvmeMap => "NVMe map",
             Self::Rules => "rules for a source of load",
+            Self::Operator => "operator file",
         }
     }
 
@@ -49,10 +52,14 @@
 /// # Errors
 /// The field at fault.
 pub fn check(path: &Path, deployment: Option<&Deployment>) -> Result<Kind, ConfigError> {
+    if path.extension().is_some_and(|ending| ending == "jsonnet") {
+        Operator::load(&this_program(), path, deployment)?;
+        return Ok(Kind::Operator);
+    }
     let text = read("file", path)?;
     let unknown = || ConfigError {
         field: "file".to_owned(),
-        why: "not JSON, or neither a configuration, an NVMe map nor rules".to_owned(),
+        why: "not JSON, or neither a configuration, an NVMe map nor rules, and no .jsonnet".to_owned(),
     };
     let kind = Kind::of(&text).ok_or_else(unknown)?;
     match kind {
@@ -65,6 +72,7 @@
             Some(deployment) => Rules::parse(&text, deployment.clone().into()).map(drop)?,
             None => Rules::alone(&text).map(drop)?,
         },
+        Kind::Operator => {}
     }
     Ok(kind)
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,8 @@
 //! The program's configuration: the JSON file that `GW_CONFIG` names, and those that its arguments name.
 
 mod check;
+mod jsonnet;
+mod operator;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -16,6 +18,8 @@
 use heathward_wires::nvme::Map;
 
 pub use check::{check, deployment, Kind};
+pub use jsonnet::{bound_this_process, evaluate, this_program};
+pub use operator::{LogSettings, Operator};
 
 /// Descriptors where the file sets no limit.
 const SOCKETS: usize = 1024;
@@ -43,6 +47,8 @@
     pub deployment: Deployment,
     /// The NVMe front, where it is on.
     pub nvme: Option<Map>,
+    /// What the operator file says; nothing where there is none.
+    pub operator: Operator,
     /// A source of load that is to be listed, not served, and its rules.
     pub source: Option<(Source, Rules)>,
 }
@@ -58,6 +64,8 @@
 /// Files that the arguments name.
 #[derive(Clone, Debug, Default)]
 pub struct Files {
+    /// The operator file.
+    pub operator: Option<PathBuf>,
     /// The NVMe front's map.
     pub nvme: Option<PathBuf>,
     /// A source of load that is to be listed.
@@ -73,8 +81,15 @@
 /// # Errors
 /// The first field that makes no sense, or the file that can't be read.
 pub fn load(files: &Files) -> Result<Config, ConfigError> {
-    let mut config = reread()?;
+    let mut config = environment()?;
+    if let Some(path) = &files.operator {
+        config.operator = Operator::load(&this_program(), path, Some(&config.deployment))?;
+        config.nvme = config.operator.nvme.clone();
+    }
     if let Some(path) = &files.nvme {
+        if config.nvme.is_some() {
+            return Err(ConfigError::value("--nvme", "set in the operator file too"));
+        }
         config.nvme = Some(Map::parse(&read("--nvme", path)?, &config.deployment)?);
     }
     let source = match (&files.har, &files.access_log) {
@@ -94,8 +109,8 @@
     Ok(config)
 }
 
-/// Reads the file that the environment names, as it is now.
-pub fn reread() -> Result<Config, ConfigError> {
+/// Reads the file that the environment names.
+fn environment() -> Result<Config, ConfigError> {
     let path = std::env::var_os("GW_CONFIG").ok_or_else(|| ConfigError::missing("GW_CONFIG"))?;
     let mut config = parse(&read("GW_CONFIG", Path::new(&path))?)?;
     if let (None, Ok(ops)) = (config.ops, std::env::var("GW_OPS")) {
@@ -150,6 +165,7 @@
         known: News { kind: ListKind::Saved, ..known },
         deployment,
         nvme: None,
+        operator: Operator::default(),
         source: None,
     })
 }
--- /dev/null
+++ b/crates/config/src/operator.rs
@@ -0,0 +1,118 @@
+//! The operator file, `deploy/heathward.jsonnet`: what our installations set beside the platform's
+//! configuration. Evaluated, decoded and checked whole before any of it acts.
+
+use std::path::Path;
+
+use heathward_logs::{Filter, Format};
+use heathward_module::settings::{ConfigError, Deployment, Named, Tree};
+use heathward_wires::nvme::Map;
+use miniserde::json::{self, Value};
+
+use crate::jsonnet;
+
+/// What the file sets.
+#[derive(Clone, Debug, Default)]
+pub struct Operator {
+    /// The logs.
+    pub log: LogSettings,
+    /// The NVMe front, where it is on.
+    pub nvme: Option<Map>,
+}
+
+/// How logs look, and which are written.
+#[derive(Clone, Debug, Default)]
+pub struct LogSettings {
+    /// Text or JSON.
+    pub format: Format,
+    /// By target and level.
+    pub filter: Filter,
+}
+
+impl Operator {
+    /// Reads the file, in a process of its own that `program evaluate FILE` starts, and checks all of it.
+    ///
+    /// # Errors
+    /// The field at fault, or what keeps the file from being evaluated.
+    pub fn load(program: &Path, path: &Path, deployment: Option<&Deployment>) -> Result<Self, ConfigError> {
+        Self::parse(&jsonnet::evaluate_apart(program, path)?, deployment)
+    }
+
+    /// Decodes what the file evaluates to.
+    ///
+    /// # Errors
+    /// The field at fault.
+    pub fn parse(text: &str, deployment: Option<&Deployment>) -> Result<Self, ConfigError> {
+        let broken = |_| ConfigError { field: "operator file".to_owned(), why: "no JSON".to_owned() };
+        let value: Value = json::from_str(text).map_err(broken)?;
+        let tree = Tree(&value);
+        known(&value, "", &["log", "nvme"])?;
+        Ok(Self {
+            log: LogSettings::read(&tree, section(&value, "log"))?,
+            nvme: section(&value, "nvme").map(|map| nvme(map, deployment)).transpose()?,
+        })
+    }
+}
+
+impl LogSettings {
+    fn read(tree: &Tree<'_>, section: Option<&Value>) -> Result<Self, ConfigError> {
+        let Some(section) = section else { return Ok(Self::default()) };
+        known(section, "log.", &["format", "filter"])?;
+        Ok(Self {
+            format: tree.or("log.format", Format::default())?,
+            filter: tree.or("log.filter", Filter::default())?,
+        })
+    }
+}
+
+fn nvme(map: &Value, deployment: Option<&Deployment>) -> Result<Map, ConfigError> {
+    let need = || ConfigError::missing("a configuration that the section nvme goes with");
+    let inside = |error: ConfigError| ConfigError { field: format!("nvme.{}", error.field), ..error };
+    Map::parse(&json::to_string(map), deployment.ok_or_else(need)?).map_err(inside)
+}
+
+/// A field's value; null is as good as none.
+fn section<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
+    match value {
+        Value::Object(object) => object.get(name).filter(|value| !matches!(value, Value::Null)),
+        _ => None,
+    }
+}
+
+/// Refuses what is no object or has a field that means nothing: a slip must not pass for a setting.
+fn known(value: &Value, path: &str, names: &[&str]) -> Result<(), ConfigError> {
+    let field = |name: &str| format!("{path}{name}");
+    match value {
+        Value::Object(object) => match object.keys().find(|name| !names.contains(&name.as_str())) {
+            None => Ok(()),
+            Some(name) => Err(ConfigError { field: field(name), why: "no such setting".to_owned() }),
+        },
+        _ => {
+            let name = path.trim_end_matches('.');
+            let name = if name.is_empty() { "operator file" } else { name };
+            Err(ConfigError { field: name.to_owned(), why: "no object".to_owned() })
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case::empty("{}", None)]
+    #[case::off(r#"{"log":null,"nvme":null}"#, None)]
+    #[case::log(r#"{"log":{"format":"json","filter":"info,heathward_core=debug"}}"#, None)]
+    #[case::list("[]", Some("operator file"))]
+    #[case::slip(r#"{"logs":{}}"#, Some("logs"))]
+    #[case::slip_inside(r#"{"log":{"fromat":"json"}}"#, Some("log.fromat"))]
+    #[case::format(r#"{"log":{"format":"xml"}}"#, Some("log.format"))]
+    #[case::filter(r#"{"log":{"filter":"loud"}}"#, Some("log.filter"))]
+    #[case::no_object(r#"{"log":7}"#, Some("log"))]
+    #[case::nvme(r#"{"nvme":{}}"#, Some("a configuration that the section nvme goes with"))]
+    fn what_makes_no_sense_is_named(#[case] text: &str, #[case] field: Option<&str>) {
+        let read = Operator::parse(text, None);
+        assert_eq!(read.as_ref().err().map(|e| e.field.as_str()), field, "{read:?}");
+    }
+}
--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -590,7 +590,7 @@
             Action::Subscribe => {}
             Action::Log { text, node } => {
                 let node = node.and_then(|n| self.nodes.get(&n)).map_or("", |n| &n.member.id);
-                eprintln!("heathward: {text} {node}");
+                tracing::info!(node, "{text}");
             }
         }
     }
--- a/crates/scheduler/src/check.rs
+++ b/crates/scheduler/src/check.rs
@@ -1,6 +1,6 @@
 //! `heathward check`: whether files would be taken.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use heathward_config as config;
@@ -26,3 +26,18 @@
         ExitCode::from(2)
     }
 }
+
+/// `heathward evaluate`: what a process does that was started for one operator file.
+pub fn evaluate(file: &Path) -> ExitCode {
+    let evaluated = config::bound_this_process().map_err(|e| e.to_string());
+    match evaluated.and_then(|()| config::evaluate(file).map_err(|e| e.why)) {
+        Ok(json) => {
+            print!("{json}");
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/scheduler/src/cli.rs
+++ b/crates/scheduler/src/cli.rs
@@ -16,7 +16,7 @@
 
 Signals:
   TERM, INT   answers everything and ends
-  HUP         reads the configuration again
+  HUP         reads the configuration and the operator file again
   USR1        writes the counters to the log
 
 Environment:
@@ -37,6 +37,9 @@
 /// What it serves.
 #[derive(Args)]
 pub struct Serve {
+    /// What our installations set beside the configuration, in Jsonnet
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
     /// Turns the NVMe front on, as the file says
     #[arg(long, value_name = "FILE")]
     nvme: Option<PathBuf>,
@@ -54,8 +57,8 @@
 impl Serve {
     /// The files that it names.
     pub fn files(self) -> Files {
-        let Self { nvme, har, access_log, rules } = self;
-        Files { nvme, har, access_log, rules }
+        let Self { operator, nvme, har, access_log, rules } = self;
+        Files { operator, nvme, har, access_log, rules }
     }
 }
 
@@ -64,8 +67,12 @@
 pub enum Command {
     /// Says whether files would be taken, and names the field at fault; exit code 2 if one would not
     Check {
-        /// Configurations, NVMe maps, rules; names in them go by the first configuration, or GW_CONFIG's
+        /// Configurations, operator files (.jsonnet), NVMe maps, rules; names in them go by the first
+        /// configuration, or GW_CONFIG's
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// Evaluates an operator file to JSON, within bounds on time and memory
+    #[command(hide = true)]
+    Evaluate { file: PathBuf },
 }
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -15,10 +15,13 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if let Some(Command::Check { files }) = arguments.command {
-        return check::run(&files);
+    match arguments.command {
+        Some(Command::Check { files }) => return check::run(&files),
+        Some(Command::Evaluate { file }) => return check::evaluate(&file),
+        None => {}
     }
-    let config = match heathward_config::load(&arguments.serve.files()) {
+    let files = arguments.serve.files();
+    let config = match heathward_config::load(&files) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("heathward: {error}");
@@ -30,7 +33,7 @@
         return ExitCode::SUCCESS;
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| runtime.block_on(serve::run(config))) {
+    match runtime.and_then(|runtime| runtime.block_on(serve::run(config, files))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("heathward: {error}");
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
+use std::time::Duration;
 
-use heathward_config::{self as config, Config};
+use heathward_config::{self as config, Config, Files};
 use heathward_core::{Core, Message};
+use heathward_logs::Logs;
 use heathward_module::settings::ConfigError;
 use heathward_wires::http::{self, ConnectionTable, Front};
 use heathward_wires::node::{Figures, Pool};
@@ -16,10 +18,14 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
+use tokio::time::interval;
 
 use crate::takeover::Meeting;
 use crate::{shutdown, start, takeover};
 
+/// How often it is looked whether lines of the log were dropped.
+const TELL: Duration = Duration::from_secs(1);
+
 /// What changes while the program runs: with another configuration, or with another process beside this one.
 pub struct Service {
     core: Core,
@@ -36,6 +42,9 @@
     listening: Vec<OwnedFd>,
     nvme: Option<Arc<Subsystem>>,
     accepting: Vec<AbortHandle>,
+    /// What the arguments name, to be read again.
+    files: Files,
+    logs: Logs,
 }
 
 impl Service {
@@ -96,7 +105,8 @@
     /// Reads the configuration again and goes by it as a whole, or says why the old one stands. Connections
     /// and open requests go on; seed, NVMe front and second address stay as at the start.
     async fn reload(&mut self) -> Result<(), ConfigError> {
-        let Config { listen: address, discovery, sockets, known, deployment, .. } = config::reread()?;
+        let Config { listen: address, discovery, sockets, known, deployment, operator, .. } =
+            reread(&self.files).await?;
         let unbound = |e: io::Error| ConfigError { field: "listen".to_owned(), why: e.to_string() };
         // What may fail comes first.
         let moved = match address == self.listen {
@@ -104,6 +114,7 @@
             false => Some(start::listen(address).map_err(unbound)?),
         };
         self.core.settle(Arc::new(deployment)).await?;
+        self.logs.change(operator.log.format, operator.log.filter);
         self.sockets = sockets;
         self.share(self.joint);
         // Without a core the program ends.
@@ -143,8 +154,9 @@
 }
 
 /// Serves until a signal ends it.
-pub async fn run(config: Config) -> io::Result<()> {
-    let Config { listen, ops, discovery, seed, sockets, known, deployment, nvme, .. } = config;
+pub async fn run(config: Config, files: Files) -> io::Result<()> {
+    let Config { listen, ops, discovery, seed, sockets, known, deployment, nvme, operator, .. } = config;
+    let logs = heathward_logs::start(operator.log.format, operator.log.filter);
     let mut signals = Signals::heed()?;
     let (mut meeting, mut phases, mut taken) = Meeting::come(listen).await;
     let mut handed = taken.as_mut().map(|taken| std::mem::take(&mut taken.sockets)).unwrap_or_default();
@@ -162,7 +174,7 @@
         None => None,
         Some(map) => {
             let socket = start::listen_on(&mut handed, map.listen)?;
-            eprintln!("heathward: NVMe front listening on {}", start::listener(&socket)?.local_addr()?);
+            tracing::info!("NVMe front listening on {}", start::listener(&socket)?.local_addr()?);
             listening.push(socket);
             Some(Subsystem::new(map, core.clone(), seed))
         }
@@ -182,6 +194,8 @@
         listening,
         nvme,
         accepting: Vec::new(),
+        files,
+        logs,
     };
     service.accept()?;
     if let Some(taken) = taken {
@@ -190,13 +204,15 @@
     tokio::spawn(discovery::follow(addresses, revision, core.mailbox(), seed));
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await?;
-        eprintln!("heathward: operations on {}", listener.local_addr()?);
+        tracing::info!("operations on {}", listener.local_addr()?);
         tokio::spawn(ops::serve(listener, core.clone(), start::staff_connections(sockets)));
     }
     meeting.open();
-    eprintln!("heathward: listening on {address}");
+    tracing::info!("listening on {address}");
+    let (mut untold, mut told) = (interval(TELL), 0);
     loop {
         tokio::select! {
+            _ = untold.tick() => tell_dropped(&service.logs, &mut told),
             _ = signals.report.recv() => print(&service.core).await,
             _ = signals.hangup.recv() => reload(&mut service).await,
             Some(stream) = meeting.next(), if !service.joint => {
@@ -216,17 +232,36 @@
     Ok(())
 }
 
+/// Reads all files again. An operator file is evaluated on a thread of its own, as that takes a while.
+async fn reread(files: &Files) -> Result<Config, ConfigError> {
+    if files.operator.is_none() {
+        return config::load(files);
+    }
+    let files = files.clone();
+    let read = tokio::task::spawn_blocking(move || config::load(&files)).await;
+    read.unwrap_or_else(|e| Err(ConfigError { field: "operator file".to_owned(), why: e.to_string() }))
+}
+
+/// Says how many lines of the log were dropped since that was said last.
+fn tell_dropped(logs: &Logs, told: &mut usize) {
+    let dropped = logs.dropped();
+    if dropped > *told {
+        tracing::warn!(lines = dropped - *told, "log lines were dropped");
+        *told = dropped;
+    }
+}
+
 async fn reload(service: &mut Service) {
     let read = service.reload().await;
     service.core.configured(read.is_ok());
     match read {
-        Ok(()) => eprintln!("heathward: configuration read again"),
-        Err(error) => eprintln!("heathward: configuration not taken: {error}"),
+        Ok(()) => tracing::info!("configuration read again"),
+        Err(error) => tracing::error!("configuration not taken: {error}"),
     }
 }
 
 async fn print(core: &Core) {
     if let Some(figures) = core.figures().await {
-        eprintln!("heathward: counters {}", figures.counters);
+        tracing::info!("counters {}", figures.counters);
     }
 }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -41,7 +41,7 @@
     /// Goes on from what the process before has handed over, which leaves.
     pub async fn go_on(&self, taken: Taken, core: Core) {
         taken.serve(core, self.tell.clone()).await;
-        eprintln!("heathward: took over from the process before");
+        tracing::info!("took over from the process before");
     }
 
     /// From now on the next process finds this one here.
@@ -64,7 +64,7 @@
 
 /// Does what the other process's coming and going asks for.
 pub fn follow(phase: PartnerPhase, service: &mut Service, meeting: &mut Meeting) -> io::Result<()> {
-    eprintln!("heathward: the process beside this one: {phase:?}");
+    tracing::info!("the process beside this one: {phase:?}");
     service.share(phase != PartnerPhase::Gone);
     match phase {
         PartnerPhase::Starting => {}
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -200,7 +200,7 @@
     if line.is_empty() {
         return None;
     }
-    parse(line).inspect_err(|why| eprintln!("heathward: discovery: line dropped: {why}")).ok()
+    parse(line).inspect_err(|why| tracing::warn!("discovery: line dropped: {why}")).ok()
 }
 
 type Watch<D> = Option<(Incoming, D)>;
