--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -31,6 +31,8 @@
 
 /// All that the program is told.
 pub struct Config {
+    /// The scheduler's name, the same after a restart.
+    pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where operations staff connect, if anywhere.
@@ -154,6 +156,7 @@
     let checked = deployment.settings.check();
     checked.map_err(|e| ConfigError { field: "settings".to_owned(), why: e.to_string() })?;
     Ok(Config {
+        name: tree.or("name", "heathward".to_owned())?,
         listen: tree.number("listen")?,
         ops: match tree.get("ops") {
             Some(_) => Some(tree.number("ops")?),
--- a/crates/config/src/operator.rs
+++ b/crates/config/src/operator.rs
@@ -1,10 +1,13 @@
 //! The operator file, `deploy/heathward.jsonnet`: what our installations set beside the platform's
 //! configuration. Evaluated, decoded and checked whole before any of it acts.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use heathward_logs::{Filter, Format};
 use heathward_module::settings::{ConfigError, Deployment, Named, Tree};
+use heathward_recorder::{Clock, Settings};
+use heathward_records::segment::Rotation;
+use heathward_records::Limits;
 use heathward_wires::nvme::Map;
 use miniserde::json::{self, Value};
 
@@ -17,6 +20,8 @@
     pub log: LogSettings,
     /// The NVMe front, where it is on.
     pub nvme: Option<Map>,
+    /// The records, where they are kept.
+    pub records: Option<Settings>,
 }
 
 /// How logs look, and which are written.
@@ -45,10 +50,11 @@
         let broken = |_| ConfigError { field: "operator file".to_owned(), why: "no JSON".to_owned() };
         let value: Value = json::from_str(text).map_err(broken)?;
         let tree = Tree(&value);
-        known(&value, "", &["log", "nvme"])?;
+        known(&value, "", &["log", "nvme", "records"])?;
         Ok(Self {
             log: LogSettings::read(&tree, section(&value, "log"))?,
             nvme: section(&value, "nvme").map(|map| nvme(map, deployment)).transpose()?,
+            records: section(&value, "records").map(|section| records(&tree, section)).transpose()?,
         })
     }
 }
@@ -70,6 +76,51 @@
     Map::parse(&json::to_string(map), deployment.ok_or_else(need)?).map_err(inside)
 }
 
+/// Bytes in a megabyte as the file counts them.
+const MB: u64 = 1 << 20;
+
+fn records(tree: &Tree<'_>, section: &Value) -> Result<Settings, ConfigError> {
+    let names = ["folder", "segmentMb", "segmentSeconds", "totalMb", "waiting", "requests", "clock"];
+    known(section, "records.", &names)?;
+    let within = |name: &str, absent: u64, least: u64, most: u64| {
+        let field = format!("records.{name}");
+        let value: u64 = tree.or(&field, absent)?;
+        if (least..=most).contains(&value) {
+            Ok(value)
+        } else {
+            Err(ConfigError { field, why: format!("{value} is not within {least} to {most}") })
+        }
+    };
+    let folder = tree.need("records.folder")?;
+    if !Path::new(&*folder).is_absolute() {
+        return Err(ConfigError { field: "records.folder".to_owned(), why: "no absolute path".to_owned() });
+    }
+    let size = within("segmentMb", 16, 1, 1024)? * MB;
+    let age = within("segmentSeconds", 600, 1, 86_400)? * 1_000_000;
+    let total = within("totalMb", 512, 2, 1 << 20)? * MB;
+    if total < 2 * size {
+        let why = "less than two segments".to_owned();
+        return Err(ConfigError { field: "records.totalMb".to_owned(), why });
+    }
+    Ok(Settings {
+        folder: PathBuf::from(&*folder),
+        limits: Limits { rotation: Rotation { size, age }, total },
+        waiting: within("waiting", 8192, 64, 65_536)? as usize,
+        requests: tree.flag("records.requests")?,
+        clock: clock(tree, section)?,
+    })
+}
+
+fn clock(tree: &Tree<'_>, records: &Value) -> Result<Clock, ConfigError> {
+    let Some(clock) = self::section(records, "clock") else { return Ok(Clock::default()) };
+    known(clock, "records.clock.", &["offsetMs", "stepAfterMs", "stepMs"])?;
+    Ok(Clock {
+        offset_ms: tree.or("records.clock.offsetMs", 0)?,
+        step_after_ms: tree.or("records.clock.stepAfterMs", 0)?,
+        step_ms: tree.or("records.clock.stepMs", 0)?,
+    })
+}
+
 /// A field's value; null is as good as none.
 fn section<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
     match value {
@@ -110,6 +161,16 @@
     #[case::format(r#"{"log":{"format":"xml"}}"#, Some("log.format"))]
     #[case::filter(r#"{"log":{"filter":"loud"}}"#, Some("log.filter"))]
     #[case::no_object(r#"{"log":7}"#, Some("log"))]
+    #[case::records(r#"{"records":{"folder":"/r","segmentMb":8,"totalMb":16,"requests":true}}"#, None)]
+    #[case::no_folder(r#"{"records":{}}"#, Some("records.folder"))]
+    #[case::here(r#"{"records":{"folder":"r"}}"#, Some("records.folder"))]
+    #[case::too_small(r#"{"records":{"folder":"/r","totalMb":20}}"#, Some("records.totalMb"))]
+    #[case::negative(r#"{"records":{"folder":"/r","waiting":-1}}"#, Some("records.waiting"))]
+    #[case::flag(r#"{"records":{"folder":"/r","requests":"maybe"}}"#, Some("records.requests"))]
+    #[case::clock(
+        r#"{"records":{"folder":"/r","clock":{"offsetMs":-300,"step":1}}}"#,
+        Some("records.clock.step")
+    )]
     #[case::nvme(r#"{"nvme":{}}"#, Some("a configuration that the section nvme goes with"))]
     fn what_makes_no_sense_is_named(#[case] text: &str, #[case] field: Option<&str>) {
         let read = Operator::parse(text, None);
--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::body::{Ids, OpenId};
+use super::observe::{self, Note, Observer, Treated, Why};
 use super::{
     Answer, Attempt, Call, Clock, Counters, Draining, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
     Order, Passing, Reply, State, Tries, Upload,
@@ -43,6 +44,9 @@
 /// module, which forgets it as late.
 const FORGET: Duration = Duration::from_secs(60);
 
+/// How often an observer is told that time has passed.
+const TICK: Duration = Duration::from_millis(100);
+
 /// What the module's actor is told.
 pub enum Message {
     /// A front has taken a request.
@@ -68,6 +72,8 @@
     EndBy(Instant),
     /// A configuration was read again: it is gone by, or not taken.
     Configured(bool),
+    /// Records are kept by that from now on, or not at all; the reply says that it is so.
+    Observe(Option<Box<dyn Observer>>, oneshot::Sender<()>),
 }
 
 /// What passes ahead of all messages.
@@ -168,6 +174,15 @@
         let _ = self.mailbox.send(Message::EndBy(last)).await;
     }
 
+    /// Has records kept by that, or not at all, once it returns. The one before is dropped.
+    pub async fn observe(&self, observer: Option<Box<dyn Observer>>) {
+        let (reply, done) = oneshot::channel();
+        // A core that has stopped has nothing to tell.
+        if self.mailbox.send(Message::Observe(observer, reply)).await.is_ok() {
+            let _ = done.await;
+        }
+    }
+
     /// Counts a request that a front turned away.
     pub fn malformed(&self) {
         // Only a count: not worth waiting for when the mailbox is full.
@@ -274,6 +289,9 @@
         suspended: BTreeSet::new(),
         counters: Counters::default(),
         tries: Tries::default(),
+        observer: None,
+        tick: Instant::now(),
+        arriving: None,
     };
     tokio::spawn(actor.run(messages, orders));
     Ok(Core {
@@ -291,6 +309,8 @@
     call: Call,
     /// Its client's id is taken.
     taken: Option<OpenId>,
+    /// When it came.
+    came: Instant,
     /// When half of its time is over.
     half: Instant,
     /// Taken by the one final answer.
@@ -300,6 +320,8 @@
     out: Option<(u32, Instant)>,
     /// When the first attempt that may have run was sent.
     ran: Option<Instant>,
+    /// How the last attempt ended.
+    last: Option<End>,
 }
 
 struct Node {
@@ -314,6 +336,8 @@
     /// The list's version that told of it last, and the one that told that it drains or is gone.
     revision: u64,
     drained: Option<u64>,
+    /// What the observer was told last of how it is treated.
+    treated: Option<Treated>,
 }
 
 struct Actor {
@@ -347,6 +371,11 @@
     suspended: BTreeSet<Box<str>>,
     counters: Counters,
     tries: Tries,
+    observer: Option<Box<dyn Observer>>,
+    /// When the observer is told next that time has passed.
+    tick: Instant,
+    /// The request that the module is being told of.
+    arriving: Option<RequestId>,
 }
 
 impl Actor {
@@ -354,7 +383,8 @@
         loop {
             let wake = self.wakes.first().map(|(at, _)| self.clock.instant(*at));
             let limit = self.limits.first().map(|(at, _)| *at);
-            let next = wake.into_iter().chain(limit).min();
+            let tick = self.observer.as_ref().map(|_| self.tick);
+            let next = wake.into_iter().chain(limit).chain(tick).min();
             tokio::select! {
                 biased;
                 Some(urgent) = orders.recv() => self.urgent(urgent),
@@ -365,6 +395,7 @@
                 () = tokio::time::sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
             }
             self.ring();
+            self.pass_time();
             let open = self.limits.len();
             self.status.send_if_modified(|s| std::mem::replace(&mut s.open, open) != open);
         }
@@ -386,9 +417,20 @@
                 // Whoever asked may have left.
                 let _ = reply.send(self.resettle(deployment));
             }
-            Message::EndBy(last) => self.last = Some(last),
-            Message::Configured(true) => self.counters.configured.0 += 1,
-            Message::Configured(false) => self.counters.configured.1 += 1,
+            Message::EndBy(last) => {
+                self.last = Some(last);
+                self.note(Note::Ending);
+            }
+            Message::Configured(taken) => {
+                let (applied, rejected) = &mut self.counters.configured;
+                *if taken { applied } else { rejected } += 1;
+                self.note(Note::Reloaded(taken));
+            }
+            Message::Observe(observer, reply) => {
+                self.observe(observer);
+                // Whoever asked may have left.
+                let _ = reply.send(());
+            }
         }
     }
 
@@ -415,12 +457,14 @@
             Urgent::HandOver(reply) => {
                 let (partner, orders) = mpsc::channel(ORDERS);
                 self.partner = Some(partner);
+                self.note(Note::HandedOver);
                 // The other process may have ended meanwhile.
                 let _ = reply.send((self.state(), orders));
             }
             Urgent::TakeOver(state, reply) => {
                 let (partner, orders) = mpsc::channel(ORDERS);
                 self.partner = Some(partner);
+                self.note(Note::TookOver);
                 self.go_on_from(state);
                 let _ = reply.send(orders);
             }
@@ -461,12 +505,13 @@
         for (name, since) in cold {
             let Some(&id) = self.ids.get(&name) else { continue };
             self.nodes.entry(id).and_modify(|node| node.restored = node.restored.max(Some(since)));
-            self.relist(id);
+            self.relist(id, Why::Handover);
         }
     }
 
     fn pause(&mut self, paused: bool) -> Result<(), NotDone> {
         set(&self.draining, |draining| draining.paused = paused);
+        self.note(Note::Paused(paused));
         Ok(())
     }
 
@@ -477,7 +522,7 @@
             return Err(NotDone::TooMany);
         }
         self.suspended.insert(id);
-        self.relist(node);
+        self.relist(node, Why::Order);
         Ok(())
     }
 
@@ -492,17 +537,18 @@
         if was_out {
             let now = self.clock.at(Instant::now());
             self.nodes.entry(node).and_modify(|node| node.restored = Some(now));
-            self.relist(node);
+            self.relist(node, Why::Order);
         }
         Ok(())
     }
 
     /// Tells the module how a listed node stands now that staff have had their say.
-    fn relist(&mut self, id: NodeId) {
+    fn relist(&mut self, id: NodeId, why: Why) {
         let Some(node) = self.nodes.get(&id).filter(|node| node.mailbox.is_some()) else { return };
         let zone = self.zones.iter().position(|z| *z == node.member.zone).unwrap_or_default();
         let entry = self.standing(id, node, zone);
         self.feed(Event::List { kind: ListKind::Changes, entries: vec![entry] });
+        self.look_at(id, why);
     }
 
     /// A node's entry for the module: it drains if either its list or staff say so.
@@ -515,6 +561,59 @@
         ListEntry { node: id, shard: *shard, zone: zone as u32, state, started }
     }
 
+    /// Tells the observer, if there is one.
+    fn note(&mut self, note: Note<'_>) {
+        if let Some(observer) = &mut self.observer {
+            observer.note(Instant::now(), note);
+        }
+    }
+
+    /// Records are kept from now on: what stands is told first.
+    fn observe(&mut self, observer: Option<Box<dyn Observer>>) {
+        self.observer = observer;
+        self.tick = Instant::now();
+        if let Some(observer) = &mut self.observer {
+            observer.settings(&self.deployment.borrow());
+        }
+        let listed = self.nodes.values().filter(|node| node.mailbox.is_some());
+        let members: Vec<Member> = listed.map(|node| node.member.clone()).collect();
+        let revision = self.revision;
+        // Not news: others have seen it at another time.
+        self.note(Note::Listed { revision, kind: ListKind::Saved, members: &members });
+        self.nodes.values_mut().for_each(|node| node.treated = None);
+        self.look_at_all(Why::List(revision));
+    }
+
+    fn look_at_all(&mut self, why: Why) {
+        if self.observer.is_some() {
+            let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+            ids.into_iter().for_each(|id| self.look_at(id, why));
+        }
+    }
+
+    /// Tells the observer of a node that is treated otherwise than it was told last.
+    fn look_at(&mut self, id: NodeId, why: Why) {
+        let (Some(observer), Some(node)) = (&mut self.observer, self.nodes.get_mut(&id)) else { return };
+        let (at, out) = (Instant::now(), self.suspended.contains(&node.member.id));
+        let now = self.clock.at(at);
+        let listed = if node.mailbox.is_some() { node.member.state } else { NodeState::Gone };
+        let (standing, warm) =
+            (self.scheduler.standing(now, id), self.deployment.borrow().settings.cold_time);
+        let treated = Treated::of(listed, out, standing, now, warm);
+        if node.treated.replace(treated) != Some(treated) {
+            observer.note(at, Note::Node { node: &node.member.id, treated, why });
+        }
+    }
+
+    /// Tells the observer that time has passed, and what has changed by that alone.
+    fn pass_time(&mut self) {
+        if self.observer.is_some() && Instant::now() >= self.tick {
+            self.tick = Instant::now() + TICK;
+            self.look_at_all(Why::Time);
+            self.note(Note::Tick);
+        }
+    }
+
     /// Fires the timers that are due, and ends what the module has left open past its time.
     fn ring(&mut self) {
         let now = Instant::now();
@@ -535,6 +634,18 @@
         let Some(open) = self.open.get_mut(&id) else { return false };
         let Some(reply) = open.reply.take() else { return false };
         let class = open.call.class;
+        if let Some(observer) = &mut self.observer {
+            let at_once = self.arriving == Some(id) && open.sends == 0;
+            let outcome = match &answer {
+                None | Some(Answer::Duplicate) => observe::Outcome::Gone,
+                Some(Answer::Served(_)) => observe::Outcome::Served,
+                Some(Answer::Refused { .. }) => observe::Outcome::Refused { last: open.last, at_once },
+                Some(Answer::Failed { ran, late }) => observe::Outcome::Failed { ran: *ran, late: *late },
+            };
+            let now = Instant::now();
+            let took = now.saturating_duration_since(open.came).as_micros() as Micros;
+            observer.note(now, Note::Answered { request: id, class, outcome, took });
+        }
         self.limits.remove(&(open.call.deadline + BACKSTOP, id));
         if open.out.is_none() {
             self.close(id);
@@ -564,10 +675,17 @@
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
             let now = self.clock.at(Instant::now());
+            let ended = match &event {
+                Event::Outcome(outcome) => Some((outcome.node, outcome.end)),
+                _ => None,
+            };
             self.scheduler.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action);
             }
+            if let Some((node, end)) = ended {
+                self.look_at(node, Why::Attempt(end));
+            }
         }
     }
 
@@ -621,11 +739,23 @@
             passes: call.work.rest.is_some(),
         };
         self.limits.insert((call.deadline + BACKSTOP, id));
-        self.open.insert(
-            id,
-            Open { call, taken: Some(taken), half, reply: Some(reply), sends: 0, out: None, ran: None },
-        );
+        let Request { class, plan, volume, units, .. } = request;
+        self.note(Note::Taken { request: id, class, plan, volume, units });
+        let open = Open {
+            call,
+            taken: Some(taken),
+            came: now,
+            half,
+            reply: Some(reply),
+            sends: 0,
+            out: None,
+            ran: None,
+            last: None,
+        };
+        self.open.insert(id, open);
+        self.arriving = Some(id);
         self.feed(Event::Arrival(request));
+        self.arriving = None;
     }
 
     /// The one place where attempts go out. Guards against a second one beside another, one after the final
@@ -654,12 +784,21 @@
             let attempt = Attempt { request, number, node, until, reach, work, gate, tries };
             to.mailbox.as_ref().is_some_and(|mailbox| mailbox.try_send(attempt).is_ok())
         });
+        let to = self.nodes.get(&node);
         if sent {
             open.out = Some((number, now));
             self.counters.sent += 1;
+            if let (Some(observer), Some(to)) = (&mut self.observer, to) {
+                let cold = matches!(to.treated, Some(Treated::Cold(_)));
+                let cold_units = if cold { open.call.work.units } else { 0 };
+                observer.note(now, Note::Sent { request, node: &to.member.id, cold_units });
+            }
             return;
         }
         self.counters.ended(End::Moot);
+        if let (Some(observer), Some(to)) = (&mut self.observer, to) {
+            observer.note(now, Note::Ended { request, node: &to.member.id, end: End::Moot });
+        }
         let (end, closed) = (End::Moot, open.reply.is_none());
         let took = 0;
         let (used, elsewhere, busy) = (None, None, None);
@@ -674,6 +813,10 @@
         // A node begins once the last byte has come.
         let from = open.call.work.rest.as_ref().and_then(Upload::ended).map_or(sent, |at| at.max(sent));
         self.counters.ended(end);
+        open.last = Some(end);
+        if let (Some(observer), Some(to)) = (&mut self.observer, self.nodes.get(&node)) {
+            observer.note(Instant::now(), Note::Ended { request, node: &to.member.id, end });
+        }
         if matches!(end, End::Error | End::TimedOut | End::Reset | End::Cancelled) {
             open.ran = open.ran.or(Some(sent));
         }
@@ -713,6 +856,9 @@
         }
         let resettled = self.scheduler.resettle(deployment.settings.clone());
         resettled.map_err(|e| ConfigError { field: "settings".to_owned(), why: e.to_string() })?;
+        if let Some(observer) = &mut self.observer {
+            observer.settings(&deployment);
+        }
         self.deployment.send_replace(deployment);
         Ok(())
     }
@@ -725,6 +871,7 @@
         }
         self.revision = revision;
         self.counters.lists += 1;
+        self.note(Note::Listed { revision, kind: news.kind, members: &news.members });
         let mut listed = BTreeSet::new();
         let mut entries = Vec::new();
         for member in news.members {
@@ -741,6 +888,7 @@
             }
         }
         self.feed(Event::List { kind: news.kind, entries });
+        self.look_at_all(Why::List(revision));
         let now = Instant::now();
         self.nodes.retain(|_, node| {
             node.listed = if node.mailbox.is_some() { now } else { node.listed };
@@ -768,6 +916,7 @@
             listed: Instant::now(),
             revision,
             drained: None,
+            treated: None,
         };
         let slot = self.nodes.entry(node).or_insert_with(fresh);
         if revision < slot.revision && !whole {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -63,6 +63,9 @@
     /// Sources of load
     #[command(subcommand)]
     Load(LoadCommand),
+    /// Records as they lie in files
+    #[command(subcommand)]
+    Records(RecordsCommand),
     /// Prints completions for a shell
     Completions { shell: Shell },
 }
@@ -91,6 +94,32 @@
     List(SourceOf),
 }
 
+/// What to do with records.
+#[derive(Subcommand)]
+pub enum RecordsCommand {
+    /// Says of each run of a scheduler whether its records are whole; exit code 1 if not
+    Verify {
+        /// Folders of segments, or segments
+        #[arg(required = true, value_name = "PATH")]
+        paths: Vec<PathBuf>,
+    },
+    /// Prints every event
+    Show {
+        /// Folders of segments, or segments
+        #[arg(required = true, value_name = "PATH")]
+        paths: Vec<PathBuf>,
+    },
+    /// Writes every event as a JSON object, a line each
+    Export {
+        /// Folders of segments, or segments
+        #[arg(required = true, value_name = "PATH")]
+        paths: Vec<PathBuf>,
+        /// The file, in place of standard output
+        #[arg(short = 'o', long = "output", value_name = "FILE")]
+        to: Option<PathBuf>,
+    },
+}
+
 /// A source of load and its rules.
 #[derive(Args)]
 pub struct SourceOf {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,11 +7,12 @@
 mod load;
 mod orders;
 mod outcome;
+mod records;
 
 use std::process::ExitCode;
 
 use clap::{CommandFactory, Parser};
-use cli::{Arguments, Command, LoadCommand};
+use cli::{Arguments, Command, LoadCommand, RecordsCommand};
 
 fn main() -> ExitCode {
     let outcome = match Arguments::parse().command {
@@ -22,6 +23,9 @@
         Command::Pause(to) => orders::order(&to, heathward_core::Order::Pause),
         Command::Resume(to) => orders::order(&to, heathward_core::Order::Resume),
         Command::Load(LoadCommand::List(source)) => load::list(&source),
+        Command::Records(RecordsCommand::Verify { paths }) => records::verify(&paths),
+        Command::Records(RecordsCommand::Show { paths }) => records::show(&paths),
+        Command::Records(RecordsCommand::Export { paths, to }) => records::export(&paths, to.as_deref()),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "heathwardctl", &mut std::io::stdout());
--- /dev/null
+++ b/crates/recorder/src/lib.rs
@@ -0,0 +1,311 @@
+//! Keeps a scheduler's records: an [`Observer`] of the core that counts by the second and hands typed events
+//! to the writer's queue. It runs on the core's thread and never waits.
+
+mod second;
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use heathward_core::observe::{self, Note, Observer, Treated};
+use heathward_module::settings::Deployment;
+use heathward_module::{Effect, End, ListKind, NodeState, RequestId};
+use heathward_records::{
+    channel, Attempted, Class, Ended, Event, Failure, Folder, Kind, Lifecycle, Limits, Listed, ListedNode,
+    Micros, NodeChange, Opened, Outcome, Refusal, RequestDone, Sender, Stamp, Why, Writer,
+};
+use second::Second;
+use tokio::time::Instant;
+
+/// Requests that are followed at a time, where each is recorded; others count as lost events.
+const FOLLOWED: usize = 16 * 1024;
+
+/// What is kept, where, and how much of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The folder of the segments.
+    pub folder: PathBuf,
+    /// How much is kept.
+    pub limits: Limits,
+    /// Events that wait for the writer at most.
+    pub waiting: usize,
+    /// Whether each request is recorded with its attempts.
+    pub requests: bool,
+    /// For rehearsals: a clock that is wrong.
+    pub clock: Clock,
+}
+
+/// The clock by which records are told, as far as it differs from the machine's. All zero in service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Clock {
+    /// Milliseconds that it is ahead.
+    pub offset_ms: i64,
+    /// Milliseconds after the start at which it steps.
+    pub step_after_ms: u64,
+    /// By so many milliseconds.
+    pub step_ms: i64,
+}
+
+impl Clock {
+    fn wall(self, mono: Micros) -> Micros {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
+        let stepped = if mono >= self.step_after_ms * 1000 { self.step_ms } else { 0 };
+        u64::try_from(unix + (self.offset_ms + stepped) * 1000).unwrap_or(0)
+    }
+}
+
+/// Keeps records while it lives; its last are written as it is dropped.
+pub struct Recorder {
+    sender: Sender,
+    clock: Clock,
+    start: Instant,
+    second: Second,
+    /// Requests that have no end yet, where each is recorded.
+    followed: Option<HashMap<RequestId, RequestDone>>,
+}
+
+impl Recorder {
+    /// Starts to keep records of the scheduler of that name, and the writer, whose end comes after the
+    /// recorder's. `boot` tells this run from all others.
+    ///
+    /// # Errors
+    /// The system's, where it has no thread to spare.
+    pub fn start(
+        settings: &Settings,
+        name: &str,
+        boot: u64,
+        deployment: &Deployment,
+    ) -> std::io::Result<(Self, Writer)> {
+        let (sender, waiting) = channel(settings.waiting);
+        let opened = opened(settings, name, boot, deployment);
+        let writer = Writer::start(Folder(settings.folder.clone()), waiting, opened, settings.limits)?;
+        Ok((Self::new(sender, settings.clock, settings.requests), writer))
+    }
+
+    /// One that hands its events to a sender of the caller's.
+    pub fn new(sender: Sender, clock: Clock, requests: bool) -> Self {
+        let followed = requests.then(HashMap::new);
+        let mut new = Self { sender, clock, start: Instant::now(), second: Second::default(), followed };
+        new.put(0, Event::Lifecycle(Lifecycle::Started));
+        new
+    }
+
+    fn mono(&self, at: Instant) -> Micros {
+        at.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
+    fn put(&mut self, mono: Micros, event: Event) {
+        let wall = self.clock.wall(mono);
+        self.sender.put(Stamp { wall, mono }, event);
+    }
+
+    /// Tells of the second that is over, if one is.
+    fn roll(&mut self, mono: Micros) {
+        if self.second.over(mono) {
+            self.tell_second(mono);
+        }
+    }
+
+    fn tell_second(&mut self, mono: Micros) {
+        let events = self.second.close(mono);
+        events.into_iter().for_each(|event| self.put(mono, event));
+    }
+
+    fn follow(&mut self, mono: Micros, request: RequestId, begun: impl FnOnce() -> RequestDone) {
+        let Some(followed) = &mut self.followed else { return };
+        if followed.len() < FOLLOWED {
+            followed.insert(request, begun());
+        } else {
+            let wall = self.clock.wall(mono);
+            self.sender.lose(Stamp { wall, mono });
+        }
+    }
+}
+
+/// Who writes, and by which settings.
+fn opened(settings: &Settings, name: &str, boot: u64, deployment: &Deployment) -> Opened {
+    let of_module = &deployment.settings;
+    let class = |(name, class): (&String, &heathward_module::ClassSettings)| Class {
+        name: name.clone(),
+        aim: class.aim,
+        deadline: class.deadline,
+        window: if class.effect == Effect::Keyed { class.window } else { 0 },
+    };
+    Opened {
+        scheduler: name.to_owned(),
+        boot,
+        segment: 0,
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        pid: std::process::id(),
+        classes: deployment.classes.iter().zip(&of_module.classes).map(class).collect(),
+        plans: deployment.plans.clone(),
+        cold_units: of_module.cold_units,
+        cold_share: of_module.cold_share,
+        cold_time: of_module.cold_time,
+        fall_time: of_module.fall_time,
+        requests: settings.requests,
+    }
+}
+
+impl Observer for Recorder {
+    fn note(&mut self, at: Instant, note: Note<'_>) {
+        let mono = self.mono(at);
+        self.roll(mono);
+        match note {
+            Note::Tick => {}
+            Note::Listed { revision, kind, members } => {
+                let node = |member: &heathward_core::Member| ListedNode {
+                    node: member.id.to_string(),
+                    shard: member.shard.0,
+                    state: listed(member.state),
+                    started: member.started,
+                };
+                // More than fit a frame are told in several of one version.
+                let kind = list_kind(kind);
+                let mut told = false;
+                for some in members.chunks(LISTED_AT_ONCE) {
+                    let nodes = some.iter().map(node).collect();
+                    self.put(mono, Event::Listed(Listed { revision, kind, nodes }));
+                    told = true;
+                }
+                if !told {
+                    self.put(mono, Event::Listed(Listed { revision, kind, nodes: Vec::new() }));
+                }
+            }
+            Note::Node { node, treated, why } => {
+                let change = NodeChange { node: node.to_owned(), state: state(treated), why: reason(why) };
+                self.put(mono, Event::Node(change));
+            }
+            Note::Taken { request, class, plan, volume, units } => {
+                self.second.class(class.0).taken += 1;
+                self.follow(mono, request, || RequestDone {
+                    request: request.0,
+                    class: class.0,
+                    plan: plan.0,
+                    volume: volume.0,
+                    units,
+                    arrived: mono,
+                    answered: mono,
+                    outcome: Outcome::Gone,
+                    attempts: Vec::new(),
+                });
+            }
+            Note::Sent { request, node, cold_units } => {
+                self.second.sent(node, cold_units);
+                if let Some(done) = self.followed.as_mut().and_then(|f| f.get_mut(&request)) {
+                    done.attempts.push(Attempted { node: node.to_owned(), sent: mono, ended: None });
+                }
+            }
+            Note::Ended { request, node, end } => {
+                self.second.ended(node, ended(end));
+                let done = self.followed.as_mut().and_then(|f| f.get_mut(&request));
+                let last = done.and_then(|done| done.attempts.last_mut());
+                // One that was never sent is no attempt.
+                if let Some(last) = last.filter(|_| end != End::Moot) {
+                    last.ended = Some((mono, ended(end)));
+                }
+            }
+            Note::Answered { request, class, outcome, took } => {
+                let outcome = outcome_of(outcome);
+                self.second.answered(class.0, outcome, took);
+                if let Some(mut done) = self.followed.as_mut().and_then(|f| f.remove(&request)) {
+                    (done.answered, done.outcome) = (mono, outcome);
+                    self.put(mono, Event::Request(done));
+                }
+            }
+            Note::Reloaded(taken) => self.put(mono, Event::Lifecycle(Lifecycle::Reloaded(taken))),
+            Note::Ending => self.put(mono, Event::Lifecycle(Lifecycle::Ending)),
+            Note::HandedOver => self.put(mono, Event::Lifecycle(Lifecycle::HandedOver)),
+            Note::TookOver => self.put(mono, Event::Lifecycle(Lifecycle::TookOver)),
+            Note::Paused(true) => self.put(mono, Event::Lifecycle(Lifecycle::Paused)),
+            Note::Paused(false) => self.put(mono, Event::Lifecycle(Lifecycle::Resumed)),
+        }
+    }
+
+    fn settings(&mut self, deployment: &Deployment) {
+        self.second.aims = deployment.settings.classes.iter().map(|class| class.aim).collect();
+    }
+}
+
+impl Drop for Recorder {
+    fn drop(&mut self) {
+        let mono = self.mono(Instant::now());
+        self.tell_second(mono);
+        self.put(mono, Event::Lifecycle(Lifecycle::Ended));
+    }
+}
+
+/// Nodes of a list in one event: with ids of 128 bytes they fit a frame.
+const LISTED_AT_ONCE: usize = 256;
+
+fn listed(state: NodeState) -> heathward_records::NodeState {
+    match state {
+        NodeState::Ready => heathward_records::NodeState::InService,
+        NodeState::Draining => heathward_records::NodeState::Draining,
+        NodeState::Gone => heathward_records::NodeState::Gone,
+    }
+}
+
+fn list_kind(kind: ListKind) -> Kind {
+    match kind {
+        ListKind::Changes => Kind::Changes,
+        ListKind::Whole => Kind::Whole,
+        ListKind::Saved => Kind::Saved,
+        ListKind::Failed => Kind::Failed,
+    }
+}
+
+fn state(treated: Treated) -> heathward_records::NodeState {
+    match treated {
+        Treated::InService => heathward_records::NodeState::InService,
+        Treated::Cold(since) => heathward_records::NodeState::Cold(since),
+        Treated::Silent => heathward_records::NodeState::Silent,
+        Treated::Suspended => heathward_records::NodeState::Suspended,
+        Treated::Draining => heathward_records::NodeState::Draining,
+        Treated::Gone => heathward_records::NodeState::Gone,
+    }
+}
+
+fn reason(why: observe::Why) -> Why {
+    match why {
+        observe::Why::List(revision) => Why::List(revision),
+        observe::Why::Order => Why::Order,
+        observe::Why::Handover => Why::Handover,
+        observe::Why::Attempt(end) => Why::Attempt(ended(end)),
+        observe::Why::Time => Why::Time,
+    }
+}
+
+fn ended(end: End) -> Ended {
+    match end {
+        End::Served => Ended::Served,
+        End::Error => Ended::Error,
+        End::Full => Ended::Full,
+        End::TimedOut => Ended::TimedOut,
+        End::NotConnected => Ended::NotConnected,
+        End::Reset => Ended::Reset,
+        End::Cancelled => Ended::Cancelled,
+        End::Moot => Ended::Moot,
+    }
+}
+
+fn outcome_of(outcome: observe::Outcome) -> Outcome {
+    match outcome {
+        observe::Outcome::Served => Outcome::Served,
+        observe::Outcome::Refused { last: None, at_once: true } => Outcome::Refused(Refusal::NotAdmitted),
+        observe::Outcome::Refused { last: None, at_once: false } => Outcome::Refused(Refusal::GivenUp),
+        observe::Outcome::Refused { last: Some(End::Full), .. } => Outcome::Refused(Refusal::TurnedAway),
+        observe::Outcome::Refused { last: Some(End::NotConnected), .. } => {
+            Outcome::Refused(Refusal::NotConnected)
+        }
+        observe::Outcome::Refused { last: Some(_), .. } => Outcome::Refused(Refusal::Lost),
+        observe::Outcome::Failed { ran: false, late: true } => Outcome::Failed(Failure::Late),
+        observe::Outcome::Failed { ran: true, late: true } => Outcome::Failed(Failure::LateMayHaveRun),
+        observe::Outcome::Failed { ran: true, late: false } => Outcome::Failed(Failure::MayHaveRun),
+        observe::Outcome::Failed { ran: false, late: false } => Outcome::Failed(Failure::Other),
+        observe::Outcome::Gone => Outcome::Gone,
+    }
+}
+
+/// How long the end of the program waits for what is still to be written.
+pub const LAST_WRITES: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/recorder/tests/recorder.rs
@@ -0,0 +1,94 @@
+//! What the recorder tells of a scheduler before stand-in nodes.
+
+use std::time::Duration;
+
+use heathward_core::Order;
+use heathward_recorder::{Clock, Recorder};
+use heathward_records::{
+    channel, Ended, Event, Failure, Lifecycle, NodeState, Outcome, Record, Refusal, Waiting, Why,
+};
+use heathward_standin::{http_node, member, nobody, request, rig, Does, Log, Rig};
+use tokio::time::{sleep, Instant};
+
+async fn recorded(members: &[String], requests: bool) -> (Rig, Waiting) {
+    let rig = rig(members, None).await;
+    rig.until(|counters| counters.lists == 1).await;
+    let (sender, waiting) = channel(4096);
+    rig.core.observe(Some(Box::new(Recorder::new(sender, Clock::default(), requests)))).await;
+    (rig, waiting)
+}
+
+/// All events up to the recorder's end.
+async fn all(rig: &Rig, waiting: &Waiting) -> Vec<Record> {
+    rig.core.observe(None).await;
+    let by = Instant::now() + heathward_standin::PATIENCE;
+    let mut records = Vec::new();
+    loop {
+        records.extend(waiting.try_iter());
+        if records.last().is_some_and(|r: &Record| r.event == Event::Lifecycle(Lifecycle::Ended)) {
+            return records;
+        }
+        assert!(Instant::now() < by, "never ended: {records:?}");
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+#[tokio::test]
+async fn each_request_and_each_attempt_counts_once() {
+    let log = Log::default();
+    let script = [Does::Error, Does::Serve];
+    let node = http_node(0, &script, &log).await;
+    let (_kept, gone) = nobody();
+    let members = [member("s0", node, 0, "in_service", 0), member("s1", gone, 1, "in_service", 0)];
+    let (rig, waiting) = recorded(&members, true).await;
+    assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
+    assert_eq!(rig.ask(&request("consulta", 2, 0, 900, "")).await.0, 200);
+    let (status, ..) = rig.ask(&request("consulta", 3, 1, 300, "")).await;
+    assert!(status == 503 || status == 504, "{status}");
+    let records = all(&rig, &waiting).await;
+    assert!(records.windows(2).all(|pair| pair[1].seq == pair[0].seq + 1), "{records:?}");
+    let requests = records.iter().filter_map(|r| match &r.event {
+        Event::Request(done) => Some(done),
+        _ => None,
+    });
+    let requests: Vec<_> = requests.collect();
+    assert_eq!(requests.len(), 3, "{requests:?}");
+    let ends =
+        |at: usize| requests[at].attempts.iter().filter_map(|a| a.ended.map(|(_, e)| e)).collect::<Vec<_>>();
+    assert_eq!((requests[0].outcome, ends(0)), (Outcome::Served, vec![Ended::Error, Ended::Served]));
+    assert_eq!((requests[1].outcome, ends(1)), (Outcome::Served, vec![Ended::Served]));
+    assert!(ends(2).iter().all(|end| *end == Ended::NotConnected) && !ends(2).is_empty(), "{requests:?}");
+    let refused = Outcome::Refused(Refusal::NotConnected);
+    let failed = Outcome::Failed(Failure::Late);
+    assert!([refused, failed].contains(&requests[2].outcome), "{requests:?}");
+    let (mut served, mut ended, mut sent) = (0, 0, 0);
+    for record in &records {
+        match &record.event {
+            Event::Class(second) => served += second.in_aim + second.late,
+            Event::NodeSecond(second) => {
+                sent += second.sent;
+                ended += second.ends.iter().sum::<u32>();
+            }
+            _ => {}
+        }
+    }
+    let attempts = requests.iter().map(|r| r.attempts.len() as u32).sum::<u32>();
+    assert_eq!((served, sent, ended), (2, attempts, attempts));
+}
+
+#[tokio::test]
+async fn how_a_node_is_treated_is_told_with_its_cause() {
+    let node = http_node(0, &[Does::Serve], &Log::default()).await;
+    let (rig, waiting) = recorded(&[member("s0", node, 0, "in_service", 0)], false).await;
+    rig.core.order(Order::Suspend("s0".into()), false).await.unwrap().unwrap();
+    rig.core.order(Order::Restore("s0".into()), false).await.unwrap().unwrap();
+    let records = all(&rig, &waiting).await;
+    let changes = records.iter().filter_map(|r| match &r.event {
+        Event::Node(change) => Some((change.state, change.why)),
+        _ => None,
+    });
+    let changes: Vec<_> = changes.collect();
+    let [(first, _), (out, by), (back, again)] = changes[..] else { panic!("{changes:?}") };
+    assert_eq!((first, out, by), (NodeState::InService, NodeState::Suspended, Why::Order));
+    assert!(matches!(back, NodeState::Cold(_)) && again == Why::Order, "{changes:?}");
+}
--- /dev/null
+++ b/crates/records/tests/records.rs
@@ -0,0 +1,415 @@
+//! Damage, other versions, disks that fail and disks that are stuck.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use heathward_records::frame::{encode, encode_as, Identity, SCHEMA};
+use heathward_records::read::{segments, Item, SegmentFile, SegmentReader};
+use heathward_records::segment::{surplus, Rotation, SegmentName};
+use heathward_records::{
+    channel, Class, ClassSecond, Disk, Event, Folder, Gap, GapCause, Lifecycle, Limits, NodeChange,
+    NodeState, Opened, Record, Sender, Stamp, Why, Writer,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+const IDENTITY: Identity = Identity { boot: 0xb007, number: 3 };
+/// Nothing here takes longer, however loaded the machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn at(second: u64) -> Stamp {
+    Stamp { wall: 1_764_600_000_000_000 + second * 1_000_000, mono: second * 1_000_000 }
+}
+
+fn change(seq: u64) -> Record {
+    let event = Event::Node(NodeChange {
+        node: format!("s-{seq}"),
+        state: if seq.is_multiple_of(2) { NodeState::Silent } else { NodeState::Cold(seq) },
+        why: Why::List(seq),
+    });
+    Record { seq, at: at(seq), event }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    // One that a run before has left.
+    let _ = std::fs::remove_dir_all(&path);
+    path
+}
+
+fn opened() -> Opened {
+    let classes = vec![Class { name: "consulta".into(), aim: 1, deadline: 2, window: 0 }];
+    Opened { scheduler: "n3".into(), boot: 0xb007, classes, ..Opened::default() }
+}
+
+fn limits(size: u64, total: u64) -> Limits {
+    Limits { rotation: Rotation { size, age: 3_600_000_000 }, total }
+}
+
+/// The bytes of a segment of such records, and where each frame ends.
+fn bytes(records: &[Record]) -> (Vec<u8>, Vec<usize>) {
+    let mut out = heathward_records::segment::head(IDENTITY).to_vec();
+    let mut ends = Vec::new();
+    for record in records {
+        let mut payload = Vec::new();
+        record.encode(&mut payload);
+        let offset = out.len() as u64;
+        encode(&mut out, IDENTITY, offset, &payload).unwrap();
+        ends.push(out.len());
+    }
+    (out, ends)
+}
+
+fn read(bytes: &[u8], name: &str) -> Vec<Item> {
+    let path = folder(name);
+    std::fs::create_dir_all(&path).unwrap();
+    let file = SegmentName::new("n3", 7, IDENTITY.boot, IDENTITY.number);
+    std::fs::write(path.join(file.to_string()), bytes).unwrap();
+    let found = segments(std::slice::from_ref(&path)).unwrap();
+    let items = found.iter().flat_map(items).collect();
+    std::fs::remove_dir_all(&path).unwrap();
+    items
+}
+
+fn items(file: &SegmentFile) -> Vec<Item> {
+    let mut reader = SegmentReader::open(file).unwrap();
+    std::iter::from_fn(|| reader.next_item().unwrap()).collect()
+}
+
+fn records(items: &[Item]) -> Vec<Record> {
+    let record = |item: &Item| match item {
+        Item::Record(record) => Some(record.clone()),
+        _ => None,
+    };
+    items.iter().filter_map(record).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x4877),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever is cut off and flipped: no panic, nothing that was not written, and every frame that no flip
+    /// touched and that is there whole.
+    #[test]
+    fn damage_costs_only_what_it_touches(
+        count in 1_u64..40,
+        flips in proptest::collection::vec((any::<proptest::sample::Index>(), 1_u8..), 0..6),
+        cut in any::<proptest::sample::Index>(),
+        whole in any::<bool>(),
+    ) {
+        let written: Vec<Record> = (1..=count).map(change).collect();
+        let (mut damaged, ends) = bytes(&written);
+        let length = if whole { damaged.len() } else { cut.index(damaged.len() + 1) };
+        let mut touched = Vec::new();
+        for (place, mask) in flips {
+            let place = place.index(damaged.len());
+            damaged[place] ^= mask;
+            touched.push(place);
+        }
+        // Two flips of one byte may undo each other: then it is not touched.
+        let (sound, _) = bytes(&written);
+        touched.retain(|place| damaged[*place] != sound[*place]);
+        damaged.truncate(length);
+        let begin = |at: usize| if at == 0 { 24 } else { ends[at - 1] };
+        let untouched = written.iter().enumerate().filter(|(at, _)| {
+            ends[*at] <= length && !touched.iter().any(|place| (begin(*at)..ends[*at]).contains(place))
+        });
+        let untouched: Vec<Record> = untouched.map(|(_, record)| record.clone()).collect();
+        prop_assert_eq!(records(&read(&damaged, "damage")), untouched);
+    }
+
+    /// A payload that holds a whole frame of the segment, at whatever place, is not read as one.
+    #[test]
+    fn what_only_looks_like_a_frame_is_none(shift in 0_usize..64) {
+        let mut inner = Vec::new();
+        change(9).encode(&mut inner);
+        let mut frame = Vec::new();
+        encode(&mut frame, IDENTITY, 24, &inner).unwrap();
+        let mut payload = vec![b'x'; shift];
+        payload.extend_from_slice(&frame);
+        let mut out = heathward_records::segment::head(IDENTITY).to_vec();
+        encode(&mut out, IDENTITY, 24, &payload).unwrap();
+        // The outer frame's head is broken, so that the reader looks for the next.
+        out[30] ^= 1;
+        prop_assert_eq!(records(&read(&out, "inner")), vec![]);
+    }
+}
+
+/// Fields are only appended: what an older program left out has its default, what a newer one added is passed
+/// over, a kind of the future is counted, a schema of the future is told of; all others are read.
+#[test]
+fn older_and_newer_versions_are_read_as_far_as_they_can_be() {
+    let mut out = heathward_records::segment::head(IDENTITY).to_vec();
+    let mut put = |schema: u8, payload: &[u8]| {
+        let offset = out.len() as u64;
+        encode_as(&mut out, IDENTITY, offset, schema, payload).unwrap();
+        offset
+    };
+    let form = |record: &Record| {
+        let mut payload = Vec::new();
+        record.encode(&mut payload);
+        payload
+    };
+    put(SCHEMA, &form(&change(1)));
+    let mut newer = form(&change(2));
+    newer.extend_from_slice(b"fields of the future");
+    put(SCHEMA, &newer);
+    let future = Record { seq: 3, at: at(3), event: Event::Unknown(900) };
+    put(SCHEMA, &form(&future));
+    let schema = put(SCHEMA + 1, &form(&change(4)));
+    put(SCHEMA - 1, &form(&change(5)));
+    let broken = put(SCHEMA, &[1]);
+    let expected = vec![
+        Item::Record(change(1)),
+        Item::Record(change(2)),
+        Item::Record(future),
+        Item::Newer { offset: schema, schema: SCHEMA + 1 },
+        Item::Record(change(5)),
+        Item::Unreadable { offset: broken },
+    ];
+    assert_eq!(read(&out, "versions"), expected);
+}
+
+#[rstest]
+#[case("n3-0000000007-000000000000b007-000003.hwr", true)]
+#[case("n3-7-b007-3.hwr", false)]
+#[case("n3-0000000007-000000000000b007-000003.hwr.gz", false)]
+#[case("n-3-0000000007-000000000000b007-000003.hwr", false)]
+#[case("core", false)]
+fn only_a_segments_own_name_is_one(#[case] text: &str, #[case] sound: bool) {
+    assert_eq!(text.parse::<SegmentName>().is_ok(), sound);
+}
+
+#[test]
+fn the_oldest_segments_make_way_and_no_boots_newest() {
+    let file = |boot: u64, number: u32| (SegmentName::new("n3", boot, boot, number), 10);
+    let other = (SegmentName::new("n4", 0, 9, 0), 1000);
+    let files = [file(2, 0), file(1, 1), file(1, 0), file(2, 1), other];
+    let names =
+        |total| surplus(&files, "n3", total, 10).iter().map(|n| (n.boot, n.number)).collect::<Vec<_>>();
+    assert_eq!(names(50), vec![]);
+    assert_eq!(names(40), vec![(1, 0)]);
+    assert_eq!(names(0), vec![(1, 0), (2, 0)]);
+}
+
+/// Sends so many events and waits for the end.
+fn write(disk: impl Disk, limits: Limits, count: u64) -> (Sender, u64) {
+    let (mut sender, waiting) = channel(4096);
+    let writer = Writer::start(disk, waiting, opened(), limits).unwrap();
+    let health = writer.health();
+    (1..=count).for_each(|seq| sender.put(at(seq), change(seq).event));
+    let (rest, _) = channel(1);
+    drop(std::mem::replace(&mut sender, rest));
+    assert!(writer.finish(Instant::now() + PATIENCE));
+    (sender, health.written())
+}
+
+#[test]
+fn segments_are_rotated_and_kept_up_to_a_total() {
+    let path = folder("rotated");
+    let (_, written) = write(Folder(path.clone()), limits(2000, 9000), 1000);
+    assert_eq!(written, 1000);
+    let files = segments(std::slice::from_ref(&path)).unwrap();
+    let total: u64 = files.iter().map(|file| file.size).sum();
+    assert!(files.len() > 2 && total <= 9000, "{} files of {total} bytes", files.len());
+    let all: Vec<Item> = files.iter().flat_map(items).collect();
+    assert!(all.iter().all(|item| matches!(item, Item::Record(_))), "{all:?}");
+    let seqs: Vec<u64> = records(&all).iter().filter(|r| r.seq > 0).map(|r| r.seq).collect();
+    assert!(seqs.windows(2).all(|pair| pair[1] == pair[0] + 1) && seqs.last() == Some(&1000), "{seqs:?}");
+}
+
+/// A segment that goes while it is read is read to its end; one that is gone before is passed over.
+#[test]
+fn a_segment_deleted_under_the_reader_does_no_harm() {
+    let path = folder("deleted");
+    write(Folder(path.clone()), limits(2000, 100_000), 200);
+    let files = segments(std::slice::from_ref(&path)).unwrap();
+    let mut reader = SegmentReader::open(&files[0]).unwrap();
+    std::fs::remove_file(&files[0].path).unwrap();
+    std::fs::remove_file(&files[1].path).unwrap();
+    assert!(std::iter::from_fn(|| reader.next_item().unwrap()).count() > 10);
+    assert_eq!(SegmentReader::open(&files[1]).unwrap_err().kind(), io::ErrorKind::NotFound);
+    assert_eq!(segments(std::slice::from_ref(&path)).unwrap().len(), files.len() - 2);
+}
+
+/// A disk in memory whose room, and whose patience, the test sets.
+#[derive(Clone, Default)]
+struct Fake(Arc<(Mutex<State>, Condvar)>);
+
+#[derive(Default)]
+struct State {
+    files: BTreeMap<String, Vec<u8>>,
+    room: usize,
+    stuck: bool,
+    waits: bool,
+}
+
+struct FakeFile(Fake, String);
+
+impl Fake {
+    fn with(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.0 .0.lock().unwrap());
+        self.0 .1.notify_all();
+    }
+
+    /// Waits until it is so.
+    fn until(&self, so: impl Fn(&State) -> bool) {
+        let by = Instant::now() + PATIENCE;
+        while !so(&self.0 .0.lock().unwrap()) {
+            assert!(Instant::now() < by, "never came");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn records(&self) -> Vec<Record> {
+        let files = self.0 .0.lock().unwrap().files.clone();
+        let path = folder(&format!("fake-{:p}", Arc::as_ptr(&self.0)));
+        std::fs::create_dir_all(&path).unwrap();
+        files.iter().for_each(|(name, bytes)| std::fs::write(path.join(name), bytes).unwrap());
+        let all: Vec<Item> = segments(&[path]).unwrap().iter().flat_map(items).collect();
+        records(&all)
+    }
+}
+
+impl Disk for Fake {
+    type File = FakeFile;
+
+    fn create(&mut self, name: &str) -> io::Result<FakeFile> {
+        self.with(|state| drop(state.files.insert(name.to_owned(), Vec::new())));
+        Ok(FakeFile(self.clone(), name.to_owned()))
+    }
+
+    fn list(&mut self) -> io::Result<Vec<(String, u64)>> {
+        Ok(self.0 .0.lock().unwrap().files.iter().map(|(n, b)| (n.clone(), b.len() as u64)).collect())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.with(|state| drop(state.files.remove(name)));
+        Ok(())
+    }
+}
+
+impl Write for FakeFile {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut state = self.0 .0 .0.lock().unwrap();
+        while state.stuck {
+            state.waits = true;
+            state = self.0 .0 .1.wait(state).unwrap();
+        }
+        state.waits = false;
+        let size = bytes.len().min(state.room);
+        if size == 0 {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        state.room -= size;
+        state.files.get_mut(&self.1).unwrap().extend_from_slice(&bytes[..size]);
+        Ok(size)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Every event is there or within a gap of the right size; nothing is there twice.
+fn check_all_accounted(records: &[Record], last: u64) -> Vec<Gap> {
+    let mut covered = vec![0; last as usize + 1];
+    let mut gaps = Vec::new();
+    for record in records.iter().filter(|r| !matches!(r.event, Event::Opened(_))) {
+        (record.seq + 1 - record.weight()..=record.seq).for_each(|seq| covered[seq as usize] += 1);
+        if let Event::Gap(gap) = record.event {
+            gaps.push(gap);
+        }
+    }
+    assert!(covered[1..].iter().all(|times| *times == 1), "{covered:?}");
+    gaps
+}
+
+/// On a full disk records stop, are counted, and begin again by themselves once there is room.
+#[test]
+fn a_full_disk_costs_a_gap_that_is_told() {
+    let disk = Fake::default();
+    disk.with(|state| state.room = 1000);
+    let (mut sender, waiting) = channel(4096);
+    let writer = Writer::start(disk.clone(), waiting, opened(), limits(1 << 20, 1 << 30)).unwrap();
+    let health = writer.health();
+    (1..=200).for_each(|seq| sender.put(at(seq), change(seq).event));
+    let by = Instant::now() + PATIENCE;
+    while health.lost() == 0 || health.lost() + health.written() < 200 {
+        assert!(Instant::now() < by, "lost {} written {}", health.lost(), health.written());
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    disk.with(|state| state.room = 1 << 20);
+    // Nothing more comes, and yet the gap is written by itself.
+    disk.until(|state| state.files.len() > 1 && state.files.values().last().unwrap().len() > 100);
+    (201..=210).for_each(|seq| sender.put(at(seq), change(seq).event));
+    drop(sender);
+    assert!(writer.finish(Instant::now() + PATIENCE));
+    let gaps = check_all_accounted(&disk.records(), 210);
+    let [gap] = gaps[..] else { panic!("{gaps:?}") };
+    assert!(gap.cause == GapCause::Disk && gap.to == at(200) && gap.events == health.lost(), "{gap:?}");
+}
+
+/// Whoever tells never waits for a stuck disk; what did not fit stands in the file as a gap.
+#[test]
+fn a_stuck_disk_holds_up_nobody() {
+    let disk = Fake::default();
+    disk.with(|state| (state.room, state.stuck) = (1 << 24, true));
+    let (mut sender, waiting) = channel(64);
+    let writer = Writer::start(disk.clone(), waiting, opened(), limits(1 << 20, 1 << 30)).unwrap();
+    sender.put(at(1), Event::Lifecycle(Lifecycle::Started));
+    disk.until(|state| state.waits);
+    (2..=5000).for_each(|seq| sender.put(at(seq), change(seq).event));
+    assert_eq!(sender.dropped(), 5000 - 1 - 64);
+    let end = Instant::now() + Duration::from_millis(20);
+    disk.with(|state| state.stuck = false);
+    disk.until(|state| state.files.values().last().unwrap().len() > 1000);
+    (5001..=5010).for_each(|seq| sender.put(at(seq), change(seq).event));
+    drop(sender);
+    assert!(end < Instant::now() + PATIENCE && writer.finish(Instant::now() + PATIENCE));
+    let gaps = check_all_accounted(&disk.records(), 5010);
+    assert!(gaps.iter().all(|gap| gap.cause == GapCause::Queue), "{gaps:?}");
+    assert_eq!(gaps.iter().map(|gap| gap.events).sum::<u64>(), 5000 - 1 - 64);
+}
+
+/// The end of the program does not wait for a stuck disk either.
+#[test]
+fn the_end_does_not_wait_for_a_stuck_disk() {
+    let disk = Fake::default();
+    disk.with(|state| state.stuck = true);
+    let (mut sender, waiting) = channel(64);
+    let writer = Writer::start(disk.clone(), waiting, opened(), limits(1 << 20, 1 << 30)).unwrap();
+    sender.put(at(1), change(1).event);
+    drop(sender);
+    assert!(!writer.finish(Instant::now() + Duration::from_millis(50)));
+    disk.with(|state| state.stuck = false);
+}
+
+/// A class's second keeps its histogram and all its counts.
+#[test]
+fn a_second_comes_back_as_it_was() {
+    let second = ClassSecond {
+        from: 5,
+        span: 1_000_000,
+        class: 1,
+        taken: 9,
+        in_aim: 4,
+        late: 1,
+        refused: [1, 0, 1, 0, 0],
+        failed: [0, 1, 0, 0],
+        gone: 1,
+        times: vec![1, 2, 3],
+    };
+    let record = Record { seq: 1, at: at(1), event: Event::Class(second) };
+    let mut payload = Vec::new();
+    record.encode(&mut payload);
+    assert_eq!(Record::decode(&payload), Ok(record));
+}
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod cli;
 mod listing;
+mod records;
 mod serve;
 mod shutdown;
 mod start;
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use heathward_config::{self as config, Config, Files};
-use heathward_core::{Core, Message};
+use heathward_core::{Core, Gone, Message};
 use heathward_logs::Logs;
 use heathward_module::settings::ConfigError;
 use heathward_wires::http::{self, ConnectionTable, Front};
@@ -20,6 +20,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::interval;
 
+use crate::records::Records;
 use crate::takeover::Meeting;
 use crate::{shutdown, start, takeover};
 
@@ -45,6 +46,7 @@
     /// What the arguments name, to be read again.
     files: Files,
     logs: Logs,
+    records: Records,
 }
 
 impl Service {
@@ -105,7 +107,7 @@
     /// Reads the configuration again and goes by it as a whole, or says why the old one stands. Connections
     /// and open requests go on; seed, NVMe front and second address stay as at the start.
     async fn reload(&mut self) -> Result<(), ConfigError> {
-        let Config { listen: address, discovery, sockets, known, deployment, operator, .. } =
+        let Config { name, listen: address, discovery, sockets, known, deployment, operator, .. } =
             reread(&self.files).await?;
         let unbound = |e: io::Error| ConfigError { field: "listen".to_owned(), why: e.to_string() };
         // What may fail comes first.
@@ -115,6 +117,7 @@
         };
         self.core.settle(Arc::new(deployment)).await?;
         self.logs.change(operator.log.format, operator.log.filter);
+        self.records.keep(operator.records, &name, &self.core).await;
         self.sockets = sockets;
         self.share(self.joint);
         // Without a core the program ends.
@@ -155,7 +158,8 @@
 
 /// Serves until a signal ends it.
 pub async fn run(config: Config, files: Files) -> io::Result<()> {
-    let Config { listen, ops, discovery, seed, sockets, known, deployment, nvme, operator, .. } = config;
+    let Config { name, listen, ops, discovery, seed, sockets, known, deployment, nvme, operator, .. } =
+        config;
     let logs = heathward_logs::start(operator.log.format, operator.log.filter);
     let mut signals = Signals::heed()?;
     let (mut meeting, mut phases, mut taken) = Meeting::come(listen).await;
@@ -167,7 +171,7 @@
     let nvme = nvme.map(Arc::new);
     let core = start::core(deployment, seed, Pool::new(drawn), nvme.clone())?;
     let revision = taken.as_ref().map_or(0, |taken| taken.state.list.revision).max(known.revision);
-    core.mailbox().send(Message::News(known)).await.map_err(io::Error::other)?;
+    core.mailbox().send(Message::News(known)).await.map_err(|_| io::Error::other(Gone))?;
     let (discovery, addresses) = watch::channel(discovery);
     let (stop, stopping) = watch::channel(false);
     let nvme = match nvme {
@@ -196,7 +200,9 @@
         accepting: Vec::new(),
         files,
         logs,
+        records: Records::default(),
     };
+    service.records.keep(operator.records, &name, &core).await;
     service.accept()?;
     if let Some(taken) = taken {
         meeting.go_on(taken, core.clone()).await;
@@ -212,7 +218,10 @@
     let (mut untold, mut told) = (interval(TELL), 0);
     loop {
         tokio::select! {
-            _ = untold.tick() => tell_dropped(&service.logs, &mut told),
+            _ = untold.tick() => {
+                tell_dropped(&service.logs, &mut told);
+                service.records.tell();
+            }
             _ = signals.report.recv() => print(&service.core).await,
             _ = signals.hangup.recv() => reload(&mut service).await,
             Some(stream) = meeting.next(), if !service.joint => {
@@ -228,6 +237,7 @@
     // Whoever starts from now on finds nobody to ask, and does not wait for an answer.
     drop(meeting);
     shutdown::finish(&service, &stop).await;
+    service.records.finish(&core).await;
     print(&core).await;
     Ok(())
 }
--- a/deploy/heathward.jsonnet
+++ b/deploy/heathward.jsonnet
@@ -11,4 +11,10 @@
 
   // The NVMe front: null is off; `import 'nvme.json'` turns it on as that file says. Stays as at the start.
   nvme: null,
+
+  // Records for reports and the console: null keeps none. For a folder on a lasting disk:
+  // { folder: '/var/lib/heathward/records', segmentMb: 16, segmentSeconds: 600, totalMb: 512,
+  //   waiting: 8192,      // events that wait for the disk at most; what is more is dropped and counted
+  //   requests: false }   // whether each request is recorded with its attempts: a hundred bytes or two each
+  records: null,
 }
