--- a/crates/records/src/event.rs
+++ b/crates/records/src/event.rs
@@ -96,7 +96,7 @@
 }
 
 /// What the scheduler itself went through.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifecycle {
     /// Records begin.
     Started,
