Report: an incident as one HTML file, JSON and CSV, held against a staged incident

Need: operators must see within a minute what happened, from the schedulers' own records.

Change: heathwardctl report makes a self-contained page without scripts: findings, lanes of nodes' states as each scheduler saw them, service, times with a heat map, attempts, the audit, holes, clocks. The stand-in crate stages an incident with real processes: three schedulers, six nodes; a drain, a suspension, a silence with a cold return, a SIGKILL, a clock 300 ms ahead and one that steps back 2 s.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -7,11 +7,14 @@
 use clap::{Args, Parser, Subcommand};
 use clap_complete::Shell;
 
+use crate::report::Moment;
+
 const EXAMPLES: &str = "\
 Examples:
   heathwardctl status --at 127.0.0.1:9901,127.0.0.1:9902
   heathwardctl metrics --at 127.0.0.1:9901 --json
   heathwardctl suspend s-7 --at 127.0.0.1:9901
+  heathwardctl report /var/lib/heathward/records --from 09:00 --to 09:10 -o incident.html
   heathwardctl load list --access-log access.log --rules rules.json
   heathwardctl completions bash > /etc/bash_completion.d/heathwardctl
 
@@ -66,6 +69,10 @@
     /// Records as they lie in files
     #[command(subcommand)]
     Records(RecordsCommand),
+    /// What records of one or many schedulers come to; exit code 1 if a rule was seen broken
+    ///
+    /// Without -o, --json and --csv it prints the findings.
+    Report(ReportOf),
     /// Prints completions for a shell
     Completions { shell: Shell },
 }
@@ -94,6 +101,29 @@
     List(SourceOf),
 }
 
+/// What a report is made of, and where it goes.
+#[derive(Args)]
+pub struct ReportOf {
+    /// Folders of segments, or segments, of one or many schedulers
+    #[arg(required = true, value_name = "PATH")]
+    pub paths: Vec<PathBuf>,
+    /// From then: HH:MM[:SS] UTC of the day on which the records end, RFC 3339, or Unix seconds
+    #[arg(long, value_name = "TIME", value_parser = Moment::parse)]
+    pub from: Option<Moment>,
+    /// To then
+    #[arg(long, value_name = "TIME", value_parser = Moment::parse)]
+    pub to: Option<Moment>,
+    /// One self-contained HTML file
+    #[arg(short, long, value_name = "FILE")]
+    pub output: Option<PathBuf>,
+    /// The same tables as JSON
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// The same tables as CSV files in a folder
+    #[arg(long, value_name = "FOLDER")]
+    pub csv: Option<PathBuf>,
+}
+
 /// What to do with records.
 #[derive(Subcommand)]
 pub enum RecordsCommand {
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the operators' tool does beyond its command line: records read into an incident.
+
+pub mod folds;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod outcome;
 mod records;
+mod report;
 
 use std::process::ExitCode;
 
@@ -26,6 +27,7 @@
         Command::Records(RecordsCommand::Verify { paths }) => records::verify(&paths),
         Command::Records(RecordsCommand::Show { paths }) => records::show(&paths),
         Command::Records(RecordsCommand::Export { paths, to }) => records::export(&paths, to.as_deref()),
+        Command::Report(of) => report::run(&of),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "heathwardctl", &mut std::io::stdout());
--- a/crates/incident/src/findings.rs
+++ b/crates/incident/src/findings.rs
@@ -76,6 +76,11 @@
     format!("{hours:02}:{minutes:02}:{:02}.{ms:03}", seconds % 60)
 }
 
+/// The size of a span of microseconds in whole milliseconds.
+fn millis(span: i64) -> u64 {
+    (span.unsigned_abs() + 500) / 1000
+}
+
 /// All that there is to say, in order of time.
 pub fn of(incident: &Incident) -> Vec<Finding> {
     let mut all = Vec::new();
@@ -168,8 +173,10 @@
                 seen.iter().map(|(_, b)| incident.boots[*b].scheduler.as_str()).collect();
             names.sort_unstable();
             names.dedup();
-            // Who was first can't be told where clocks are known by just this.
-            let apart = seen.iter().map(|(at, _)| at - from).max().unwrap_or(0) / 1000;
+            // Who was first can't be told where clocks are known by just this; one that began later saw it
+            // then.
+            let there = seen.iter().filter(|(_, boot)| incident.boots[*boot].from <= *from);
+            let apart = there.map(|(at, _)| at - from).max().unwrap_or(0) / 1000;
             let within = if names.len() > 1 { format!(" within {apart} ms") } else { String::new() };
             let by = format!("seen by {}{within}", names.join(", "));
             let end = until.map_or("to the last that is known".to_owned(), |to| format!("to {}", clock(to)));
@@ -241,7 +248,7 @@
             let word = if boot.ahead > 0 { "ahead" } else { "behind" };
             let text = format!(
                 "{name}'s clock was {} ms {word} at {}{}.",
-                boot.ahead.abs() / 1000,
+                millis(boot.ahead),
                 clock(boot.from),
                 known_to(incident, place)
             );
@@ -249,7 +256,7 @@
         }
         for (at, by) in &boot.steps {
             let word = if *by > 0 { "forward" } else { "back" };
-            let text = format!("{name}'s clock stepped {word} by {} ms at {}.", by.abs() / 1000, clock(*at));
+            let text = format!("{name}'s clock stepped {word} by {} ms at {}.", millis(*by), clock(*at));
             say(*at, None, What::ClockStep, text);
         }
     }
@@ -338,14 +345,7 @@
 fn missing(incident: &Incident, all: &mut Vec<Finding>) {
     for hole in incident.holes.iter().filter(|hole| hole.why != Missing::Cut) {
         let name = &incident.boots[hole.boot].scheduler;
-        let why = match hole.why {
-            Missing::Queue => "its writer did not keep up",
-            Missing::Disk => "its disk took none",
-            Missing::Damage => "the file is damaged",
-            Missing::Lost => "they are not there, perhaps a deleted segment",
-            Missing::Newer => "they are of a newer form",
-            Missing::Cut => "it ended",
-        };
+        let why = hole.why.words();
         let (from, to, events) = (clock(hole.from), clock(hole.to), hole.events);
         let text = format!("{events} records of {name} are missing from {from} to {to}: {why}.");
         let (at, until, subject) = (hole.from, Some(hole.to), name.clone());
--- a/crates/incident/src/fold.rs
+++ b/crates/incident/src/fold.rs
@@ -42,6 +42,20 @@
     Cut,
 }
 
+impl Missing {
+    /// In words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Self::Queue => "the writer did not keep up",
+            Self::Disk => "the disk took none",
+            Self::Damage => "the file is damaged",
+            Self::Lost => "they are not there, perhaps a deleted segment",
+            Self::Newer => "they are of a newer form",
+            Self::Cut => "it ended without a last word",
+        }
+    }
+}
+
 /// A while of which something is missing, by the boot's own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hole {
@@ -156,6 +170,11 @@
         }
     }
 
+    /// The last event's time on the boot's own wall clock.
+    pub fn last_wall(&self) -> Micros {
+        self.last.wall
+    }
+
     /// Whether the process ended without a last word.
     pub(crate) fn cut(&self) -> bool {
         self.holes.last().is_some_and(|hole| hole.why == Missing::Cut)
@@ -332,7 +351,7 @@
 
     /// A keyed write that may have run is sent again only to its shard, and within the window.
     fn keyed(&mut self, done: &RequestDone, window: Micros) {
-        self.audit.look(Rule::KeyedRepeats, done.attempts.len().saturating_sub(1) as u64);
+        self.audit.look(Rule::KeyedRepeats, 1);
         let ran = |ended: Option<(Micros, Ended)>| {
             ended.is_none_or(|(_, end)| {
                 matches!(end, Ended::Error | Ended::TimedOut | Ended::Reset | Ended::Cancelled)
--- a/crates/incident/src/timeline.rs
+++ b/crates/incident/src/timeline.rs
@@ -263,6 +263,11 @@
         self.holes.iter().any(|hole| hole.from < to && hole.to >= from)
     }
 
+    /// How often rules were seen broken.
+    pub fn audit_broken(&self) -> u64 {
+        Rule::ALL.iter().map(|rule| self.audit.of(*rule).broken).sum()
+    }
+
     /// Counts of cold nodes by the second, all schedulers together, against what a node bears.
     fn check_cold_nodes(&mut self) {
         let Some(settings) = self.boots.iter().find_map(|boot| boot.opened.clone()) else { return };
--- a/crates/scheduler/tests/net/handover.rs
+++ b/crates/scheduler/tests/net/handover.rs
@@ -1,16 +1,15 @@
 //! Two processes of one scheduler, as the platform starts them.
 
-use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use heathward_core::{Member, News, State};
 use heathward_module::{ListKind, NodeState, ShardId};
 use heathward_wires::handover::{decode, encode};
 use rstest::rstest;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpSocket, TcpStream, UnixListener};
 use tokio::time::{sleep, timeout, Duration, Instant};
 
@@ -79,15 +78,10 @@
         self.folder.join(format!("heathward-{}.sock", self.listen))
     }
 
-    fn start(&self) -> Process {
+    fn start(&self) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
-        command.env("GW_CONFIG", &self.config).env("TMPDIR", &self.folder).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let mut process = Process { log: BufReader::new(child.stderr.take().unwrap()), child, ops: None };
-        let told = process.until("operations on ");
-        process.ops = told.trim().rsplit(' ').next().unwrap().parse().ok();
-        process.until("listening on ");
-        process
+        command.env("GW_CONFIG", &self.config).env("TMPDIR", &self.folder);
+        Program::start(command)
     }
 }
 
@@ -98,54 +92,8 @@
     }
 }
 
-struct Process {
-    child: Child,
-    log: BufReader<ChildStderr>,
-    ops: Option<SocketAddr>,
-}
-
-impl Process {
-    /// Its next line that says so.
-    fn until(&mut self, what: &str) -> String {
-        loop {
-            let mut line = String::new();
-            assert!(self.log.read_line(&mut line).unwrap() > 0, "it ended and never said {what:?}");
-            if line.contains(what) {
-                return line;
-            }
-        }
-    }
-
-    async fn call(&self, line: &str) -> String {
-        let mut stream = TcpStream::connect(self.ops.unwrap()).await.unwrap();
-        stream.write_all(format!("{line}\n").as_bytes()).await.unwrap();
-        let mut told = String::new();
-        timeout(PATIENCE, stream.read_to_string(&mut told)).await.expect("an answer").unwrap();
-        told
-    }
-
-    async fn served(&self) -> bool {
-        !self.call("METRICS").await.contains("responses.consulta.ok=0\n")
-    }
-
-    fn kill(self) {}
-
-    /// Ends it by SIGTERM; it must end by itself, with nothing wrong.
-    fn end(mut self) {
-        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
-        assert!(status.success());
-        let mut said = String::new();
-        self.log.read_to_string(&mut said).unwrap();
-        assert!(self.child.wait().unwrap().success(), "{said}");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // One that has ended by itself is none to kill.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+async fn served(process: &Program) -> bool {
+    !process.call("METRICS").await.contains("responses.consulta.ok=0\n")
 }
 
 async fn ask(stream: &mut TcpStream, call: u32, shard: i32) -> (u16, String) {
@@ -178,7 +126,7 @@
     assert_eq!((status, header(&head, "connection")), (200, Some("close")));
     assert_eq!(ask_anew(place.listen, 3, 1).await, 503, "out by hand, by an order to the process before");
     assert_eq!(ask_anew(place.listen, 4, 0).await, 200);
-    assert!(new.served().await);
+    assert!(served(&new).await);
     // An order to either holds in both.
     assert_eq!(new.call("SUSPEND s0").await, "OK\n");
     assert!(old.call("METRICS").await.contains("pool_ejected=2\n"));
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -1,12 +1,15 @@
 //! Discovery: a list of nodes, and the watches at it.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::broadcast;
 use tokio::time::timeout;
 
-use crate::message::read_message;
+use crate::message::{listen, read_message};
 use crate::PATIENCE;
 
 /// A storage node's entry in the list.
@@ -30,3 +33,90 @@
     let chunk = format!("{:x}\r\n{lines}\r\n", lines.len());
     watch.write_all(chunk.as_bytes()).await.unwrap();
 }
+
+/// A node as the list has it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Its id.
+    pub id: String,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its shard.
+    pub shard: u32,
+    /// `in_service`, `terminating` or `terminated`.
+    pub phase: &'static str,
+    /// When it started, Unix time in milliseconds; 0 where that is long ago.
+    pub up_since_ms: u128,
+}
+
+impl Listed {
+    fn line(&self) -> String {
+        member(&self.id, self.address, self.shard, self.phase, self.up_since_ms).replace('\n', "")
+    }
+}
+
+struct Book {
+    revision: u64,
+    nodes: Vec<Listed>,
+}
+
+/// Discovery for a fleet: the list, and each change of it to all that watch; an empty line every second.
+#[derive(Clone)]
+pub struct Discovery {
+    /// Where it is.
+    pub address: SocketAddr,
+    book: Arc<Mutex<Book>>,
+    changes: broadcast::Sender<String>,
+}
+
+impl Discovery {
+    /// Lists these nodes.
+    pub async fn start(nodes: Vec<Listed>) -> Self {
+        let (listener, address) = listen().await;
+        let book = Arc::new(Mutex::new(Book { revision: 1, nodes }));
+        let new = Self { address, book, changes: broadcast::channel(64).0 };
+        let serving = new.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(serving.clone().watch(stream));
+            }
+        });
+        new
+    }
+
+    /// The list as it stands, on one line.
+    pub fn whole(&self) -> String {
+        let book = self.book.lock().unwrap();
+        let members: Vec<String> = book.nodes.iter().map(Listed::line).collect();
+        format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, book.revision, members.join(","))
+    }
+
+    /// A node changes; all that watch are told.
+    pub fn change(&self, id: &str, change: impl FnOnce(&mut Listed)) {
+        let mut book = self.book.lock().unwrap();
+        book.revision += 1;
+        let revision = book.revision;
+        let node = book.nodes.iter_mut().find(|node| node.id == id).unwrap();
+        change(node);
+        let line = format!(r#"{{"revision":{revision},"complete":false,"members":[{}]}}"#, node.line());
+        // Nobody may be watching.
+        let _ = self.changes.send(line);
+    }
+
+    async fn watch(self, mut stream: TcpStream) -> Option<()> {
+        let mut changes = self.changes.subscribe();
+        read_message(&mut stream).await?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await.ok()?;
+        let mut line = self.whole();
+        loop {
+            line.push('\n');
+            let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+            stream.write_all(chunk.as_bytes()).await.ok()?;
+            line = match timeout(Duration::from_secs(1), changes.recv()).await {
+                Ok(change) => change.ok()?,
+                Err(_) => String::new(),
+            };
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,13 +6,16 @@
 mod message;
 mod node;
 pub mod nvme;
+mod program;
 mod rig;
+pub mod staged;
 
 use std::time::Duration;
 
-pub use discovery::{member, tell, watched};
+pub use discovery::{member, tell, watched, Discovery, Listed};
 pub use message::{answer, header, listen, nobody, read_message, request};
-pub use node::{http_node, Does, Log, Script, Seen, LATE};
+pub use node::{http_node, scripted_node, Does, Log, Script, Seen, LATE};
+pub use program::Program;
 pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS};
 
 /// Nothing here takes longer, however loaded the machine.
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -115,8 +115,13 @@
 
 /// An HTTP node that does `script` in turn, the last of it for ever.
 pub async fn http_node(number: u32, script: &[Does], log: &Log) -> SocketAddr {
+    scripted_node(number, Script::new(script), log).await
+}
+
+/// The same, by a script that may be changed meanwhile.
+pub async fn scripted_node(number: u32, script: Script, log: &Log) -> SocketAddr {
     let (listener, address) = listen().await;
-    let (script, log) = (Script::new(script), log.clone());
+    let log = log.clone();
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
