Console: the fleet live, or at any moment of its records, with orders after a question

Need: during an incident staff look at several schedulers at once; afterwards they want to go back in time.

Change: heathwardctl console on ratatui: service and nodes in one second, how each scheduler treats each node, findings up to then, a time cursor; suspend and restore at all schedulers named, after a question of which only y is a yes. What is shown and what keys do is state without I/O; records are followed as they are written. It works at 80x24 and without colour. The builder of records for tests lies in the stand-in crate.

The program `run` is untouched by it.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -15,6 +15,7 @@
   heathwardctl metrics --at 127.0.0.1:9901 --json
   heathwardctl suspend s-7 --at 127.0.0.1:9901
   heathwardctl report /var/lib/heathward/records --from 09:00 --to 09:10 -o incident.html
+  heathwardctl console /var/lib/heathward/records --at 127.0.0.1:9901
   heathwardctl load list --access-log access.log --rules rules.json
   heathwardctl completions bash > /etc/bash_completion.d/heathwardctl
 
@@ -73,6 +74,8 @@
     ///
     /// Without -o, --json and --csv it prints the findings.
     Report(ReportOf),
+    /// The fleet as it stands (--live or --at), or as it stood at any moment of its records
+    Console(ConsoleOf),
     /// Prints completions for a shell
     Completions { shell: Shell },
 }
@@ -124,6 +127,26 @@
     pub csv: Option<PathBuf>,
 }
 
+/// What the console shows.
+#[derive(Args)]
+pub struct ConsoleOf {
+    /// Folders of segments, or segments, of one or many schedulers
+    #[arg(required = true, value_name = "PATH")]
+    pub paths: Vec<PathBuf>,
+    /// Follows records that are being written
+    #[arg(long)]
+    pub live: bool,
+    /// Second addresses of the schedulers, for orders; implies --live
+    #[arg(long = "at", value_name = "ADDRESS", env = "HEATHWARD_OPS", value_delimiter = ',')]
+    pub to: Vec<SocketAddr>,
+    /// How long to wait for an order's answer
+    #[arg(long, value_name = "SECONDS", default_value = "3", value_parser = seconds)]
+    pub wait: Duration,
+    /// Without colours, as with NO_COLOR in the environment
+    #[arg(long)]
+    pub no_color: bool,
+}
+
 /// What to do with records.
 #[derive(Subcommand)]
 pub enum RecordsCommand {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod records;
 mod report;
+mod terminal;
 
 use std::process::ExitCode;
 
@@ -28,6 +29,7 @@
         Command::Records(RecordsCommand::Show { paths }) => records::show(&paths),
         Command::Records(RecordsCommand::Export { paths, to }) => records::export(&paths, to.as_deref()),
         Command::Report(of) => report::run(&of),
+        Command::Console(of) => terminal::run(&of),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "heathwardctl", &mut std::io::stdout());
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -85,7 +85,7 @@
     if window.from >= window.to {
         return Err(io::Error::new(io::ErrorKind::InvalidInput, "--to is not after --from"));
     }
-    let incident = Incident::of(folds, window);
+    let incident = Incident::of(&folds, window);
     if let Some(path) = &of.output {
         write(path, &html(&incident))?;
     }
--- a/crates/incident/src/findings.rs
+++ b/crates/incident/src/findings.rs
@@ -196,6 +196,7 @@
         let next = incident.boots.iter().filter(|b| b.scheduler == *name && b.from > boot.from);
         let next = next.map(|b| b.from).min();
         match (boot.ending, next) {
+            (Ending::Running, _) => {}
             (Ending::Planned, _) => {
                 say(boot.to, None, What::Ended, format!("{name} ended by plan at {}.", clock(boot.to)));
             }
--- a/crates/incident/src/fold.rs
+++ b/crates/incident/src/fold.rs
@@ -13,6 +13,7 @@
 
 use crate::audit::{Audit, Rule};
 use crate::series::{ClassCounts, NodeCounts, Series};
+use crate::timeline::Ending;
 
 /// A wall clock that moves against the monotonic one by more than that has stepped.
 const STEP: i64 = 50_000;
@@ -163,8 +164,7 @@
 
     /// The last item has been taken.
     pub fn finish(&mut self) {
-        let ended = self.lifecycle.last().is_some_and(|(_, l)| *l == Lifecycle::Ended);
-        if !ended {
+        if self.ending() == Ending::Running {
             let at = self.last.mono;
             self.holes.push(Hole { from: at, to: at, events: 0, why: Missing::Cut });
         }
@@ -175,9 +175,12 @@
         self.last.wall
     }
 
-    /// Whether the process ended without a last word.
-    pub(crate) fn cut(&self) -> bool {
-        self.holes.last().is_some_and(|hole| hole.why == Missing::Cut)
+    pub(crate) fn ending(&self) -> Ending {
+        match () {
+            () if self.lifecycle.last().is_some_and(|(_, l)| *l == Lifecycle::Ended) => Ending::Planned,
+            () if self.holes.last().is_some_and(|hole| hole.why == Missing::Cut) => Ending::Cut,
+            () => Ending::Running,
+        }
     }
 
     fn record(&mut self, record: &Record) {
--- a/crates/incident/src/timeline.rs
+++ b/crates/incident/src/timeline.rs
@@ -42,8 +42,10 @@
 pub enum Ending {
     /// By plan.
     Planned,
-    /// Without a last word: killed, or still running.
+    /// Without a last word: killed, or its end is not in the records.
     Cut,
+    /// Not yet: its records are still being written.
+    Running,
 }
 
 /// One run of one scheduler.
@@ -160,11 +162,11 @@
 
 impl Incident {
     /// Brings boots together, in whatever order they come.
-    pub fn of(mut folds: Vec<Fold>, window: Window) -> Self {
-        folds.retain(|fold| fold.first.is_some());
+    pub fn of<'a>(folds: impl IntoIterator<Item = &'a Fold>, window: Window) -> Self {
+        let mut folds: Vec<&Fold> = folds.into_iter().filter(|fold| fold.first.is_some()).collect();
         let guess = |fold: &Fold| fold.first.map_or(0, |at| at.wall as i64 - at.mono as i64);
         folds.sort_by_key(|fold| (guess(fold), fold.boot));
-        let guesses: Vec<i64> = folds.iter().map(guess).collect();
+        let guesses: Vec<i64> = folds.iter().map(|fold| guess(fold)).collect();
         let (bounds, sightings) = (orders(&folds, &guesses), sightings(&folds));
         // One clock more: that of the list, which tells when nodes started.
         let with_list: Vec<i64> = guesses.iter().copied().chain([0]).collect();
@@ -238,7 +240,7 @@
     }
 
     /// What a boot did after its last word is not known; it did nothing once the next of its name had begun.
-    fn close_holes(&mut self, folds: &[Fold]) {
+    fn close_holes(&mut self, folds: &[&Fold]) {
         for hole in self.holes.iter_mut().filter(|hole| hole.why == Missing::Cut) {
             let name = &folds[hole.boot].scheduler;
             let later = self.boots.iter().filter(|b| b.scheduler == *name && b.from > hole.from);
@@ -326,7 +328,7 @@
         boot: fold.boot,
         from: at(fold.first.map_or(0, |first| first.mono)),
         to: at(fold.last.mono),
-        ending: if fold.cut() { Ending::Cut } else { Ending::Planned },
+        ending: fold.ending(),
         offset,
         ahead: guess - offset.value,
         steps: fold.steps.iter().map(step).collect(),
@@ -347,7 +349,7 @@
 }
 
 /// What must come one after the other: the boots of a scheduler, unless one takes over from the other.
-fn orders(folds: &[Fold], guesses: &[i64]) -> Vec<Bound> {
+fn orders(folds: &[&Fold], guesses: &[i64]) -> Vec<Bound> {
     let has =
         |fold: &Fold, what: Lifecycle| fold.lifecycle.iter().find(|(_, l)| *l == what).map(|(at, _)| *at);
     let mut bounds = Vec::new();
@@ -367,7 +369,7 @@
         let fold = &folds[b];
         let earlier = latest.entry(&fold.scheduler).or_default();
         if let Some(&a) = earlier.last() {
-            let handed = has(&folds[a], Lifecycle::HandedOver);
+            let handed = has(folds[a], Lifecycle::HandedOver);
             let taken = has(fold, Lifecycle::TookOver);
             match (handed, taken) {
                 (Some(handed), Some(taken)) => before(a, handed, b, taken, Some(TAKEOVER)),
@@ -380,7 +382,7 @@
 }
 
 /// Changes of the list that two boots have seen in one version.
-fn sightings(folds: &[Fold]) -> Vec<Sighting> {
+fn sightings(folds: &[&Fold]) -> Vec<Sighting> {
     let mut sightings = Vec::new();
     for (a, one) in folds.iter().enumerate() {
         for (b, other) in folds.iter().enumerate().skip(a + 1) {
@@ -400,9 +402,9 @@
 }
 
 /// A node's start, which the list's clock tells, comes before any boot hears of it.
-fn starts(folds: &[Fold]) -> Vec<Bound> {
+fn starts(folds: &[&Fold]) -> Vec<Bound> {
     let list = folds.len();
-    let bound = |(boot, fold): (usize, &Fold)| {
+    let bound = |(boot, fold): (usize, &&Fold)| {
         // started + offset[list] <= at + offset[boot], for each: the tightest counts.
         let apart = fold.starts.iter().map(|((_, started), at)| *at as i64 - *started as i64);
         Some(Bound { from: boot, to: list, most: apart.min()? })
--- a/crates/incident/tests/incident.rs
+++ b/crates/incident/tests/incident.rs
@@ -4,122 +4,12 @@
 use heathward_incident::findings::What;
 use heathward_incident::{Ending, Fold, Incident, Missing, Window};
 use heathward_records::read::Item;
-use heathward_records::{
-    Attempted, Class, ClassSecond, Ended, Event, Gap, GapCause, Kind, Lifecycle, Listed, ListedNode,
-    NodeChange, NodeSecond, NodeState, Opened, Outcome, Record, RequestDone, Stamp, Why,
-};
+use heathward_records::{Ended, Event, Gap, GapCause, NodeSecond, NodeState, Record, Why};
+use heathward_standin::told::{Told, MS, NINE};
 use rstest::rstest;
 
-/// 09:00 on the first of December 2026, microseconds.
-const NINE: u64 = 1_796_115_600_000_000;
-const MS: u64 = 1000;
-
-/// A boot that began `begun` ms after nine, whose wall clock is `ahead` ms ahead.
-struct Told {
-    name: &'static str,
-    begun: u64,
-    ahead: i64,
-    seq: u64,
-    items: Vec<Item>,
-}
-
-impl Told {
-    fn new(name: &'static str, begun: u64, ahead: i64) -> Self {
-        let class = |name: &str, window: u64| Class {
-            name: name.into(),
-            aim: 150 * MS,
-            deadline: 1000 * MS,
-            window: window * MS,
-        };
-        let opened = Opened {
-            scheduler: name.into(),
-            boot: begun + 1,
-            classes: vec![class("consulta", 0), class("pedido", 2500)],
-            cold_units: 24.0,
-            cold_share: 0.24,
-            cold_time: 6_000 * MS,
-            fall_time: 500 * MS,
-            requests: true,
-            ..Opened::default()
-        };
-        let mut new = Self { name, begun, ahead, seq: 0, items: Vec::new() };
-        new.items.push(Item::Record(Record { seq: 0, at: new.stamp(begun), event: Event::Opened(opened) }));
-        new.put(begun, Event::Lifecycle(Lifecycle::Started));
-        new
-    }
-
-    /// The boot's clocks at a true time, ms after nine.
-    fn stamp(&self, at: u64) -> Stamp {
-        Stamp { wall: (NINE + at * MS).saturating_add_signed(self.ahead * 1000), mono: self.mono(at) }
-    }
-
-    fn mono(&self, at: u64) -> u64 {
-        (at - self.begun) * MS
-    }
-
-    fn put(&mut self, at: u64, event: Event) {
-        self.seq += 1;
-        self.items.push(Item::Record(Record { seq: self.seq, at: self.stamp(at), event }));
-    }
-
-    fn list(&mut self, at: u64, revision: u64, node: &str, state: NodeState) {
-        let node = ListedNode { node: node.into(), shard: u32::from(node == "s1"), state, started: None };
-        self.put(at, Event::Listed(Listed { revision, kind: Kind::Changes, nodes: vec![node] }));
-    }
-
-    fn node(&mut self, at: u64, node: &str, state: NodeState, why: Why) {
-        self.put(at, Event::Node(NodeChange { node: node.into(), state, why }));
-    }
-
-    fn class(&mut self, at: u64, in_aim: u32, late: u32) {
-        let from = self.mono(at);
-        let counts = ClassSecond {
-            from,
-            span: 1000 * MS,
-            taken: in_aim + late,
-            in_aim,
-            late,
-            ..ClassSecond::default()
-        };
-        self.put(at + 1000, Event::Class(counts));
-    }
-
-    /// A request that came at `at`, with attempts at `(node, sent, ended, how)`.
-    fn request(&mut self, id: u64, class: u16, at: u64, attempts: &[(&str, u64, u64, Ended)], answered: u64) {
-        let attempt = |(node, sent, ended, end): &(&str, u64, u64, Ended)| Attempted {
-            node: (*node).into(),
-            sent: self.mono(*sent),
-            ended: Some((self.mono(*ended), *end)),
-        };
-        let done = RequestDone {
-            request: id,
-            class,
-            plan: 0,
-            volume: 7,
-            units: 2,
-            arrived: self.mono(at),
-            answered: self.mono(answered),
-            outcome: Outcome::Served,
-            attempts: attempts.iter().map(attempt).collect(),
-        };
-        self.put(answered, Event::Request(done));
-    }
-
-    fn end(mut self, at: u64) -> Self {
-        self.put(at, Event::Lifecycle(Lifecycle::Ended));
-        self
-    }
-
-    fn fold(&self) -> Fold {
-        let mut fold = Fold::new(self.name, self.begun + 1);
-        self.items.iter().for_each(|item| fold.take(item));
-        fold.finish();
-        fold
-    }
-}
-
 fn incident(told: &[Told]) -> Incident {
-    Incident::of(told.iter().map(Told::fold).collect(), Window::ALL)
+    Incident::of(&told.iter().map(Told::fold).collect::<Vec<_>>(), Window::ALL)
 }
 
 fn texts(incident: &Incident, what: What) -> Vec<&str> {
@@ -371,9 +261,9 @@
 /// A report of ten minutes out of a day holds these ten minutes only.
 #[test]
 fn a_window_cuts_off_what_lies_outside() {
-    let folds = drained().iter().map(Told::fold).collect();
+    let folds: Vec<Fold> = drained().iter().map(Told::fold).collect();
     let window = Window { from: NINE + 4000 * MS, to: NINE + 6000 * MS };
-    let incident = Incident::of(folds, window);
+    let incident = Incident::of(&folds, window);
     assert_eq!(incident.window, window);
     assert!(incident.findings.iter().all(|f| f.at < window.to && f.until.is_none_or(|to| to >= window.from)));
     assert_eq!(texts(&incident, What::Draining).len(), 1);
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -2,13 +2,13 @@
 
 use heathward_incident::audit::Rule;
 use heathward_incident::findings::{clock, known_to, What};
-use heathward_incident::{Ending, Incident, NodeCounts, Sum};
+use heathward_incident::{Incident, NodeCounts, Sum};
 use heathward_records::{Micros, NodeState, ENDS, FAILURES, REFUSALS};
 use maud::{html, Markup, PreEscaped, DOCTYPE};
 use plotters::style::RGBColor;
 
 use crate::charts;
-use crate::tables::word;
+use crate::tables::{ending, word};
 
 const STYLE: &str = "
 body{font:14px/1.45 system-ui,sans-serif;color:#222;max-width:1120px;margin:24px auto;padding:0 16px}
@@ -274,7 +274,7 @@
                     td { (format!("{:016x}", boot.boot)) }
                     td.t { (clock(boot.from)) }
                     td.t { (clock(boot.to)) }
-                    td { @if boot.ending == Ending::Planned { "by plan" } @else { "no last word" } }
+                    td { (ending(boot.ending)) }
                     td { (format!("{:+} ms", boot.ahead / 1000)) (known_to(incident, place)) }
                 }
             }
--- a/crates/report/src/tables.rs
+++ b/crates/report/src/tables.rs
@@ -101,6 +101,15 @@
     checked: Checked,
 }
 
+/// A run's end in words.
+pub fn ending(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Planned => "by plan",
+        Ending::Cut => "without a last word",
+        Ending::Running => "not yet",
+    }
+}
+
 /// A state in a word.
 pub fn word(state: NodeState) -> &'static str {
     match state {
@@ -168,7 +177,7 @@
             boot: format!("{:016x}", boot.boot),
             from: boot.from,
             to: boot.to,
-            ended: if boot.ending == Ending::Planned { "by plan" } else { "without a last word" },
+            ended: ending(boot.ending),
             ahead_us: boot.ahead,
             less_us: boot.offset.least.map(|least| boot.offset.value - least),
             more_us: boot.offset.most.map(|most| most - boot.offset.value),
--- a/crates/scheduler/tests/incident.rs
+++ b/crates/scheduler/tests/incident.rs
@@ -18,7 +18,7 @@
     // One that a run before has left.
     let _ = std::fs::remove_dir_all(&folder);
     let truth = stage(Path::new(env!("CARGO_BIN_EXE_heathward")), &folder).await;
-    let incident = Incident::of(folds::read(&truth.folders).unwrap(), Window::ALL);
+    let incident = Incident::of(&folds::read(&truth.folders).unwrap(), Window::ALL);
     (truth, incident)
 }
 
@@ -102,7 +102,7 @@
         let read = folds::read(&truth.folders[number as usize..=number as usize]).unwrap();
         let boots: Vec<Fold> = read.into_iter().filter(|fold| fold.scheduler == name).collect();
         let offset = incident.boots.iter().find(|b| b.scheduler == name).unwrap().ahead;
-        let one = Incident::of(boots, Window::ALL);
+        let one = Incident::of(&boots, Window::ALL);
         let whole = one.holes.is_empty();
         assert_eq!(whole, number != 1, "{:?}", one.holes);
         for node in 0..NODES {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod program;
 mod rig;
 pub mod staged;
+pub mod told;
 
 use std::time::Duration;
 
