--- /dev/null
+++ b/crates/keep/src/keeper.rs
@@ -0,0 +1,490 @@
+//! Books what is kept, and decides on each body as it grows.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+/// Bodies that are booked at a time at most; of more nothing is kept.
+pub const BODIES: usize = 65_536;
+
+/// A body: that of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BodyId(pub u64);
+
+/// Where a body is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// In memory.
+    Memory,
+    /// In a file.
+    File,
+    /// Not at all, or no longer: its request ends with its first attempt.
+    Nowhere,
+}
+
+/// Why a body is kept no better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Its class may not be tried again.
+    NotRepeatable,
+    /// No time is left for another attempt.
+    NoTime,
+    /// It is larger than any single body may be.
+    TooLarge,
+    /// All that may be kept is.
+    AllFull,
+    /// All that may be kept of its plan is.
+    PlanFull,
+    /// All that may be kept of its class is.
+    ClassFull,
+    /// All that may be kept of its volume is.
+    VolumeFull,
+    /// The disk takes nothing.
+    Disk,
+    /// It made way for one that is worth more.
+    Displaced,
+    /// More bodies come than are booked.
+    TooMany,
+}
+
+impl Reason {
+    /// Whether two bodies draw on the budget that is full.
+    fn is_shared(self, one: &Ask, other: &Ask) -> bool {
+        match self {
+            Self::AllFull => true,
+            Self::PlanFull => one.plan == other.plan,
+            Self::ClassFull => one.class == other.class,
+            Self::VolumeFull => one.volume == other.volume,
+            _ => false,
+        }
+    }
+}
+
+/// Bytes in memory and in files.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Budget {
+    /// In memory.
+    pub memory: u64,
+    /// In files.
+    pub files: u64,
+}
+
+impl Budget {
+    fn of(self, place: Place) -> u64 {
+        match place {
+            Place::Memory => self.memory,
+            Place::File => self.files,
+            Place::Nowhere => 0,
+        }
+    }
+}
+
+/// How much is kept. A plan or class that has no budget of its own goes by all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Of one body.
+    pub each: Budget,
+    /// Of all.
+    pub all: Budget,
+    /// Of one volume.
+    pub volume: Budget,
+    /// Of each plan, by place.
+    pub plans: Vec<Budget>,
+    /// Of each class, by place.
+    pub classes: Vec<Budget>,
+    /// A request with less time left than that is not tried again, microseconds.
+    pub least_time: u64,
+}
+
+/// How the disk does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Disk {
+    /// It takes what comes.
+    #[default]
+    Sound,
+    /// It is full, read-only, stuck or absent: nothing new goes there.
+    Unfit,
+}
+
+/// What is known of a body as it begins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ask {
+    /// Place of its plan.
+    pub plan: u16,
+    /// Place of its class.
+    pub class: u16,
+    /// Its volume.
+    pub volume: u64,
+    /// Its length, where it is told.
+    pub declared: Option<u64>,
+    /// Worth of the request.
+    pub worth: f64,
+    /// It lies within its plan's reserve.
+    pub in_reserve: bool,
+    /// Its class may be tried again.
+    pub repeatable: bool,
+    /// Until the request's deadline, microseconds.
+    pub time_left: u64,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// Where the body is from now on; one that was elsewhere moves there whole.
+    pub place: Place,
+    /// Why it is kept no better, where it is not in memory.
+    pub reason: Option<Reason>,
+    /// Others that move: down to a file, or away.
+    pub moved: Vec<(BodyId, Place)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Body {
+    ask: Ask,
+    place: Place,
+    size: u64,
+    /// Its attempt is out and could be repeated by rule.
+    protected: bool,
+}
+
+impl Body {
+    /// Whether it may make way for `other`: strictly less dear, and nothing within a reserve for what is
+    /// outside any.
+    fn yields_to(&self, other: &Ask) -> bool {
+        !self.protected && rank(&self.ask, other) == Ordering::Less
+    }
+}
+
+fn rank(a: &Ask, b: &Ask) -> Ordering {
+    a.in_reserve.cmp(&b.in_reserve).then(a.worth.total_cmp(&b.worth))
+}
+
+/// Books bodies and decides on them.
+#[derive(Debug, Default)]
+pub struct Keeper {
+    limits: Limits,
+    disk: Disk,
+    bodies: BTreeMap<BodyId, Body>,
+}
+
+impl Keeper {
+    /// One that keeps so much.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
+    /// The disk does otherwise from now on. What lies there stays until reading it fails.
+    pub fn disk(&mut self, disk: Disk) {
+        self.disk = disk;
+    }
+
+    /// A body begins to come. One that can't be kept whole anyway is not begun.
+    pub fn begin(&mut self, id: BodyId, ask: Ask) -> Decision {
+        let least = ask.declared.unwrap_or(0);
+        let reason = match () {
+            () if !ask.repeatable => Some(Reason::NotRepeatable),
+            () if ask.time_left < self.limits.least_time => Some(Reason::NoTime),
+            () if least > self.limits.each.memory.max(self.limits.each.files) => Some(Reason::TooLarge),
+            () if self.bodies.len() >= BODIES => Some(Reason::TooMany),
+            () => None,
+        };
+        if reason.is_some() {
+            return Decision { place: Place::Nowhere, reason, moved: Vec::new() };
+        }
+        self.bodies.insert(id, Body { ask, place: Place::Memory, size: 0, protected: false });
+        self.grow(id, 0)
+    }
+
+    /// So many more bytes of a body are to be kept. Of one that is not booked nothing is.
+    pub fn grow(&mut self, id: BodyId, bytes: u64) -> Decision {
+        let Some(body) = self.bodies.get(&id).copied() else {
+            return Decision { place: Place::Nowhere, reason: None, moved: Vec::new() };
+        };
+        let size = body.size.saturating_add(bytes);
+        // What will not fit memory goes to a file at once, and what is there stays there.
+        let whole = size.max(body.ask.declared.unwrap_or(0));
+        let mut reason = None;
+        for place in [Place::Memory, Place::File] {
+            if place < body.place {
+                continue;
+            }
+            match self.make_room(id, place, size, whole) {
+                Ok(moved) => {
+                    self.bodies.insert(id, Body { place, size, ..body });
+                    return Decision { place, reason, moved };
+                }
+                Err(why) => reason = Some(why),
+            }
+        }
+        self.bodies.remove(&id);
+        Decision { place: Place::Nowhere, reason, moved: Vec::new() }
+    }
+
+    /// Whether a body's attempt is out and could be repeated by rule: meanwhile it does not make way.
+    pub fn protect(&mut self, id: BodyId, protected: bool) {
+        if let Some(body) = self.bodies.get_mut(&id) {
+            body.protected = protected;
+        }
+    }
+
+    /// Where a body is kept.
+    pub fn place(&self, id: BodyId) -> Place {
+        self.bodies.get(&id).map_or(Place::Nowhere, |body| body.place)
+    }
+
+    /// A body is needed no more, or was lost.
+    pub fn end(&mut self, id: BodyId) {
+        self.bodies.remove(&id);
+    }
+
+    /// Bytes that are kept.
+    pub fn used(&self) -> Budget {
+        let sum = |place| self.bodies.values().filter(|b| b.place == place).map(|b| b.size).sum();
+        Budget { memory: sum(Place::Memory), files: sum(Place::File) }
+    }
+
+    /// Sees to it that a body of that size fits a place; who makes way for it moves. Nobody moves if it does
+    /// not fit all the same.
+    fn make_room(
+        &mut self,
+        id: BodyId,
+        place: Place,
+        size: u64,
+        whole: u64,
+    ) -> Result<Vec<(BodyId, Place)>, Reason> {
+        if place == Place::File && self.disk == Disk::Unfit {
+            return Err(Reason::Disk);
+        }
+        if whole > self.limits.each.of(place) {
+            return Err(Reason::TooLarge);
+        }
+        let Some(body) = self.bodies.get(&id).copied() else { return Err(Reason::TooMany) };
+        let mut leaving: Vec<BodyId> = Vec::new();
+        loop {
+            let passed_over = |other| other == id || leaving.contains(&other);
+            let Err(reason) = self.fits(&body.ask, place, size, passed_over) else { break };
+            let candidates = self.bodies.iter().filter(|(other, candidate)| {
+                **other != id
+                    && candidate.place == place
+                    && candidate.size > 0
+                    && !leaving.contains(other)
+                    && reason.is_shared(&body.ask, &candidate.ask)
+                    && candidate.yields_to(&body.ask)
+            });
+            // The least dear first; of alike ones the latest, which has cost the least so far.
+            let least = candidates.min_by(|(a, x), (b, y)| rank(&x.ask, &y.ask).then(b.cmp(a)));
+            leaving.push(*least.ok_or(reason)?.0);
+        }
+        Ok(leaving.into_iter().map(|other| (other, self.move_down(other, place))).collect())
+    }
+
+    /// Moves a body from memory to a file if it fits there without more ado, else away.
+    fn move_down(&mut self, id: BodyId, from: Place) -> Place {
+        let Some(body) = self.bodies.get(&id).copied() else { return Place::Nowhere };
+        let file = from == Place::Memory
+            && self.disk == Disk::Sound
+            && body.size.max(body.ask.declared.unwrap_or(0)) <= self.limits.each.files
+            && self.fits(&body.ask, Place::File, body.size, |other| other == id).is_ok();
+        if file {
+            self.bodies.insert(id, Body { place: Place::File, ..body });
+            return Place::File;
+        }
+        self.bodies.remove(&id);
+        Place::Nowhere
+    }
+
+    /// Whether a body of that size fits all budgets of a place, without those that are passed over; else the
+    /// budget that it exceeds.
+    fn fits(
+        &self,
+        ask: &Ask,
+        place: Place,
+        size: u64,
+        passed_over: impl Fn(BodyId) -> bool,
+    ) -> Result<(), Reason> {
+        let (mut all, mut plan, mut class, mut volume) = (size, size, size, size);
+        for (_, body) in self.bodies.iter().filter(|(id, body)| body.place == place && !passed_over(**id)) {
+            all += body.size;
+            plan += if body.ask.plan == ask.plan { body.size } else { 0 };
+            class += if body.ask.class == ask.class { body.size } else { 0 };
+            volume += if body.ask.volume == ask.volume { body.size } else { 0 };
+        }
+        let of =
+            |budgets: &[Budget], at: u16| budgets.get(usize::from(at)).unwrap_or(&self.limits.all).of(place);
+        match () {
+            () if volume > self.limits.volume.of(place) => Err(Reason::VolumeFull),
+            () if class > of(&self.limits.classes, ask.class) => Err(Reason::ClassFull),
+            () if plan > of(&self.limits.plans, ask.plan) => Err(Reason::PlanFull),
+            () if all > self.limits.all.of(place) => Err(Reason::AllFull),
+            () => Ok(()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    fn budget(memory: u64, files: u64) -> Budget {
+        Budget { memory, files }
+    }
+
+    fn limits() -> Limits {
+        Limits {
+            each: budget(100, 1000),
+            all: budget(300, 3000),
+            volume: budget(200, 2000),
+            plans: vec![budget(250, 2500), budget(300, 3000)],
+            classes: vec![budget(300, 3000)],
+            least_time: 50,
+        }
+    }
+
+    fn ask(volume: u64, worth: f64) -> Ask {
+        Ask {
+            plan: 0,
+            class: 0,
+            volume,
+            declared: None,
+            worth,
+            in_reserve: false,
+            repeatable: true,
+            time_left: 100,
+        }
+    }
+
+    #[rstest]
+    #[case::small(Ask { declared: Some(80), ..ask(1, 1.0) }, Place::Memory, None)]
+    #[case::large(Ask { declared: Some(800), ..ask(1, 1.0) }, Place::File, Some(Reason::TooLarge))]
+    #[case::too_large(Ask { declared: Some(1001), ..ask(1, 1.0) }, Place::Nowhere, Some(Reason::TooLarge))]
+    #[case::not_told(ask(1, 1.0), Place::Memory, None)]
+    #[case::once_only(Ask { repeatable: false, ..ask(1, 1.0) }, Place::Nowhere, Some(Reason::NotRepeatable))]
+    #[case::late(Ask { time_left: 49, ..ask(1, 1.0) }, Place::Nowhere, Some(Reason::NoTime))]
+    fn where_a_body_begins(#[case] ask: Ask, #[case] place: Place, #[case] reason: Option<Reason>) {
+        let mut keeper = Keeper::new(limits());
+        let decision = keeper.begin(BodyId(1), ask);
+        assert_eq!((decision.place, decision.reason), (place, reason));
+    }
+
+    #[test]
+    fn a_body_moves_down_as_it_grows_and_never_up() {
+        let mut keeper = Keeper::new(limits());
+        keeper.begin(BodyId(1), ask(1, 1.0));
+        let places: Vec<Place> =
+            [90, 20, 800, 200].iter().map(|b| keeper.grow(BodyId(1), *b).place).collect();
+        assert_eq!(places, [Place::Memory, Place::File, Place::File, Place::Nowhere]);
+        assert_eq!((keeper.used(), keeper.grow(BodyId(1), 1).place), (Budget::default(), Place::Nowhere));
+    }
+
+    #[test]
+    fn on_an_unfit_disk_what_outgrows_memory_is_given_up() {
+        let mut keeper = Keeper::new(limits());
+        keeper.disk(Disk::Unfit);
+        keeper.begin(BodyId(1), ask(1, 1.0));
+        keeper.grow(BodyId(1), 90);
+        let decision = keeper.grow(BodyId(1), 20);
+        assert_eq!((decision.place, decision.reason), (Place::Nowhere, Some(Reason::Disk)));
+    }
+
+    /// Three bodies fill memory; a fourth comes that is worth more than some.
+    #[rstest]
+    #[case::dearer(ask(9, 5.0), false, Place::Memory, vec![(BodyId(1), Place::File)])]
+    #[case::cheaper(ask(9, 0.5), false, Place::File, vec![])]
+    #[case::alike(ask(9, 1.0), false, Place::File, vec![])]
+    #[case::protected(ask(9, 2.0), true, Place::File, vec![])]
+    #[case::reserve(
+        Ask { in_reserve: true, ..ask(9, 0.1) },
+        false,
+        Place::Memory,
+        vec![(BodyId(1), Place::File)],
+    )]
+    fn who_makes_way(
+        #[case] newcomer: Ask,
+        #[case] protected: bool,
+        #[case] place: Place,
+        #[case] moved: Vec<(BodyId, Place)>,
+    ) {
+        let mut keeper = Keeper::new(Limits { plans: vec![], ..limits() });
+        for (id, worth) in [(1, 1.0), (2, 2.0), (3, 3.0)] {
+            keeper.begin(BodyId(id), ask(id, worth));
+            keeper.grow(BodyId(id), 100);
+        }
+        keeper.protect(BodyId(1), protected);
+        keeper.begin(BodyId(4), newcomer);
+        let decision = keeper.grow(BodyId(4), 50);
+        assert_eq!((decision.place, decision.moved), (place, moved));
+    }
+
+    /// Whatever comes: no budget is exceeded, what is protected stays, nothing within a reserve makes way for
+    /// what is outside any, and all that moves is told of.
+    #[test]
+    fn budgets_hold_and_reserves_stand() {
+        for seed in 0..60 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let mut keeper = Keeper::new(limits());
+            let mut next = 0;
+            for _ in 0..400 {
+                let before: Vec<(BodyId, Body)> = keeper.bodies.iter().map(|(id, b)| (*id, *b)).collect();
+                let known =
+                    |rng: &mut fastrand::Rng| before.get(rng.usize(0..before.len().max(1))).map(|b| b.0);
+                let (id, decision) = match rng.u8(0..10) {
+                    0..=3 => {
+                        next += 1;
+                        let declared = rng.bool().then(|| rng.u64(0..1200));
+                        let ask = Ask {
+                            plan: rng.u16(0..3),
+                            declared,
+                            in_reserve: rng.u8(0..4) == 0,
+                            ..ask(rng.u64(0..6), f64::from(rng.u8(0..5)))
+                        };
+                        (BodyId(next), keeper.begin(BodyId(next), ask))
+                    }
+                    4..=7 => {
+                        let Some(id) = known(&mut rng) else { continue };
+                        (id, keeper.grow(id, rng.u64(1..150)))
+                    }
+                    8 => {
+                        let Some(id) = known(&mut rng) else { continue };
+                        keeper.protect(id, rng.bool());
+                        continue;
+                    }
+                    _ => {
+                        let Some(id) = known(&mut rng) else { continue };
+                        keeper.end(id);
+                        keeper.disk(if rng.u8(0..4) == 0 { Disk::Unfit } else { Disk::Sound });
+                        continue;
+                    }
+                };
+                let ask = keeper.bodies.get(&id).map(|body| body.ask);
+                for (other, was) in &before {
+                    let is = keeper.place(*other);
+                    let told = decision.moved.iter().find(|(moved, _)| moved == other).map(|(_, to)| *to);
+                    assert!(*other == id || is == was.place || told == Some(is), "seed {seed}");
+                    if let (Some(_), Some(ask)) = (told, ask) {
+                        assert!(!was.protected && (!was.ask.in_reserve || ask.in_reserve), "seed {seed}");
+                    }
+                }
+                check(&keeper, seed);
+            }
+        }
+    }
+
+    fn check(keeper: &Keeper, seed: u64) {
+        let limits = &keeper.limits;
+        for place in [Place::Memory, Place::File] {
+            let sum = |of: &dyn Fn(&Ask) -> bool| {
+                let bodies = keeper.bodies.values().filter(|b| b.place == place && of(&b.ask));
+                bodies.map(|b| b.size).sum::<u64>()
+            };
+            assert!(sum(&|_| true) <= limits.all.of(place), "seed {seed}");
+            for at in 0..6 {
+                assert!(sum(&|a| a.volume == at) <= limits.volume.of(place), "seed {seed}");
+                let plan = limits.plans.get(at as usize).unwrap_or(&limits.all);
+                assert!(sum(&|a| u64::from(a.plan) == at) <= plan.of(place), "seed {seed}");
+            }
+            let each = keeper.bodies.values().filter(|b| b.place == place);
+            assert!(each.into_iter().all(|b| b.size <= limits.each.of(place)), "seed {seed}");
+        }
+    }
+}
--- a/crates/report/src/charts.rs
+++ b/crates/report/src/charts.rs
@@ -87,19 +87,29 @@
     }
 }
 
-/// Axes with times below and figures at the left.
-fn axes<'a, 'b>(
+/// Room for axes, and for what stands over them up to `most`.
+fn plain<'a, 'b>(
     area: &'a Area<'b>,
     incident: &Incident,
     most: f64,
-    unit: &str,
 ) -> Result<Chart<'a, 'b>, Box<dyn std::error::Error>> {
-    let mut chart = ChartBuilder::on(area)
+    let chart = ChartBuilder::on(area)
         .x_label_area_size(24)
         .y_label_area_size(LEFT)
         .margin_right(RIGHT)
         .margin_top(8)
         .build_cartesian_2d(0.0..end(incident), 0.0..most)?;
+    Ok(chart)
+}
+
+/// Axes with times below and figures at the left.
+fn axes<'a, 'b>(
+    area: &'a Area<'b>,
+    incident: &Incident,
+    most: f64,
+    unit: &str,
+) -> Result<Chart<'a, 'b>, Box<dyn std::error::Error>> {
+    let mut chart = plain(area, incident, most)?;
     chart
         .configure_mesh()
         .disable_x_mesh()
@@ -164,12 +174,7 @@
     let top = (top.max(Times::place(aim) + 2) + 1) as f64;
     let heat = |share: f64| RGBColor(0, 114, 178).mix((0.12 + 0.88 * share.sqrt()).min(1.0));
     svg(220, |area| {
-        let mut chart = ChartBuilder::on(area)
-            .x_label_area_size(24)
-            .y_label_area_size(LEFT)
-            .margin_right(RIGHT)
-            .margin_top(8)
-            .build_cartesian_2d(0.0..end(incident), 0.0..top)?;
+        let mut chart = plain(area, incident, top)?;
         chart
             .configure_mesh()
             .disable_mesh()
@@ -222,12 +227,7 @@
     let height = row * incident.nodes.len() as u32;
     svg(height.max(1) + 30, |area| {
         let most = f64::from(height.max(1));
-        let mut chart = ChartBuilder::on(area)
-            .x_label_area_size(24)
-            .y_label_area_size(LEFT)
-            .margin_right(RIGHT)
-            .margin_top(4)
-            .build_cartesian_2d(0.0..end(incident), 0.0..most)?;
+        let mut chart = plain(area, incident, most)?;
         chart
             .configure_mesh()
             .disable_mesh()
