Kept bodies: sums are kept, not counted anew at each step

Cause: each piece of a body looked at all bodies to know what its budgets hold. Change: the sums of all, each plan, class and volume are kept as bodies are booked; one that is empty is forgotten.

--- a/crates/keep/src/keeper.rs
+++ b/crates/keep/src/keeper.rs
@@ -158,12 +158,23 @@
     a.in_reserve.cmp(&b.in_reserve).then(a.worth.total_cmp(&b.worth))
 }
 
+/// Whose budget it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Owner {
+    All,
+    Plan(u16),
+    Class(u16),
+    Volume(u64),
+}
+
 /// Books bodies and decides on them.
 #[derive(Debug, Default)]
 pub struct Keeper {
     limits: Limits,
     disk: Disk,
     bodies: BTreeMap<BodyId, Body>,
+    /// Bytes that are kept, for each that has any.
+    sums: BTreeMap<(Place, Owner), u64>,
 }
 
 impl Keeper {
@@ -190,7 +201,7 @@
         if reason.is_some() {
             return Decision { place: Place::Nowhere, reason, moved: Vec::new() };
         }
-        self.bodies.insert(id, Body { ask, place: Place::Memory, size: 0, protected: false });
+        self.book(id, Some(Body { ask, place: Place::Memory, size: 0, protected: false }));
         self.grow(id, 0)
     }
 
@@ -209,13 +220,13 @@
             }
             match self.make_room(id, place, size, whole) {
                 Ok(moved) => {
-                    self.bodies.insert(id, Body { place, size, ..body });
+                    self.book(id, Some(Body { place, size, ..body }));
                     return Decision { place, reason, moved };
                 }
                 Err(why) => reason = Some(why),
             }
         }
-        self.bodies.remove(&id);
+        self.book(id, None);
         Decision { place: Place::Nowhere, reason, moved: Vec::new() }
     }
 
@@ -233,13 +244,38 @@
 
     /// A body is needed no more, or was lost.
     pub fn end(&mut self, id: BodyId) {
-        self.bodies.remove(&id);
+        self.book(id, None);
+    }
+
+    /// Books a body so from now on, or no longer, and keeps the sums.
+    fn book(&mut self, id: BodyId, body: Option<Body>) {
+        let before = match body {
+            Some(body) => self.bodies.insert(id, body),
+            None => self.bodies.remove(&id),
+        };
+        for was in before.iter().filter(|was| was.size > 0) {
+            for owner in owners(&was.ask) {
+                let sum = self.sums.entry((was.place, owner)).or_default();
+                *sum -= was.size;
+                if *sum == 0 {
+                    self.sums.remove(&(was.place, owner));
+                }
+            }
+        }
+        for is in body.iter().filter(|is| is.size > 0) {
+            owners(&is.ask)
+                .into_iter()
+                .for_each(|owner| *self.sums.entry((is.place, owner)).or_default() += is.size);
+        }
+    }
+
+    fn sum(&self, place: Place, owner: Owner) -> u64 {
+        self.sums.get(&(place, owner)).copied().unwrap_or(0)
     }
 
     /// Bytes that are kept.
     pub fn used(&self) -> Budget {
-        let sum = |place| self.bodies.values().filter(|b| b.place == place).map(|b| b.size).sum();
-        Budget { memory: sum(Place::Memory), files: sum(Place::File) }
+        Budget { memory: self.sum(Place::Memory, Owner::All), files: self.sum(Place::File, Owner::All) }
     }
 
     /// Sees to it that a body of that size fits a place; who makes way for it moves. Nobody moves if it does
@@ -259,9 +295,7 @@
         }
         let Some(body) = self.bodies.get(&id).copied() else { return Err(Reason::TooMany) };
         let mut leaving: Vec<BodyId> = Vec::new();
-        loop {
-            let passed_over = |other| other == id || leaving.contains(&other);
-            let Err(reason) = self.fits(&body.ask, place, size, passed_over) else { break };
+        while let Err(reason) = self.fits(&body.ask, place, size, id, &leaving) {
             let candidates = self.bodies.iter().filter(|(other, candidate)| {
                 **other != id
                     && candidate.place == place
@@ -283,43 +317,55 @@
         let file = from == Place::Memory
             && self.disk == Disk::Sound
             && body.size.max(body.ask.declared.unwrap_or(0)) <= self.limits.each.files
-            && self.fits(&body.ask, Place::File, body.size, |other| other == id).is_ok();
+            && self.fits(&body.ask, Place::File, body.size, id, &[]).is_ok();
         if file {
-            self.bodies.insert(id, Body { place: Place::File, ..body });
+            self.book(id, Some(Body { place: Place::File, ..body }));
             return Place::File;
         }
-        self.bodies.remove(&id);
+        self.book(id, None);
         Place::Nowhere
     }
 
-    /// Whether a body of that size fits all budgets of a place, without those that are passed over; else the
-    /// budget that it exceeds.
+    /// Whether a body of that size fits all budgets of a place, without what it has there itself and
+    /// without those that leave; else the budget that it exceeds.
     fn fits(
         &self,
         ask: &Ask,
         place: Place,
         size: u64,
-        passed_over: impl Fn(BodyId) -> bool,
+        own: BodyId,
+        leaving: &[BodyId],
     ) -> Result<(), Reason> {
-        let (mut all, mut plan, mut class, mut volume) = (size, size, size, size);
-        for (_, body) in self.bodies.iter().filter(|(id, body)| body.place == place && !passed_over(**id)) {
-            all += body.size;
-            plan += if body.ask.plan == ask.plan { body.size } else { 0 };
-            class += if body.ask.class == ask.class { body.size } else { 0 };
-            volume += if body.ask.volume == ask.volume { body.size } else { 0 };
-        }
+        let without: Vec<&Body> = leaving
+            .iter()
+            .chain([&own])
+            .filter_map(|id| self.bodies.get(id))
+            .filter(|b| b.place == place)
+            .collect();
         let of =
             |budgets: &[Budget], at: u16| budgets.get(usize::from(at)).unwrap_or(&self.limits.all).of(place);
-        match () {
-            () if volume > self.limits.volume.of(place) => Err(Reason::VolumeFull),
-            () if class > of(&self.limits.classes, ask.class) => Err(Reason::ClassFull),
-            () if plan > of(&self.limits.plans, ask.plan) => Err(Reason::PlanFull),
-            () if all > self.limits.all.of(place) => Err(Reason::AllFull),
-            () => Ok(()),
+        let budgets = [
+            (Owner::Volume(ask.volume), self.limits.volume.of(place), Reason::VolumeFull),
+            (Owner::Class(ask.class), of(&self.limits.classes, ask.class), Reason::ClassFull),
+            (Owner::Plan(ask.plan), of(&self.limits.plans, ask.plan), Reason::PlanFull),
+            (Owner::All, self.limits.all.of(place), Reason::AllFull),
+        ];
+        for (owner, most, reason) in budgets {
+            let gone = without.iter().filter(|body| owners(&body.ask).contains(&owner));
+            let gone: u64 = gone.map(|body| body.size).sum();
+            if self.sum(place, owner) - gone + size > most {
+                return Err(reason);
+            }
         }
+        Ok(())
     }
 }
 
+/// Whose budgets a body draws on.
+fn owners(ask: &Ask) -> [Owner; 4] {
+    [Owner::All, Owner::Plan(ask.plan), Owner::Class(ask.class), Owner::Volume(ask.volume)]
+}
+
 #[cfg(test)]
 mod tests {
     use rstest::rstest;
@@ -478,6 +524,7 @@
                 bodies.map(|b| b.size).sum::<u64>()
             };
             assert!(sum(&|_| true) <= limits.all.of(place), "seed {seed}");
+            assert_eq!(sum(&|_| true), keeper.used().of(place), "seed {seed}");
             for at in 0..6 {
                 assert!(sum(&|a| a.volume == at) <= limits.volume.of(place), "seed {seed}");
                 let plan = limits.plans.get(at as usize).unwrap_or(&limits.all);
