--- a/crates/scheduler/tests/incident.rs
+++ b/crates/scheduler/tests/incident.rs
@@ -10,7 +10,9 @@
 use heathward_records::Lifecycle;
 use heathward_report::{html, Tables, FILES};
 use heathward_standin::staged::{stage, unaccounted, untrue, Truth, NODES};
-use heathward_standin::{answer, config_text, http_node, member, request, Does, Log, Program, PATIENCE};
+use heathward_standin::{
+    answer, config_text, http_node, member, request, reserved, Does, Log, Program, PATIENCE,
+};
 use heathwardctl::folds;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -137,12 +139,10 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let records = folder.join(records);
-        let kept = tokio::net::TcpSocket::new_v4().unwrap();
-        kept.set_reuseport(true).unwrap();
-        kept.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let (kept, listen) = reserved();
         let node = http_node(0, &[Does::Serve], &Log::default()).await;
         let members = member("s0", node, 0, "in_service", 0);
-        let text = config_text(&kept.local_addr().unwrap().to_string(), "127.0.0.1:1", &members);
+        let text = config_text(&listen.to_string(), "127.0.0.1:1", &members);
         std::fs::write(folder.join("config.json"), text).unwrap();
         let operator = format!("{{ records: {{ folder: '{}' }} }}", records.display());
         std::fs::write(folder.join("operator.jsonnet"), operator).unwrap();
--- a/crates/scheduler/tests/net/handover.rs
+++ b/crates/scheduler/tests/net/handover.rs
@@ -61,10 +61,7 @@
     fn new(members: &str) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let kept = TcpSocket::new_v4().unwrap();
-        kept.set_reuseport(true).unwrap();
-        kept.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let listen = kept.local_addr().unwrap();
+        let (kept, listen) = reserved();
         // A short path: that of a Unix socket has 108 bytes at most.
         let folder = std::env::temp_dir().join(format!("hw-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
--- a/crates/standin/src/message.rs
+++ b/crates/standin/src/message.rs
@@ -23,6 +23,16 @@
     (socket, address)
 }
 
+/// An address that the system has chosen, and that nobody else is given while the socket is kept: for a
+/// program that listens there, ends and comes again, or beside another of its name.
+pub fn reserved() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseport(true).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
 /// Reads one HTTP message: its head in lower case, its head as it came, and its body.
 pub async fn read_message(stream: &mut TcpStream) -> Option<(String, String, Vec<u8>)> {
     let mut bytes = Vec::new();
--- a/crates/standin/src/staged.rs
+++ b/crates/standin/src/staged.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use crate::message::{read_message, request};
+use crate::message::{read_message, request, reserved};
 use crate::{config_text, scripted_node, Discovery, Does, Listed, Log, Program, Script};
 
 /// Nodes, each with a shard of its own.
@@ -72,10 +72,7 @@
 
 impl Place {
     fn new(number: u32, folder: &Path, discovery: &Discovery) -> Self {
-        let kept = TcpSocket::new_v4().unwrap();
-        kept.set_reuseport(true).unwrap();
-        kept.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let listen = kept.local_addr().unwrap();
+        let (kept, listen) = reserved();
         let folder = folder.join(format!("n{number}"));
         let records = folder.join("records");
         std::fs::create_dir_all(&records).unwrap();
