Cold nodes: each host spends its even part only on the nodes it is asked for

Seen: a probe printed why each request is given up, and what went out, at all 100 hosts. A node saw 8 hosts in 2 s (21 at most), with 76 units, and bears 24 units at its start. Lines at fault: Scheduler::cold_part (choice.rs 587-607): with 100 hosts 5 take a turn of 8 s each, of which 5.75 s are used; a host that is asked for the node waits 160 s for its turn. Change: a host has an even part of what all nodes bear, split over the nodes that it was asked for within the fall time. Each host does so, so the mean total at a node is what it bears, whatever the number of hosts. The part is a store that pays a request in part by chance and takes what is beyond as owed. Below the reserve a request leaves some for what is worth more.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -50,10 +50,6 @@
 const USE_SPAN: f64 = 2.0;
 /// Attempts in a row that time out, and periods without a word, after which a node is silent and not paused.
 const SILENT: (u32, u64) = (3, 7);
-/// Length of a turn at a cold node in windows of its rule, one of them lost, and the part of a window that
-/// stays free at each end for clocks and ways that differ.
-const COLD_SLOT: Micros = 4;
-const COLD_EDGE: Micros = 16;
 /// First and longest pause before a failed subscription is opened anew.
 const RESUBSCRIBE: (Micros, Micros) = (300_000, 2_400_000);
 
@@ -311,6 +307,7 @@
         };
         let Some(node_id) = node else { return self.finish(now, id, out) };
         self.close_periods(now, node_id);
+        self.ask(now, node_id);
         let job = &self.jobs[&id];
         let (portion, node) = (job.portion, &self.nodes[&node_id]);
         // The design's test for a volume newly active at this node.
@@ -480,7 +477,8 @@
     /// The only way out to a node: asks the gate, then books the send.
     fn offer(&mut self, now: Micros, id: RequestId, node_id: NodeId, out: &mut Vec<Action>) -> Gate {
         let gate = self.gate(now, id, node_id);
-        let cold = self.nodes.get(&node_id).and_then(|node| self.cold_part(now, node)).is_some();
+        let cold =
+            self.nodes.get(&node_id).and_then(|n| Some(self.cold_left(now, n, self.cold_part(now, n)?)));
         if gate == Gate::Go {
             self.unhold(id);
         }
@@ -502,10 +500,8 @@
         } else {
             self.tally.extras.push_back(now);
         }
-        if cold {
-            let since = now.saturating_sub(self.set.fall_time);
-            node.cold_sends.retain(|(at, _)| *at >= since);
-            node.cold_sends.push_back((now, units));
+        if let Some(left) = cold {
+            node.cold = Meter { tokens: left - units, at: now };
         }
         job.out.push((job.sends, node_id, now));
         if !job.request.passes {
@@ -577,11 +573,11 @@
                 return Gate::Later;
             }
         }
-        // Cold nodes.
+        // Cold nodes. What is left covers a request in part by chance, and what it takes beyond is owed: small
+        // parts add up over the hosts. Below the reserve a request leaves some for what is worth more.
         if let Some(part) = self.cold_part(now, node) {
-            let since = now.saturating_sub(self.set.fall_time);
-            let sent = node.cold_sends.iter().rev().take_while(|(at, _)| *at >= since);
-            if sent.map(|(_, units)| units).sum::<f64>() + units > part {
+            let level = if job.portion == Portion::Reserve { 1.0 } else { job.level };
+            if self.cold_left(now, node, part) <= 0.5 * part * (1.0 - level) + job.luck * units {
                 return Gate::Later;
             }
         }
@@ -608,10 +604,9 @@
     }
 
     /// Units that this host may send within the fall time to a node that is or may be cold; `None` if warm.
-    /// As many hosts share any such window as requests of twice the mean fit what the node bears. Where that
-    /// is not all of them they take turns by number, in slots of several windows, the last of which stays
-    /// empty: no window meets two slots, and clocks may differ by the edges. A host that just restarted may
-    /// have spent its part of the window before, and waits.
+    /// Of what all nodes bear each host has an even part, which it spends only on the nodes it is asked for:
+    /// as each does, the mean total at a node is what that node bears. A fixed part for each of many hosts
+    /// lies below one request, and turns by number leave most of a node idle.
     fn cold_part(&self, now: Micros, node: &Node) -> Option<f64> {
         let (share, time) = (self.set.cold_share.clamp(0.01, 1.0), self.set.cold_time.max(1));
         // As cold as can be until it answers.
@@ -621,21 +616,35 @@
         if now.saturating_sub(started) >= time || self.set.cold_units <= 0.0 {
             return None;
         }
-        let bears = |at: Micros| {
-            let age = at.saturating_sub(started).min(time) as f64 / time as f64;
-            self.set.cold_units * (share + (1.0 - share) * age) / share
-        };
-        let (hosts, window) = (u64::from(self.set.hosts), self.set.fall_time.max(1));
-        let (slot, life) = (COLD_SLOT * window, now.saturating_sub(self.born.unwrap_or(now)));
-        let start = now - now % slot;
-        let fits = ((bears(start) / (2.0 * self.set.mean_units)) as u64).clamp(1, hosts);
-        if fits == hosts {
-            return Some(if life >= window { bears(now) / hosts as f64 } else { 0.0 });
-        }
-        let turn = (u64::from(self.set.host) + hosts - start / slot * fits % hosts) % hosts < fits;
-        let edge = window / COLD_EDGE;
-        let inside = now >= start + edge && now + window + edge < start + slot;
-        Some(if turn && inside && life >= window { bears(start) / fits as f64 } else { 0.0 })
+        let age = now.saturating_sub(started).min(time) as f64 / time as f64;
+        let bears = self.set.cold_units * (share + (1.0 - share) * age) / share;
+        Some(bears * self.cold_share_of_one(now))
+    }
+
+    /// This host's part of what each node bears that it is asked for.
+    fn cold_share_of_one(&self, now: Micros) -> f64 {
+        let (since, nodes) = (now.saturating_sub(self.set.fall_time), self.shards.len().max(1));
+        // At least two: few hosts that each lean on one node would all lean on it in full.
+        let asked = self.nodes.values().filter(|n| n.asked > since).count().max(2).min(nodes);
+        (nodes as f64 / (f64::from(self.set.hosts) * asked as f64)).min(1.0)
+    }
+
+    /// Notes that this host is asked for a node.
+    fn ask(&mut self, now: Micros, node_id: NodeId) {
+        let left =
+            self.nodes.get(&node_id).and_then(|n| Some(self.cold_left(now, n, self.cold_part(now, n)?)));
+        let Some(node) = self.nodes.get_mut(&node_id) else { return };
+        node.cold = left.map_or(node.cold.clone(), |tokens| Meter { tokens, at: now });
+        node.asked = now;
+    }
+
+    /// What is left of that part: it comes evenly while this host is asked for the node, and a window's worth
+    /// is kept at most. A host or node that starts owes what a request goes beyond it, as in the middle of its
+    /// course: all hosts may start at once, and one that restarted forgot what it spent.
+    fn cold_left(&self, now: Micros, node: &Node, part: f64) -> f64 {
+        let window = self.set.fall_time.max(1);
+        let span = now.min(node.asked + window).saturating_sub(node.cold.at);
+        (node.cold.tokens + part * span as f64 / window as f64).min(part)
     }
 
     // ---- Outcomes -------------------------------------------------------------------------------------
@@ -842,14 +851,19 @@
         if kind == ListKind::Whole || kind == ListKind::Saved {
             self.nodes.values_mut().for_each(|node| node.ready = false);
         }
+        let part = self.set.cold_units * self.cold_share_of_one(now);
+        let beyond = (2.0 * self.set.mean_units - part).max(0.0);
         for entry in entries {
             let (budget, heard) = (FLOOR_REQUESTS * self.set.mean_units, now);
-            let fresh = || Node { budget, heard, period_end: now + self.period, ..Node::default() };
+            let owed = Meter { tokens: -beyond * self.rng.f64(), at: now };
+            let end = now + self.period;
+            let fresh = || Node { budget, heard, period_end: end, cold: owed.clone(), ..Node::default() };
             let node = self.nodes.entry(entry.node).or_insert_with(fresh);
             node.ready = entry.state == NodeState::Ready;
             (node.shard, node.zone) = (entry.shard, entry.zone);
             if entry.started > node.started {
                 (node.started, node.suspect) = (entry.started, None);
+                node.cold = owed;
             }
         }
         let ready = self.nodes.iter().filter(|(_, n)| n.ready);
--- a/crates/module/src/state.rs
+++ b/crates/module/src/state.rs
@@ -194,8 +194,10 @@
     pub(crate) wait_at: Micros,
     /// Usual time between news of its wait.
     pub(crate) gap: f64,
-    /// Sends to it while it was or may have been cold.
-    pub(crate) cold_sends: VecDeque<(Micros, f64)>,
+    /// When this host was last asked for it.
+    pub(crate) asked: Micros,
+    /// What is left of this host's part of what it bears while it is or may be cold.
+    pub(crate) cold: Meter,
 }
 
 impl Node {
