Calls to discovery: pauses double with each failure until the whole fleet's calls fit it

The 70 hosts that were killed run on the list that they started with for 15 s, and 30 hosts whose watch stood were told of each change. Their requests go to nodes that are gone: 412 attempts in 5 s find nobody, and these nodes' requests are held and given back. Lines at fault: PAUSE in wires/src/discovery.rs and its use in stay(): 100 hosts with pauses of 1 s at most call more often than discovery serves, and calls that have waited too long keep their turn. Ruled out: an outage for all (the standing watches were told meanwhile), a wrong version in the call. Change: a state of its own, wires/src/backoff.rs, without I/O or clock: pauses double up to 80 ms for each host of the fleet (8 s for 100, 1 s as before for up to 12), and begin at 5 ms for each (50 ms as before for up to 10).

--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -10,6 +10,7 @@
 use heathward_core::{Core, Gone, Message};
 use heathward_logs::Logs;
 use heathward_module::settings::ConfigError;
+use heathward_wires::backoff::Backoff;
 use heathward_wires::http::{self, ConnectionTable, Front};
 use heathward_wires::node::{Figures, Pool};
 use heathward_wires::nvme::{self, Subsystem};
@@ -207,7 +208,8 @@
     if let Some(taken) = taken {
         meeting.go_on(taken, core.clone()).await;
     }
-    tokio::spawn(discovery::follow(addresses, revision, core.mailbox(), seed));
+    let backoff = Backoff::new(core.deployment().settings.hosts, seed);
+    tokio::spawn(discovery::follow(addresses, revision, core.mailbox(), backoff));
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await?;
         tracing::info!("operations on {}", listener.local_addr()?);
--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -4,6 +4,7 @@
 
 use heathward_core::{Answers, Counters, Message};
 use heathward_module::End;
+use heathward_wires::backoff::Backoff;
 use heathward_wires::discovery;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
@@ -492,7 +493,7 @@
     let rig = rig(&[], None).await;
     let (listener, address) = listen().await;
     let (_keep, addresses) = watch::channel(address);
-    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), 1));
+    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, 1)));
     let entry = member("s0", address, 0, "in_service", 0).replace('\n', "");
     let line = format!("{{\"revision\":9,\"complete\":false,\"members\":[{entry}]}}\n");
     let (mut watch, head) = watched(&listener).await;
@@ -531,7 +532,8 @@
     for seed in [1, 2] {
         let (listener, address) = listen().await;
         let (_keep, addresses) = watch::channel(address);
-        let following = tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), seed));
+        let following =
+            tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, seed)));
         let mut seen = Vec::new();
         while seen.len() < 5 {
             // Closed as soon as it is there.
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -23,10 +23,10 @@
 use heathward_core::{Member, Message, News};
 use heathward_module::{ListKind, NodeState, ShardId};
 
+use crate::backoff::Backoff;
+
 /// An empty line comes every 2 s: a watch without one for this long is broken.
 const SILENCE: Duration = Duration::from_millis(2750);
-/// First and longest pause before a broken watch is opened anew.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
 /// The watch at a former address counts for so long at most.
 const OVERLAP: Duration = Duration::from_secs(5);
 /// No line is longer; a watch that brings one is broken.
@@ -104,19 +104,19 @@
 }
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
-/// mailbox was told last; pauses between watches are drawn by that seed. At a new one the watch opens while
+/// mailbox was told last; `backoff` says how long to wait between watches. At a new one the watch opens while
 /// the old one still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
 pub async fn follow(
     mut addresses: watch::Receiver<SocketAddr>,
     known: u64,
     core: mpsc::Sender<Message>,
-    seed: u64,
+    mut backoff: Backoff,
 ) {
-    let mut rng = fastrand::Rng::with_seed(seed);
     let heard = Arc::new(AtomicU64::new(known));
     loop {
         let (address, current) = (*addresses.borrow_and_update(), Arc::new(Notify::new()));
-        let staying = tokio::spawn(stay(address, heard.clone(), core.clone(), current.clone(), rng.fork()));
+        let staying =
+            tokio::spawn(stay(address, heard.clone(), core.clone(), current.clone(), backoff.fork()));
         loop {
             tokio::select! {
                 changed = addresses.changed() => if changed.is_err() {
@@ -139,11 +139,10 @@
     heard: Arc<AtomicU64>,
     core: mpsc::Sender<Message>,
     replaced: Arc<Notify>,
-    mut rng: fastrand::Rng,
+    mut backoff: Backoff,
 ) {
     let mut replaced = pin!(replaced.notified());
     let mut revision = heard.load(Ordering::Relaxed);
-    let mut pause = PAUSE.0;
     loop {
         let (before, opened) = (revision, Instant::now());
         {
@@ -159,9 +158,7 @@
         }
         // One that brought something, or stood for a while, was sound.
         let sound = revision != before || opened.elapsed() > SILENCE * 2;
-        pause = if sound { PAUSE.0 } else { (pause * 2).min(PAUSE.1) };
-        // Guards against a fleet whose watches all broke at once, and that comes back as one time after time.
-        let drawn = pause.mul_f64(0.5 + 0.5 * rng.f64());
+        let drawn = backoff.pause(sound);
         tokio::select! {
             () = sleep_until(Instant::now() + drawn) => {}
             () = replaced.as_mut() => return,
--- a/crates/wires/src/lib.rs
+++ b/crates/wires/src/lib.rs
@@ -1,5 +1,6 @@
 //! The wires: the platform's HTTP front, the storage nodes, discovery, and NVMe over TCP.
 
+pub mod backoff;
 pub mod discovery;
 pub mod handover;
 pub mod http;
