Cold nodes: plans' shares may draw on what the host's other cold nodes leave

Each host's part of one node is small beside its bursts, while its parts of other nodes lie idle. Lines at fault: the test for cold nodes in gate(), which looks at this one node's store only. Ruled out: waits (the given back were held until due, not refused for a wait), turns and counts of asked hosts (8 in the median, as the law takes them to be). Change: what plans bound, reserve and share, draws on what is left of all parts for cold nodes that the host is asked for; the sum of a host's parts stays as it is, and with it the mean total at a node. A surge beyond stays with the part of its node.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -574,10 +574,13 @@
             }
         }
         // Cold nodes. What is left covers a request in part by chance, and what it takes beyond is owed: small
-        // parts add up over the hosts. Below the reserve a request leaves some for what is worth more.
+        // parts add up over the hosts. Below the reserve a request leaves some for what is worth more; inside
+        // reserve and share, which plans bound, it may take what this host's other cold nodes leave.
         if let Some(part) = self.cold_part(now, node) {
             let level = if job.portion == Portion::Reserve { 1.0 } else { job.level };
-            if self.cold_left(now, node, part) <= 0.5 * part * (1.0 - level) + job.luck * units {
+            let own = self.cold_left(now, node, part);
+            let left = if job.portion == Portion::Spare { own } else { own.max(self.cold_pool(now)) };
+            if left <= 0.5 * part * (1.0 - level) + job.luck * units {
                 return Gate::Later;
             }
         }
@@ -629,6 +632,13 @@
         (nodes as f64 / (f64::from(self.set.hosts) * asked as f64)).min(1.0)
     }
 
+    /// What is left for all cold nodes that this host is asked for.
+    fn cold_pool(&self, now: Micros) -> f64 {
+        let since = now.saturating_sub(self.set.fall_time);
+        let asked = self.nodes.values().filter(|n| n.ready && n.asked > since);
+        asked.filter_map(|n| Some(self.cold_left(now, n, self.cold_part(now, n)?))).sum()
+    }
+
     /// Notes that this host is asked for a node.
     fn ask(&mut self, now: Micros, node_id: NodeId) {
         let left =
