--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -143,7 +143,13 @@
 ) {
     let mut replaced = pin!(replaced.notified());
     let mut revision = heard.load(Ordering::Relaxed);
+    let mut drawn = backoff.first();
     loop {
+        // Guards against a fleet whose watches all broke at once, and that comes back as one time after time.
+        tokio::select! {
+            () = sleep_until(Instant::now() + drawn) => {}
+            () = replaced.as_mut() => return,
+        }
         let (before, opened) = (revision, Instant::now());
         {
             let mut watching = pin!(listen_to(address, &mut revision, &heard, &core));
@@ -158,11 +164,7 @@
         }
         // One that brought something, or stood for a while, was sound.
         let sound = revision != before || opened.elapsed() > SILENCE * 2;
-        let drawn = backoff.pause(sound);
-        tokio::select! {
-            () = sleep_until(Instant::now() + drawn) => {}
-            () = replaced.as_mut() => return,
-        }
+        drawn = backoff.pause(sound);
     }
 }
 
