Cold nodes: a host's part comes also while nobody asks it for the node

Nearly all were held until due: a host's store began to fill with its first request for a node, 1.5 units a second, so the first of each host and node came to nothing. Lines at fault: cold_left(), which counted only the time since the host was last asked. Ruled out: the list (all watches stood by 19 s), waits (32 refused for one). Change: the store fills from the node's start, to a window's worth at most as before; what all hosts that ask in a window can send stays within twice their parts.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -651,12 +651,12 @@
         node.asked = now;
     }
 
-    /// What is left of that part: it comes evenly while this host is asked for the node, and a window's worth
-    /// is kept at most. A host or node that starts owes what a request goes beyond it, as in the middle
+    /// What is left of that part: it comes evenly, and a window's worth is kept at most: a host that is asked
+    /// seldom has it when it is. A host or node that starts owes what a request goes beyond it, as in the middle
     /// of its course: all hosts may start at once, and one that restarted forgot what it spent.
     fn cold_left(&self, now: Micros, node: &Node, part: f64) -> f64 {
         let window = self.set.fall_time.max(1);
-        let span = now.min(node.asked + window).saturating_sub(node.cold.at);
+        let span = now.saturating_sub(node.cold.at);
         (node.cold.tokens + part * span as f64 / window as f64).min(part)
     }
 
--- a/crates/module/tests/fleet.rs
+++ b/crates/module/tests/fleet.rs
@@ -133,6 +133,6 @@
         let (most, mean) = loads(&join(seed, 0.05));
         println!("seed {seed}: most {most:.2}, mean {mean:.2} of what a cold node bears");
         assert!(most < MULTIPLE * 0.75, "seed {seed}: {most} times what a cold node bears");
-        assert!(mean > 0.5, "seed {seed}: cold nodes get {mean} of what they bear");
+        assert!(mean > 0.6, "seed {seed}: cold nodes get {mean} of what they bear");
     }
 }
--- a/crates/module/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -500,8 +500,8 @@
 
 #[test]
 fn a_node_is_warm_at_the_end_of_its_cold_time() {
-    // Cold, its part begins with the first request for it.
-    for (age, sent) in [(15_999_999, 0), (16_000_000, 2)] {
+    // Cold, its part is a window's worth by then.
+    for (age, sent) in [(15_999_999, 1), (16_000_000, 2)] {
         let mut set = settings();
         set.cold_units = 0.5;
         let mut h = Host::new(set);
