Tests with real sockets: lists refused, cut, too long or late; six in ten nodes replaced

Change: four cases over real sockets; a watch that brings a line of over 4 MB says so in the log before it is dropped.

--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -551,3 +551,75 @@
     let apart = gaps[0].iter().zip(&gaps[1]).map(|(a, b)| a.abs_diff(*b)).max();
     assert!(apart > Some(Duration::from_millis(3)), "{gaps:?}");
 }
+
+/// What goes wrong on a watch: nothing of it counts, the list before stands, and the watch is opened anew.
+#[rstest]
+#[case::refused("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n", 0)]
+#[case::cut_in_a_list("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n40\r\n{\"revision\":9,\"comp", 0)]
+#[case::no_line("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 5 << 20)]
+#[tokio::test]
+async fn a_list_that_is_refused_cut_or_too_long_leaves_the_last_good_one(
+    #[case] begins: &str,
+    #[case] noise: usize,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let (listener, address) = listen().await;
+    let (_keep, addresses) = watch::channel(address);
+    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, 1)));
+    let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.expect("a watch").unwrap();
+    watch.write_all(begins.as_bytes()).await.unwrap();
+    for _ in 0..noise >> 16 {
+        // It may be dropped before the last of it.
+        let _ = watch.write_all(format!("10000\r\n{}\r\n", "x".repeat(1 << 16)).as_bytes()).await;
+    }
+    if noise == 0 {
+        drop(watch);
+    }
+    let (mut again, head) = watched(&listener).await;
+    assert!(head.starts_with("get /v1/servers?watch=1&after=7 "), "{head}");
+    assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
+    let gone = member("s0", node, 0, "terminated", 0).replace('\n', "");
+    tell(&mut again, &format!("{{\"revision\":9,\"complete\":false,\"members\":[{gone}]}}\n")).await;
+    rig.until(|c| c.lists == 2).await;
+    assert_eq!(rig.ask(&request("consulta", 2, 0, 900, "")).await.0, 503);
+}
+
+/// Six in ten nodes are replaced while the first list is old and discovery answers late: what is asked of a
+/// gone node is answered, never sent on; once the list is there each shard is served by its new node.
+#[tokio::test]
+async fn a_late_list_that_replaces_most_nodes_moves_every_shard() {
+    let (old, new) = (Log::default(), Log::default());
+    let (mut listed, mut kept) = (Vec::new(), Vec::new());
+    for shard in 0..10 {
+        // Six of the old ones are gone: nobody listens there.
+        let (socket, gone) = nobody();
+        kept.push(socket);
+        let address = if shard < 6 { gone } else { http_node(shard, &[Does::Serve], &old).await };
+        listed.push(member(&format!("old{shard}"), address, shard, "in_service", 0));
+    }
+    let rig = rig(&listed, None).await;
+    let (listener, address) = listen().await;
+    let (_keep, addresses) = watch::channel(address);
+    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, 1)));
+    for shard in 0..10 {
+        let status = rig.ask(&request("consulta", 1 + shard, shard as i32, 900, "")).await.0;
+        assert_eq!(status, if shard < 6 { 503 } else { 200 }, "shard {shard} by the old list");
+    }
+    let (mut watch, _) = watched(&listener).await;
+    let mut changes = Vec::new();
+    for shard in 0..6 {
+        let address = http_node(shard, &[Does::Serve], &new).await;
+        changes.push(member(&format!("old{shard}"), address, shard, "terminated", 0));
+        changes.push(member(&format!("new{shard}"), address, shard, "in_service", 0));
+    }
+    let changes = changes.join(",").replace('\n', "");
+    tell(&mut watch, &format!("{{\"revision\":9,\"complete\":false,\"members\":[{changes}]}}\n")).await;
+    rig.until(|c| c.lists == 2).await;
+    for shard in 0..10 {
+        let status = rig.ask(&request("consulta", 101 + shard, shard as i32, 900, "")).await.0;
+        assert_eq!(status, 200, "shard {shard} by the new list");
+    }
+    assert_eq!((old.all().len(), new.all().len()), (8, 6));
+}
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -186,6 +186,7 @@
             }
         }
         if text.len() > LINE_LIMIT {
+            tracing::warn!("discovery: watch dropped: a line of over {LINE_LIMIT} bytes");
             break;
         }
     }
