--- a/crates/module/tests/fleet.rs
+++ b/crates/module/tests/fleet.rs
@@ -61,9 +61,14 @@
         }
     }
 
-    /// One step in which each pair asks with that chance; gives what went out, as shard and units. Nodes
-    /// answer at once.
-    fn step(&mut self, now: Micros, chance: f64) -> Vec<(u32, f64)> {
+    /// One step in which each pair asks with that chance; gives what went out, as host, shard and units. Each
+    /// attempt ends at once as `ends` has it for host and shard, after the time that it says.
+    fn step(
+        &mut self,
+        now: Micros,
+        chance: f64,
+        ends: impl Fn(usize, u32) -> (End, Micros),
+    ) -> Vec<(usize, u32, f64)> {
         let (mut sent, mut actions) = (Vec::new(), Vec::new());
         for at in 0..self.pairs.len() {
             let (host, volume, shard) = self.pairs[at];
@@ -72,8 +77,9 @@
             }
             self.next += 1;
             let units = self.rng.u32(1..=3);
-            let (volume, shard) = (VolumeId(volume), Some(ShardId(shard)));
-            let request = Request { units, volume, shard, hosts: 2, ..req(self.next) };
+            let (end, took) = ends(host, shard);
+            let (volume, cell) = (VolumeId(volume), Some(ShardId(shard)));
+            let request = Request { units, volume, shard: cell, hosts: 2, ..req(self.next) };
             self.hosts[host].handle(now, Event::Arrival(request), &mut actions);
             let went = |a: &Action| matches!(a, Action::Send { request: id, .. } if *id == request.id);
             let Some(Action::Send { node, .. }) = actions.iter().find(|a| went(a)).cloned() else {
@@ -82,29 +88,41 @@
                 actions.clear();
                 continue;
             };
-            let (id, end) = (request.id, End::Served);
-            let (used, elsewhere, busy, took) = (None, None, None, 10_000);
+            let id = request.id;
+            let (used, elsewhere, busy) = (None, None, None);
             let o = Outcome { request: id, attempt: 0, node, end, closed: true, took, used, elsewhere, busy };
             self.hosts[host].handle(now, Event::Outcome(o), &mut actions);
             actions.clear();
-            sent.push((shard.unwrap().0, f64::from(units)));
+            sent.push((host, shard, f64::from(units)));
         }
         sent
     }
 }
 
-/// Six in ten nodes start cold at once while all hosts ask; gives the units sent to these by step.
-fn join(seed: u64, chance: f64) -> Vec<Vec<(u32, f64)>> {
+fn well(_: usize, _: u32) -> (End, Micros) {
+    (End::Served, 10_000)
+}
+
+/// A fleet that has run for a while, and the time.
+fn warmed(seed: u64, chance: f64) -> (Fleet, Micros) {
     let mut fleet = Fleet::new(seed);
     let all: Vec<_> = (0..NODES).map(entry).collect();
     fleet.list(BORN, ListKind::Whole, &all);
     for step in 0..(START - BORN) / STEP {
-        fleet.step(BORN + step * STEP, chance);
+        fleet.step(BORN + step * STEP, chance, well);
     }
+    (fleet, START)
+}
+
+/// Six in ten nodes start cold at once while all hosts ask; gives the units sent to these by step.
+fn join(seed: u64, chance: f64) -> Vec<Vec<(u32, f64)>> {
+    let (mut fleet, _) = warmed(seed, chance);
     let new: Vec<_> = (0..NODES * 6 / 10).map(|n| ListEntry { started: Some(START), ..entry(n) }).collect();
     fleet.list(START, ListKind::Changes, &new);
-    let cold = |sent: Vec<(u32, f64)>| sent.into_iter().filter(|(n, _)| *n < NODES * 6 / 10).collect();
-    (0..COLD / 2 / STEP).map(|step| cold(fleet.step(START + step * STEP, chance))).collect()
+    let cold = |sent: Vec<(usize, u32, f64)>| {
+        sent.into_iter().filter(|(_, n, _)| *n < NODES * 6 / 10).map(|(_, n, units)| (n, units)).collect()
+    };
+    (0..COLD / 2 / STEP).map(|step| cold(fleet.step(START + step * STEP, chance, well))).collect()
 }
 
 /// The most and the mean that a node got within any fall time, over what it bears then.
@@ -136,3 +154,58 @@
         assert!(mean > 0.6, "seed {seed}: cold nodes get {mean} of what they bear");
     }
 }
+
+/// Guards against a node whose connection table was full for a moment, and that a host of many, which asks it
+/// seldom, then takes for one that is down and for long does not try again.
+#[test]
+fn a_node_that_refused_connections_for_a_while_has_its_hosts_back() {
+    let (mut fleet, start) = warmed(4, 0.02);
+    let full = |_: usize, shard: u32| if shard == 0 { (End::NotConnected, 300) } else { well(0, 0) };
+    for step in 0..3_000_000 / STEP {
+        fleet.step(start + step * STEP, 0.02, full);
+    }
+    let asking: std::collections::BTreeSet<_> =
+        fleet.pairs.iter().filter(|(.., shard)| *shard == 0).map(|(host, ..)| *host).collect();
+    let (mut back, mut units) = (std::collections::BTreeSet::new(), 0.0);
+    let again = start + 3_000_000;
+    for step in 0..8_000_000 / STEP {
+        let sent = fleet.step(again + step * STEP, 0.02, well);
+        for (host, _, n) in sent.into_iter().filter(|(_, shard, _)| *shard == 0) {
+            back.insert(host);
+            // As cold as can be, as far as these hosts know.
+            units += if step < FALL / STEP { n } else { 0.0 };
+        }
+    }
+    println!("{} of {} hosts back, {units} units in the first fall time", back.len(), asking.len());
+    // Four fall times, in each of which the node bears twelve requests.
+    assert!(back.len() * 10 >= asking.len() * 8, "{} of {} hosts back", back.len(), asking.len());
+    assert!(units < MULTIPLE * BEARS, "{units} units at once on a node that may be cold");
+}
+
+/// Guards against a node that is slow for a few hosts, and that others then leave idle.
+#[test]
+fn a_node_that_is_slow_for_a_few_keeps_the_others() {
+    let (mut fleet, start) = warmed(5, 0.02);
+    let few = |host: usize| host % 10 == 0;
+    let slow = move |host: usize, shard: u32| {
+        if shard == 0 && few(host) {
+            (End::Served, 700_000)
+        } else {
+            well(0, 0)
+        }
+    };
+    let mut asked = [[0.0; 2]; 2];
+    let mut sent = [[0.0; 2]; 2];
+    for (host, _, shard) in &fleet.pairs {
+        asked[usize::from(*shard == 0)][usize::from(few(*host))] += 1.0;
+    }
+    for step in 0..6_000_000 / STEP {
+        for (host, shard, _) in fleet.step(start + step * STEP, 0.02, slow) {
+            sent[usize::from(shard == 0)][usize::from(few(host))] += 1.0;
+        }
+    }
+    let share = |node: usize, hosts: usize| sent[node][hosts] / asked[node][hosts];
+    println!("sends for each pair: {sent:?} of {asked:?}");
+    assert!(share(1, 0) > 0.8 * share(0, 0), "others at the slow node: {} of {}", share(1, 0), share(0, 0));
+    assert!(share(1, 1) < 0.8 * share(0, 1), "the few there: {} of {}", share(1, 1), share(0, 1));
+}
