--- a/crates/module/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -536,3 +536,21 @@
     }
     assert!(went >= 36, "{went} of 40 went to a node with nothing out");
 }
+
+/// Guards against a volume without a reserve whose usual traffic counts as beyond its share, and is refused
+/// for a wait that its aim bears.
+#[test]
+fn a_volume_a_bit_over_its_usual_rate_stays_inside_its_share() {
+    let mut set = settings();
+    (set.plans[0].rate, set.plans[0].reserve) = (4.0, 0.0);
+    let mut h = Host::new(set);
+    h.list(&[1]);
+    let mut sent = 0;
+    for id in 1..=30 {
+        // Five units a second, each after a wait between what spare and what share bears.
+        sent += h.arrive(req(id)).len();
+        h.outcome(id, 0, 1, End::Served, true, 216_000);
+        h.step(400_000);
+    }
+    assert!(sent >= 29, "{sent} of 30 sent");
+}
