--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -45,7 +45,7 @@
 const SERVICE: f64 = 1.5;
 /// Weight of the newest answer in the wait of all nodes together; half of it did worse with many hosts.
 const PRIOR_GAIN: f64 = 0.2;
-/// Units a second of a volume's share, in usual rates of its weight; .5 and 1 did worse, most with many hosts.
+/// Units a second of a volume's share, in usual rates of its weight; .5 and 1 did worse with many hosts.
 const SHARE_RATES: f64 = 2.0;
 /// Largest requests in the stores of all a volume's hosts; 2 and 6 did no better.
 const BURST_PART: f64 = 1.5;
