--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -480,9 +480,9 @@
     /// The only way out to a node: asks the gate, then books the send.
     fn offer(&mut self, now: Micros, id: RequestId, node_id: NodeId, out: &mut Vec<Action>) -> Gate {
         let gate = self.gate(now, id, node_id);
-        let cold =
-            self.nodes.get(&node_id).and_then(|n| Some(self.cold_left(now, n, self.cold_part(now, n)?)));
+        let mut cold = None;
         if gate == Gate::Go {
+            cold = self.nodes.get(&node_id).and_then(|node| self.cold_store(now, node));
             self.unhold(id);
         }
         let (Some(job), Some(node)) = (self.jobs.get_mut(&id), self.nodes.get_mut(&node_id)) else {
@@ -581,9 +581,9 @@
         // inside reserve and share, which plans bound, it may take what this host's other cold nodes leave.
         if let Some(part) = self.cold_part(now, node) {
             let level = if job.portion == Portion::Reserve { 1.0 } else { job.level };
-            let own = self.cold_left(now, node, part);
-            let left = if job.portion == Portion::Spare { own } else { own.max(self.cold_pool(now)) };
-            if left <= 0.5 * part * (1.0 - level) + job.luck * units {
+            let need = 0.5 * part * (1.0 - level) + job.luck * units;
+            let short = self.cold_left(now, node, part) <= need;
+            if short && (job.portion == Portion::Spare || self.cold_pool(now) <= need) {
                 return Gate::Later;
             }
         }
@@ -614,6 +614,11 @@
     /// as each does, the mean total at a node is what that node bears. A fixed part for each of many hosts
     /// lies below one request, and turns by number leave most of a node idle.
     fn cold_part(&self, now: Micros, node: &Node) -> Option<f64> {
+        Some(self.cold_bears(now, node)? * self.even_part(now))
+    }
+
+    /// Units that such a node bears within the fall time from all hosts together.
+    fn cold_bears(&self, now: Micros, node: &Node) -> Option<f64> {
         let (share, time) = (self.set.cold_share.clamp(0.01, 1.0), self.set.cold_time.max(1));
         // As cold as can be until it answers.
         let suspect = node.suspect.is_some_and(|since| now.saturating_sub(since) < time);
@@ -623,12 +628,11 @@
             return None;
         }
         let age = now.saturating_sub(started).min(time) as f64 / time as f64;
-        let bears = self.set.cold_units * (share + (1.0 - share) * age) / share;
-        Some(bears * self.cold_share_of_one(now))
+        Some(self.set.cold_units * (share + (1.0 - share) * age) / share)
     }
 
     /// This host's part of what each node bears that it is asked for.
-    fn cold_share_of_one(&self, now: Micros) -> f64 {
+    fn even_part(&self, now: Micros) -> f64 {
         let (since, nodes) = (now.saturating_sub(self.set.fall_time), self.shards.len().max(1));
         // At least two: few hosts that each lean on one node would all lean on it in full.
         let asked = self.nodes.values().filter(|n| n.asked > since).count().max(2).min(nodes);
@@ -638,19 +642,25 @@
     /// What is left for all cold nodes that this host is asked for.
     fn cold_pool(&self, now: Micros) -> f64 {
         let since = now.saturating_sub(self.set.fall_time);
-        let asked = self.nodes.values().filter(|n| n.ready && n.asked > since);
-        asked.filter_map(|n| Some(self.cold_left(now, n, self.cold_part(now, n)?))).sum()
+        let (part, asked) = (self.even_part(now), self.nodes.values().filter(|n| n.ready && n.asked > since));
+        asked.filter_map(|n| Some(self.cold_left(now, n, self.cold_bears(now, n)? * part))).sum()
     }
 
     /// Notes that this host is asked for a node.
     fn ask(&mut self, now: Micros, node_id: NodeId) {
-        let left =
-            self.nodes.get(&node_id).and_then(|n| Some(self.cold_left(now, n, self.cold_part(now, n)?)));
+        let left = self.nodes.get(&node_id).and_then(|node| self.cold_store(now, node));
         let Some(node) = self.nodes.get_mut(&node_id) else { return };
-        node.cold = left.map_or(node.cold.clone(), |tokens| Meter { tokens, at: now });
+        if let Some(tokens) = left {
+            node.cold = Meter { tokens, at: now };
+        }
         node.asked = now;
     }
 
+    /// What is left of its part for a node that is or may be cold; `None` if warm.
+    fn cold_store(&self, now: Micros, node: &Node) -> Option<f64> {
+        Some(self.cold_left(now, node, self.cold_part(now, node)?))
+    }
+
     /// What is left of that part: it comes evenly, and a window's worth is kept at most: a host that is asked
     /// seldom has it when it is. A host or node that starts owes what a request goes beyond it, as in the
     /// middle of its course: all hosts may start at once, and one that restarted forgot what it spent.
@@ -864,7 +874,7 @@
         if kind == ListKind::Whole || kind == ListKind::Saved {
             self.nodes.values_mut().for_each(|node| node.ready = false);
         }
-        let part = self.set.cold_units * self.cold_share_of_one(now);
+        let part = self.set.cold_units * self.even_part(now);
         let beyond = (2.0 * self.set.mean_units - part).max(0.0);
         for entry in entries {
             let (budget, heard) = (FLOOR_REQUESTS * self.set.mean_units, now);
--- a/crates/module/tests/fleet.rs
+++ b/crates/module/tests/fleet.rs
@@ -103,20 +103,20 @@
     (End::Served, 10_000)
 }
 
-/// A fleet that has run for a while, and the time.
-fn warmed(seed: u64, chance: f64) -> (Fleet, Micros) {
+/// A fleet that has run until [`START`].
+fn warmed(seed: u64, chance: f64) -> Fleet {
     let mut fleet = Fleet::new(seed);
     let all: Vec<_> = (0..NODES).map(entry).collect();
     fleet.list(BORN, ListKind::Whole, &all);
     for step in 0..(START - BORN) / STEP {
         fleet.step(BORN + step * STEP, chance, well);
     }
-    (fleet, START)
+    fleet
 }
 
 /// Six in ten nodes start cold at once while all hosts ask; gives the units sent to these by step.
 fn join(seed: u64, chance: f64) -> Vec<Vec<(u32, f64)>> {
-    let (mut fleet, _) = warmed(seed, chance);
+    let mut fleet = warmed(seed, chance);
     let new: Vec<_> = (0..NODES * 6 / 10).map(|n| ListEntry { started: Some(START), ..entry(n) }).collect();
     fleet.list(START, ListKind::Changes, &new);
     let cold = |sent: Vec<(usize, u32, f64)>| {
@@ -159,15 +159,15 @@
 /// seldom, then takes for one that is down and for long does not try again.
 #[test]
 fn a_node_that_refused_connections_for_a_while_has_its_hosts_back() {
-    let (mut fleet, start) = warmed(4, 0.02);
+    let mut fleet = warmed(4, 0.02);
     let full = |_: usize, shard: u32| if shard == 0 { (End::NotConnected, 300) } else { well(0, 0) };
     for step in 0..3_000_000 / STEP {
-        fleet.step(start + step * STEP, 0.02, full);
+        fleet.step(START + step * STEP, 0.02, full);
     }
     let asking: std::collections::BTreeSet<_> =
         fleet.pairs.iter().filter(|(.., shard)| *shard == 0).map(|(host, ..)| *host).collect();
     let (mut back, mut units) = (std::collections::BTreeSet::new(), 0.0);
-    let again = start + 3_000_000;
+    let again = START + 3_000_000;
     for step in 0..8_000_000 / STEP {
         let sent = fleet.step(again + step * STEP, 0.02, well);
         for (host, _, n) in sent.into_iter().filter(|(_, shard, _)| *shard == 0) {
@@ -185,7 +185,7 @@
 /// Guards against a node that is slow for a few hosts, and that others then leave idle.
 #[test]
 fn a_node_that_is_slow_for_a_few_keeps_the_others() {
-    let (mut fleet, start) = warmed(5, 0.02);
+    let mut fleet = warmed(5, 0.02);
     let few = |host: usize| host < HOSTS as usize / 10;
     let slow = move |host: usize, shard: u32| {
         if shard == 0 && few(host) {
@@ -200,7 +200,7 @@
         asked[usize::from(*shard == 0)][usize::from(few(*host))] += 1.0;
     }
     for step in 0..6_000_000 / STEP {
-        for (host, shard, _) in fleet.step(start + step * STEP, 0.02, slow) {
+        for (host, shard, _) in fleet.step(START + step * STEP, 0.02, slow) {
             sent[usize::from(shard == 0)][usize::from(few(host))] += 1.0;
         }
     }
--- a/crates/wires/src/backoff.rs
+++ b/crates/wires/src/backoff.rs
@@ -57,41 +57,37 @@
 
     use super::*;
 
-    /// One service for the fleet: calls wait in turn, one that has waited too long fails but keeps its turn,
-    /// and one too many fails at once.
-    struct Discovery {
-        turns: VecDeque<(usize, u64)>,
-    }
-
     const EACH: u64 = 60;
     const WAIT: u64 = 2_000;
     const PLACES: usize = 50;
 
-    /// Hosts that are served after so many ms, where `down` says when nobody is; all start at 0.
+    /// Hosts that are served after so many ms, where `down` says when nobody is; all start at 0. One service
+    /// for the fleet: calls wait in turn, one that has waited too long fails but keeps its turn, and one too
+    /// many fails at once.
     fn served(hosts: u32, law: u32, down: u64, end: u64) -> usize {
         let mut backoffs: Vec<_> = (0..hosts).map(|host| Backoff::new(law, u64::from(host))).collect();
         let mut calls: Vec<_> =
             backoffs.iter_mut().map(|backoff| Some(backoff.first().as_millis() as u64)).collect();
-        let mut discovery = Discovery { turns: VecDeque::new() };
+        let mut turns: VecDeque<(usize, u64)> = VecDeque::new();
         let mut done = 0;
         for now in 0..end {
             for (host, call) in calls.iter_mut().enumerate() {
                 if *call == Some(now) {
-                    *call = if discovery.turns.len() < PLACES {
-                        discovery.turns.push_back((host, now));
+                    *call = if turns.len() < PLACES {
+                        turns.push_back((host, now));
                         None
                     } else {
                         Some(now + 1 + backoffs[host].pause(false).as_millis() as u64)
                     };
                 }
             }
-            for (host, since) in &discovery.turns {
+            for (host, since) in &turns {
                 if now == since + WAIT {
                     calls[*host] = Some(now + 1 + backoffs[*host].pause(false).as_millis() as u64);
                 }
             }
             if now >= down && now % EACH == 0 {
-                if let Some((_, since)) = discovery.turns.pop_front() {
+                if let Some((_, since)) = turns.pop_front() {
                     done += usize::from(now < since + WAIT);
                 }
             }
