SIGTERM: what is open has no more time than the program, and is answered before its end

Line at fault: actor.rs, Message::EndBy, which cut the time of requests that come later and left that of open ones as it was; shutdown.rs then ended with them open. Change: EndBy cuts the deadline of every open request too; what never ran is refused, the rest has failed. Answers get 0.1 s more to be written before the program ends, 0.05 s before the platform would kill it. The new test with real sockets fails without the change ("an answer before the end").

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -168,7 +168,7 @@
         answer.await.unwrap_or_else(|_| Err(gone()))
     }
 
-    /// The program ends then: no request from now on gets more time than that.
+    /// The program ends then: no request gets more time than that, whether it is open or comes from now on.
     pub async fn end_by(&self, last: Instant) {
         // A core that has stopped has nothing open.
         let _ = self.mailbox.send(Message::EndBy(last)).await;
@@ -417,10 +417,7 @@
                 // Whoever asked may have left.
                 let _ = reply.send(self.resettle(deployment));
             }
-            Message::EndBy(last) => {
-                self.last = Some(last);
-                self.note(Note::Ending);
-            }
+            Message::EndBy(last) => self.end_by(last),
             Message::Configured(taken) => {
                 let (applied, rejected) = &mut self.counters.configured;
                 *if taken { applied } else { rejected } += 1;
@@ -624,7 +621,14 @@
         while let Some(&(_, id)) = self.limits.first().filter(|(at, _)| *at <= now) {
             self.counters.overdue += 1;
             let ran = self.open.get(&id).is_some_and(|o| o.ran.is_some() || o.out.is_some());
-            self.settle(id, Some(Answer::Failed { ran, late: true }));
+            // Its client has time left where only the program ends: the next scheduler takes what never ran.
+            let ending = self.last.is_some() && !ran;
+            let answer = if ending {
+                Answer::Refused { retry_after: None }
+            } else {
+                Answer::Failed { ran, late: true }
+            };
+            self.settle(id, Some(answer));
             self.feed(Event::ClientGone { request: id });
         }
         now
@@ -665,6 +669,23 @@
         true
     }
 
+    /// The program ends then. What is open has no more time either: its clients may wait for longer than the
+    /// platform lets the program run, and an end of their connection is no answer.
+    fn end_by(&mut self, last: Instant) {
+        self.last = Some(last);
+        let limit = (last + BACKSTOP, RequestId(0));
+        for (at, id) in self.limits.split_off(&limit) {
+            match self.open.get_mut(&id) {
+                Some(open) => {
+                    open.call.deadline = last;
+                    self.limits.insert((last + BACKSTOP, id));
+                }
+                None => _ = self.limits.insert((at, id)),
+            }
+        }
+        self.note(Note::Ending);
+    }
+
     /// Forgets a request that owes no answer and has nothing out.
     fn close(&mut self, id: RequestId) {
         self.open.remove(&id);
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -13,6 +13,8 @@
 const COUNTED: Duration = Duration::from_secs(3);
 /// By then before that everything is answered.
 const SPARE: Duration = Duration::from_millis(150);
+/// After that the last answers are written for so long.
+const WRITE: Duration = Duration::from_millis(100);
 /// How often the end looks whether anything is still open.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -34,7 +36,7 @@
     // Nothing marks a change: whoever listens has it now, or is gone.
     stop.send_replace(true);
     // What is open in the core, and connections whose last answer is on its way.
-    while service.busy(stop) && Instant::now() < last {
+    while service.busy(stop) && Instant::now() < last + WRITE {
         sleep_until(Instant::now() + LOOK).await;
     }
 }
--- a/crates/scheduler/tests/net/process.rs
+++ b/crates/scheduler/tests/net/process.rs
@@ -121,6 +121,32 @@
     assert!(last.contains("counters taken=4 ") && last.contains(" served=3 refused=1 "), "{said}");
 }
 
+/// Clients may wait for longer than the platform lets it run on after SIGTERM. Guards against an end of their
+/// connections in place of an answer: what is out then has failed, and comes with a status.
+#[tokio::test]
+async fn what_is_open_past_the_end_is_answered_before_it() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let members = member("s0", node, 0, "in_service", 0);
+    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members);
+    let text = text.replace("\"aimMs\":150,\"deadlineMs\":1000", "\"aimMs\":8000,\"deadlineMs\":9000");
+    let (mut child, _lines, address) = listening(start(&file("long", &text), &[]));
+    let mut open = TcpStream::connect(address).await.unwrap();
+    open.write_all(request("consulta", 1, 0, 9_000, "").as_bytes()).await.unwrap();
+    let by = Instant::now() + PATIENCE;
+    while log.all().is_empty() {
+        assert!(Instant::now() < by, "it never sends");
+        sleep(Duration::from_millis(5)).await;
+    }
+    signal(&child, "-TERM");
+    let told = Instant::now();
+    let answered = timeout(PATIENCE, read_message(&mut open)).await.expect("an answer or an end");
+    let (head, ..) = answered.expect("an answer before the end");
+    assert!(head.starts_with("http/1.1 504"), "{head}");
+    assert!(told.elapsed() > Duration::from_secs(2), "it had the time that there was");
+    assert!(child.wait().unwrap().success());
+}
+
 fn signal(child: &Child, name: &str) {
     let status = Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
     assert!(status.success());
