Silence tells of its node alone; an answer at full speed ends a guessed start

Lines at fault: choice.rs, on_outcome. A time-out moved the mean wait of all nodes, by which nodes seldom heard of are judged: with five of them in a row it stood at two thirds of full patience. And a node that answers after silence counted as cold for 6 s, whatever its answers said. Change: the mean wait moves by answers only; a guessed start ends with an answer that took no longer for its units than the median at full speed. A node that starts at 24 to 46% takes two to four times that. A start that the list tells of stands.

--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -731,6 +731,8 @@
                 node.late += u32::from(o.took > aim);
                 node.timely += u32::from(o.took <= aim);
                 let per_unit = o.took as f64 / units.max(1.0);
+                // One that starts takes several times as long: it was out of reach, and is none.
+                node.guess = node.guess.filter(|_| per_unit > self.unit_time);
                 // The median of answers from nodes without a wait: service, not queueing.
                 if per_unit < self.unit_time || node.faded(now, prior) < 0.2 * self.period as f64 {
                     self.unit_time *= if per_unit < self.unit_time { 0.98 } else { 1.02 };
@@ -746,7 +748,10 @@
             }
             if let Some(wait) = news {
                 node.learn(now, wait, prior);
-                self.prior = (prior + PRIOR_GAIN * (wait.min(full) - prior), now);
+                // One that says nothing tells of itself alone.
+                if o.end != End::TimedOut {
+                    self.prior = (prior + PRIOR_GAIN * (wait.min(full) - prior), now);
+                }
             }
         }
         if let (Some(used), Some(volume)) = (o.used, self.volumes.get_mut(&volume_id)) {
