Memory: volumes without a limit and attempts without a budget are forgotten

Ruled out: requests (5 at a time at most), nodes (37 with 8 listed), turns of keys, held requests: all back at their bounds. Change: only a plan with a limit keeps a volume, only a budget keeps attempts; Scheduler::kept counts entries.

--- a/crates/module/src/api.rs
+++ b/crates/module/src/api.rs
@@ -405,6 +405,19 @@
     },
 }
 
+/// Entries that the module keeps, the most of its maps of each sort.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// Requests that owe an answer or whose attempt is out.
+    pub requests: usize,
+    /// Volumes asked for within the lookback, twice that at most, or whose limit's store is not full yet.
+    pub volumes: usize,
+    /// Nodes that are listed, or were heard of within the lookback, twice that at most.
+    pub nodes: usize,
+    /// Times within the windows of rules.
+    pub times: usize,
+}
+
 /// How the module treats a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Standing {
--- a/crates/module/src/choice.rs
+++ b/crates/module/src/choice.rs
@@ -6,7 +6,7 @@
 use std::ops::Bound;
 
 use crate::api::{
-    Action, Effect, End, Event, Group, KeyId, ListEntry, ListKind, ListMode, Micros, NodeId, NodeState,
+    Action, Effect, End, Event, Group, Kept, KeyId, ListEntry, ListKind, ListMode, Micros, NodeId, NodeState,
     Outcome, PlanSettings, Request, RequestId, Settings, SettingsError, ShardId, Standing, VolumeId,
 };
 use crate::state::{
@@ -127,6 +127,18 @@
         self.nodes.get(&id).map(|node| node.standing(now))
     }
 
+    /// How much it keeps, for whoever watches its memory.
+    pub fn kept(&self) -> Kept {
+        let of_requests = self.limits.len().max(self.lines.queues.len()).max(self.held.loose.len());
+        let timed = self.tally.taken.len().max(self.tally.extras.len()).max(self.lines.rests.len());
+        Kept {
+            requests: self.jobs.len().max(of_requests),
+            volumes: self.volumes.len(),
+            nodes: self.nodes.len().max(self.shards.len()).max(self.held.busy.len()),
+            times: timed,
+        }
+    }
+
     /// Takes one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.born.is_none() {
@@ -177,7 +189,8 @@
         let old = now.saturating_sub(LOOKBACK);
         self.volumes.retain(|_, v| {
             let plan = &self.set.plans[v.plan.0 as usize];
-            v.asked_at > old || v.allowed(now, plan) < plan.burst / f64::from(v.hosts)
+            let spent = plan.limit > 0.0 && v.allowed(now, plan) < plan.burst / f64::from(v.hosts);
+            v.asked_at > old || spent
         });
         self.nodes.retain(|_, n| n.ready || n.heard > old || !n.out.is_empty() || !n.held.is_empty());
         self.tally.sweep = now + LOOKBACK;
@@ -503,7 +516,7 @@
                 volume.fade(now);
                 volume.sent += units / USE_SPAN;
             }
-        } else {
+        } else if self.set.attempt_budget.is_some() {
             self.tally.extras.push_back(now);
         }
         if let Some(left) = cold {
