Tests of discovery share one way to follow it; the comment on cold nodes has its figure

Cause: four tests of the front opened the same watch in the same two lines, and cold.rs said 1.8 where the model gave 2.89 over a mean of 1.56.

--- a/crates/module/src/cold.rs
+++ b/crates/module/src/cold.rs
@@ -3,8 +3,8 @@
 use crate::api::{Micros, Settings};
 
 /// Part of the rule's multiple that the mean total comes to. The rest is for chance, as hosts do not agree on
-/// their parts: in the model's worst window, a hundred hosts that all ask at once came to 1.8 times the mean
-/// total, which is three quarters of the multiple.
+/// their parts: in the model's worst window, a hundred hosts that all ask at once came to 1.9 times the mean
+/// total, 2.9 where the multiple is 4.
 const USED: f64 = 0.4;
 
 impl Settings {
--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -1,5 +1,6 @@
 //! One test on real sockets for each rule, over the platform's HTTP.
 
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use heathward_core::{Answers, Counters, Message};
@@ -486,14 +487,20 @@
     assert_eq!(rig.ask(ask).await.0, 200);
 }
 
+/// The rig follows discovery there, as one of so many hosts, for as long as what is given back stands.
+fn follow(rig: &Rig, address: SocketAddr, hosts: u32) -> watch::Sender<SocketAddr> {
+    let (keep, addresses) = watch::channel(address);
+    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(hosts, 1)));
+    keep
+}
+
 /// A watch brings a broken line, a change, and then nothing: the line is dropped, the silent watch is opened
 /// anew from the version that was heard last.
 #[tokio::test]
 async fn a_silent_watch_is_opened_anew_and_a_broken_line_dropped() {
     let rig = rig(&[], None).await;
     let (listener, address) = listen().await;
-    let (_keep, addresses) = watch::channel(address);
-    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, 1)));
+    let _keep = follow(&rig, address, 1);
     let entry = member("s0", address, 0, "in_service", 0).replace('\n', "");
     let line = format!("{{\"revision\":9,\"complete\":false,\"members\":[{entry}]}}\n");
     let (mut watch, head) = watched(&listener).await;
@@ -531,8 +538,7 @@
     let node = http_node(0, &[Does::Serve], &log).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     let (listener, address) = listen().await;
-    let (_keep, addresses) = watch::channel(address);
-    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(300, 1)));
+    let _keep = follow(&rig, address, 300);
     let (mut watch, _) = watched(&listener).await;
     tell(&mut watch, "\n").await;
     // Longer than a sound watch is silent, and far less than such a fleet's pause before the next call.
@@ -586,8 +592,7 @@
     let node = http_node(0, &[Does::Serve], &log).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     let (listener, address) = listen().await;
-    let (_keep, addresses) = watch::channel(address);
-    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, 1)));
+    let _keep = follow(&rig, address, 1);
     let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.expect("a watch").unwrap();
     watch.write_all(begins.as_bytes()).await.unwrap();
     for _ in 0..noise >> 16 {
@@ -621,8 +626,7 @@
     }
     let rig = rig(&listed, None).await;
     let (listener, address) = listen().await;
-    let (_keep, addresses) = watch::channel(address);
-    tokio::spawn(discovery::follow(addresses, 7, rig.core.mailbox(), Backoff::new(1, 1)));
+    let _keep = follow(&rig, address, 1);
     for shard in 0..10 {
         let status = rig.ask(&request("consulta", 1 + shard, shard as i32, 900, "")).await.0;
         assert_eq!(status, if shard < 6 { 503 } else { 200 }, "shard {shard} by the old list");
