What stands idle at one node makes way for a connection that another node needs

Need: other deployments have some hundreds of servers and as few as 256 descriptors, of which 96 are for connections to nodes. Seen in the code and in the new test: an idle connection kept its permit for 12.5 s (node/mod.rs, keep), and with none left an attempt ended as never sent (begin), so that 64 descriptors reached the first 64 of 104 nodes and no other. Change: node/pool.rs keeps what is idle in order over all nodes; a permit that is wanted takes the longest idle ones, whose owners are told and close before the new connection is opened. All in use: never sent, as before. Measured: the test asks 104 nodes twice over 64 descriptors, all 208 served; it fails without.

--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -260,6 +260,26 @@
     assert_eq!(log.all().len(), 1);
 }
 
+/// Guards against connections that stand idle at some nodes and keep all others from being reached: with more
+/// nodes than descriptors for them each gets its turn, and the limit holds.
+#[tokio::test]
+async fn more_nodes_than_descriptors_are_all_reached() {
+    let log = Log::default();
+    let mut members = Vec::new();
+    for number in 0..NODE_SOCKETS as u32 + 40 {
+        let node = http_node(number, &[Does::Serve], &log).await;
+        members.push(member(&format!("s{number}"), node, number, "in_service", 0));
+    }
+    let rig = rig(&members, None).await;
+    for round in 0..2 {
+        for shard in 0..members.len() as u32 {
+            let call = round * 1000 + shard;
+            assert_eq!(rig.ask(&request("consulta", call, shard as i32, 900, "")).await.0, 200, "{call}");
+        }
+    }
+    assert_eq!(log.all().len(), 2 * members.len());
+}
+
 /// A node that starts at 24% of its capacity: 24 units within any 0.5 s are always borne, and it warms within
 /// 6 s. Guards against a burst right after the start, also by a scheduler that has just started itself.
 #[tokio::test]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 pub use message::{answer, header, listen, nobody, read_message, request, reserved};
 pub use node::{http_node, scripted_node, Does, Log, Script, Seen, LATE};
 pub use program::Program;
-pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS};
+pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS, NODE_SOCKETS};
 
 /// Nothing here takes longer, however loaded the machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -20,6 +20,9 @@
 /// Clients' connections that the front holds.
 pub const CONNECTIONS: usize = 32;
 
+/// Descriptors of its connections to nodes.
+pub const NODE_SOCKETS: usize = 64;
+
 /// A configuration whose known list is `members`.
 pub fn config_text(listen: &str, discovery: &str, members: &str) -> String {
     let class = |name: &str, aim: u32, deadline: u32, repeat: &str| {
@@ -68,7 +71,7 @@
 pub async fn rig_of(text: &str, nvme: Option<Arc<Map>>) -> Rig {
     let Config { seed, known, deployment, .. } = config::parse(text).unwrap();
     let deployment = Arc::new(deployment);
-    let (_, figures) = watch::channel(Figures::new(&deployment, 64, 4));
+    let (_, figures) = watch::channel(Figures::new(&deployment, NODE_SOCKETS, 4));
     let pool = Pool::new(figures);
     let dial = move |member: &Member, core: mpsc::Sender<Message>| {
         if let Some(map) = &nvme {
--- a/crates/wires/src/node/mod.rs
+++ b/crates/wires/src/node/mod.rs
@@ -1,11 +1,11 @@
 //! An actor for each storage node: its mailbox takes attempts, it owns the connections.
 
 mod http;
+mod pool;
 mod wire;
 
 use std::collections::VecDeque;
 use std::future::poll_fn;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -13,14 +13,17 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
 
 use heathward_core::{report, Attempt, Message, Reply};
 use heathward_module::settings::Deployment;
 use heathward_module::End;
 
+use pool::{Parked, Permit};
+
 pub use http::HttpLink;
+pub use pool::Pool;
 pub use wire::{Counted, Written};
 
 /// Attempts that wait for a node's actor at most; it takes them at once, so that this is never reached.
@@ -93,49 +96,10 @@
     }
 }
 
-/// What all nodes' actors share: the figures as they are now, and the descriptors in use.
-#[derive(Clone, Debug)]
-pub struct Pool {
-    figures: watch::Receiver<Figures>,
-    open: Arc<AtomicUsize>,
-}
-
-impl Pool {
-    /// A pool with none open.
-    pub fn new(figures: watch::Receiver<Figures>) -> Self {
-        Self { figures, open: Arc::default() }
-    }
-
-    fn figures(&self) -> Figures {
-        *self.figures.borrow()
-    }
-
-    /// ConnectionTable for a connection of so many descriptors, if there is.
-    fn permit(&self, sockets: usize) -> Option<Permit> {
-        let open = self.open.load(Ordering::Relaxed) + sockets;
-        (open <= self.figures().open).then(|| {
-            self.open.store(open, Ordering::Relaxed);
-            Permit { sockets, open: self.open.clone() }
-        })
-    }
-}
-
-/// What a connection holds of the pool, for as long as it is open.
-struct Permit {
-    sockets: usize,
-    open: Arc<AtomicUsize>,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.open.fetch_sub(self.sockets, Ordering::Relaxed);
-    }
-}
-
-/// An idle connection, the permit it stands on, and when it is dropped.
+/// An idle connection, its place in the pool, and when it is dropped.
 struct Idle<C> {
     link: C,
-    permit: Permit,
+    place: Parked,
     until: Instant,
 }
 
@@ -147,8 +111,8 @@
     C: Connection,
 {
     let (mailbox, attempts) = mpsc::channel(MAILBOX);
-    let idle = VecDeque::new();
-    tokio::spawn(Actor { link, pool, core, idle, running: FuturesUnordered::new() }.run(attempts));
+    let (idle, running, evicted) = (VecDeque::new(), FuturesUnordered::new(), Arc::default());
+    tokio::spawn(Actor { link, pool, core, idle, running, evicted }.run(attempts));
     mailbox
 }
 
@@ -167,6 +131,8 @@
     /// The newest last: it is used first, so that the others grow old.
     idle: VecDeque<Idle<C>>,
     running: FuturesUnordered<BoxFuture<'static, Finished<C>>>,
+    /// Told when an idle connection has to make way.
+    evicted: Arc<Notify>,
 }
 
 impl<L, C> Actor<L, C>
@@ -194,14 +160,17 @@
                 () = tokio::time::sleep_until(oldest.unwrap_or_else(Instant::now)), if oldest.is_some() => {
                     self.idle.pop_front();
                 }
+                () = self.evicted.notified() => self.idle.retain(|idle| idle.place.stands()),
                 () = drop_closed(&mut self.idle) => {}
             }
         }
     }
 
     fn begin(&mut self, attempt: Attempt) {
-        let (idle, permit) = match self.idle.pop_back() {
-            Some(Idle { link, permit, .. }) => (Some(link), Some(permit)),
+        let mut standing = std::iter::from_fn(|| self.idle.pop_back());
+        let standing = standing.find_map(|idle| Some((idle.link, idle.place.take()?)));
+        let (idle, permit) = match standing {
+            Some((link, permit)) => (Some(link), Some(permit)),
             None => (None, self.pool.permit(C::SOCKETS)),
         };
         if permit.is_none() {
@@ -209,12 +178,17 @@
             let done = Done::lost(End::Moot);
             return self.running.push(Box::pin(async move { Finished::Attempt(attempt, done, None) }));
         }
+        let fresh = idle.is_none();
         let trying = self.link.call(Job {
             attempt: attempt.clone(),
             idle,
             connect_by: Instant::now() + self.pool.figures().connect,
         });
         self.running.push(Box::pin(async move {
+            if fresh {
+                // What has to make way for it elsewhere is closed first.
+                tokio::task::yield_now().await;
+            }
             let Ok(done) = trying.await;
             Finished::Attempt(attempt, done, permit)
         }));
@@ -238,7 +212,8 @@
     fn keep(&mut self, link: Option<C>, permit: Permit, listed: bool) {
         if let (Some(link), true) = (link, listed) {
             let Figures { idle, most_idle, .. } = self.pool.figures();
-            self.idle.push_back(Idle { link, permit, until: Instant::now() + idle });
+            let place = self.pool.park(permit, &self.evicted);
+            self.idle.push_back(Idle { link, place, until: Instant::now() + idle });
             if self.idle.len() > most_idle {
                 self.idle.pop_front();
             }
--- /dev/null
+++ b/crates/wires/src/node/pool.rs
@@ -0,0 +1,164 @@
+//! The descriptors that connections to all nodes share. With more nodes than descriptors, what stands idle at
+//! one node makes way for what another one needs.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
+
+use super::Figures;
+
+/// What all nodes' actors share: the figures as they are now, the descriptors in use, and what stands idle.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    figures: watch::Receiver<Figures>,
+    open: Arc<AtomicUsize>,
+    next: Arc<AtomicU64>,
+    idle: Arc<Mutex<BTreeMap<Place, Arc<Slot>>>>,
+}
+
+/// Since when a connection is idle, and a number that no other has.
+type Place = (Instant, u64);
+
+/// What an idle connection stands on, until it is taken away, and whom to tell then.
+#[derive(Debug)]
+struct Slot {
+    permit: Mutex<Option<Permit>>,
+    owner: Arc<Notify>,
+}
+
+impl Slot {
+    fn lock(&self) -> MutexGuard<'_, Option<Permit>> {
+        self.permit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Pool {
+    /// A pool with none open.
+    pub fn new(figures: watch::Receiver<Figures>) -> Self {
+        Self { figures, open: Arc::default(), next: Arc::default(), idle: Arc::default() }
+    }
+
+    /// The figures now.
+    pub(super) fn figures(&self) -> Figures {
+        *self.figures.borrow()
+    }
+
+    /// Room for a connection of so many descriptors. The connections that have been idle the longest, at any
+    /// node, make way for it; `None` where all that are open are in use.
+    pub(super) fn permit(&self, sockets: usize) -> Option<Permit> {
+        loop {
+            let open = self.open.load(Ordering::Relaxed) + sockets;
+            if open <= self.figures().open {
+                self.open.store(open, Ordering::Relaxed);
+                return Some(Permit { sockets, open: self.open.clone() });
+            }
+            let (_, slot) = self.lock().pop_first()?;
+            drop(slot.lock().take());
+            slot.owner.notify_one();
+        }
+    }
+
+    /// A connection on that permit stands idle from now on; `owner` is told when it has to make way.
+    pub(super) fn park(&self, permit: Permit, owner: &Arc<Notify>) -> Parked {
+        let place = (Instant::now(), self.next.fetch_add(1, Ordering::Relaxed));
+        let slot = Arc::new(Slot { permit: Mutex::new(Some(permit)), owner: owner.clone() });
+        self.lock().insert(place, slot.clone());
+        Parked { pool: self.clone(), place, slot }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Place, Arc<Slot>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a connection holds of the pool, for as long as it is open.
+#[derive(Debug)]
+pub(super) struct Permit {
+    sockets: usize,
+    open: Arc<AtomicUsize>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.open.fetch_sub(self.sockets, Ordering::Relaxed);
+    }
+}
+
+/// An idle connection's place in the pool, given up when dropped.
+#[derive(Debug)]
+pub(super) struct Parked {
+    pool: Pool,
+    place: Place,
+    slot: Arc<Slot>,
+}
+
+impl Parked {
+    /// It has not had to make way.
+    pub(super) fn stands(&self) -> bool {
+        self.slot.lock().is_some()
+    }
+
+    /// The connection is used again, if it still stands.
+    pub(super) fn take(self) -> Option<Permit> {
+        self.slot.lock().take()
+    }
+}
+
+impl Drop for Parked {
+    fn drop(&mut self) {
+        self.pool.lock().remove(&self.place);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use rstest::rstest;
+
+    use super::*;
+
+    fn pool(open: usize) -> Pool {
+        let figures = Figures { connect: Duration::ZERO, idle: Duration::ZERO, open, most_idle: 2 };
+        Pool::new(watch::channel(figures).1)
+    }
+
+    /// Connections of one and of two descriptors, in use and idle.
+    #[rstest]
+    #[case::room(3, &[], &[1], 1, true)]
+    #[case::one_makes_way(3, &[1], &[1, 1], 1, true)]
+    #[case::as_many_as_it_takes(3, &[1], &[1, 1], 2, true)]
+    #[case::all_in_use(3, &[1, 2], &[], 1, false)]
+    #[case::too_few_idle(3, &[2], &[1], 2, false)]
+    fn what_is_idle_makes_way_and_the_limit_holds(
+        #[case] open: usize,
+        #[case] used: &[usize],
+        #[case] idle: &[usize],
+        #[case] wanted: usize,
+        #[case] given: bool,
+    ) {
+        let (pool, owner) = (pool(open), Arc::default());
+        let _used: Vec<_> = used.iter().map(|sockets| pool.permit(*sockets).unwrap()).collect();
+        let idle: Vec<_> = idle.iter().map(|n| pool.park(pool.permit(*n).unwrap(), &owner)).collect();
+        let permit = pool.permit(wanted);
+        assert_eq!(permit.is_some(), given);
+        assert!(pool.open.load(Ordering::Relaxed) <= open);
+        // The longest idle go first.
+        let standing: Vec<_> = idle.iter().map(Parked::stands).collect();
+        assert!(standing.is_sorted(), "{standing:?}");
+        drop((idle, permit, _used));
+        assert_eq!((pool.open.load(Ordering::Relaxed), pool.lock().len()), (0, 0), "all is given back");
+    }
+
+    #[tokio::test]
+    async fn whoever_owns_what_makes_way_is_told_and_finds_it_gone() {
+        let (pool, owner) = (pool(1), Arc::new(Notify::new()));
+        let parked = pool.park(pool.permit(1).unwrap(), &owner);
+        let _permit = pool.permit(1).unwrap();
+        owner.notified().await;
+        assert!(!parked.stands() && parked.take().is_none());
+    }
+}
