--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -71,6 +71,8 @@
     News(News),
     /// A line came from discovery then, be it an empty one; what it told has been told here.
     Heard(Instant),
+    /// Discovery's agent was asked, had time to answer, and has not by then.
+    Silent(Instant),
     /// Discovery is at another address since then.
     Moved(Instant),
     /// The deployment's settings have changed; the reply says whether they stand.
@@ -443,14 +445,9 @@
             Message::Malformed => self.counters.malformed += 1,
             Message::Ended(ended) => self.ended(ended),
             Message::News(news) => self.news(news),
-            Message::Heard(at) => {
-                self.fresh.heard(at);
-                self.end.set(self.fresh.end());
-            }
-            Message::Moved(at) => {
-                self.fresh.moved(at);
-                self.end.set(self.fresh.end());
-            }
+            Message::Heard(at) => self.fresh.heard(at),
+            Message::Silent(at) => self.fresh.silent(at),
+            Message::Moved(at) => self.fresh.moved(at),
             Message::Settings(deployment, reply) => {
                 // Whoever asked may have left.
                 let _ = reply.send(self.resettle(deployment));
@@ -536,7 +533,6 @@
         let State { list, suspended, cold, paused } = state;
         self.suspended.extend(suspended);
         self.fresh.taken_over(Instant::now());
-        self.end.set(self.fresh.end());
         set(&self.draining, |draining| draining.paused = paused);
         self.news(list);
         for (name, since) in cold {
@@ -936,6 +932,7 @@
 
     /// Nothing goes out by a list that may not be gone by; all goes on once it may.
     fn look_at_list(&mut self, now: Instant) {
+        self.end.set(self.fresh.end());
         let stale = !self.fresh.holds(now);
         if stale != self.stale {
             self.stale = stale;
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -13,7 +13,8 @@
 /// "News from discovery counts as told 2 s after the yes", where another process handed over.
 const TAKEN_BY: Duration = Duration::from_secs(2);
 /// "Whatever the agent has counts as told to the scheduler", and it "replies at once": a first line that is
-/// not here by then is none that only this program is slow to read, on its part of a core.
+/// not here by then is none that only this program is slow to read, on its part of a core. It is not waited
+/// for once whoever reads it has found the agent silent.
 const FIRST_LINE: Duration = Duration::from_secs(1);
 
 /// When the list may be gone by: from its first line on, and until something may count as told that has not
@@ -50,6 +51,11 @@
         }
     }
 
+    /// The agent was asked, had time to answer, and has not: it has nothing to tell.
+    pub fn silent(&mut self, at: Instant) {
+        self.begin = self.begin.min(at);
+    }
+
     /// Discovery has moved then; what is heard from now on comes from its new address.
     pub fn moved(&mut self, at: Instant) {
         (self.heard, self.end) = (self.heard.max(at), self.end.min(at + MOVED_BY));
@@ -140,6 +146,9 @@
         let mut fresh = ruled(start);
         assert_eq!(holds(&fresh, start), [10..=59], "no line: the one of the start, later and for a while");
         assert_eq!(fresh.changes(start), Some(at(start, 1.0)));
+        let mut silent = fresh;
+        silent.silent(at(start, 0.2));
+        assert_eq!(holds(&silent, start), [2..=59]);
         fresh.heard(at(start, 0.3));
         assert_eq!(holds(&fresh, start), [3..=62]);
         fresh.heard(at(start, 3.0));
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -28,6 +28,10 @@
 
 /// An empty line comes every 2 s: a watch without one for this long is broken.
 const SILENCE: Duration = Duration::from_millis(2750);
+/// An agent that has something to tell has told it by then: it replies at once.
+const REPLY: Duration = Duration::from_millis(250);
+/// Whoever reads a watch has come to its end after so many turns of all tasks.
+const TURNS: u32 = 8;
 /// The watch at a former address counts for so long at most.
 const OVERLAP: Duration = Duration::from_secs(5);
 /// No line is longer; a watch that brings one is broken.
@@ -149,6 +153,9 @@
 ) {
     let mut replaced = pin!(replaced.notified());
     let mut revision = heard.load(Ordering::Relaxed);
+    // When the first call has had time for an answer; none once there was one, or it is told that none came.
+    let mut reply = None;
+    let mut first = true;
     // The watch that was opened last, and one before it that is silent.
     let (mut newer, mut older): (Option<Watch>, Option<Watch>) = (None, None);
     // When the newer one counts as silent, or else the next is opened. It is drawn: guards against a fleet
@@ -168,9 +175,21 @@
                     older = None;
                 } else if let Some(ended) = newer.take() {
                     next = Instant::now() + backoff.pause(ended.sound(revision));
+                    reply = reply.and(Some(Instant::now()));
                 }
                 line
             }
+            () = sleep_until(reply.unwrap_or(next)), if reply.is_some() => {
+                reply = None;
+                // What came while this program was slow has been read by now, and is taken first.
+                for _ in 0..TURNS {
+                    tokio::task::yield_now().await;
+                }
+                if newer.as_ref().is_none_or(|watch| watch.lines.is_empty()) {
+                    let _ = core.send(Message::Silent(Instant::now())).await;
+                }
+                continue;
+            }
             line = line(&mut older) => {
                 let kept = older.take().filter(|_| line.is_some());
                 newer = kept.or(newer);
@@ -180,18 +199,20 @@
                 match newer.take() {
                     _ if last.is_some() => return,
                     Some(silent) => {
-                        next = Instant::now() + backoff.beside(silent.sound(revision));
+                        next = Instant::now() + backoff.pause(silent.sound(revision));
                         older = older.or(Some(silent));
                     }
                     None => {
                         newer = Some(Watch::open(address, revision));
                         next = Instant::now() + SILENCE;
+                        reply = std::mem::take(&mut first).then(|| Instant::now() + REPLY);
                     }
                 }
                 continue;
             }
         };
         let Some(line) = line else { continue };
+        reply = None;
         let now = Instant::now();
         next = now + SILENCE;
         let read = read(&line);
