Lists of 1,024 nodes and peers in a test, and make measure-fleet with the program itself

Need: other deployments have some hundreds of servers and about 350 processes; no cap under 1,024 on either list. Change: a test starts the program with 1,024 peers, tells it 1,024 nodes as a whole list and as one change, asks each shard, drains all by one line, within 32 MB and 256 descriptors. make measure-fleet: what one scheduler holds with lists of 10, 200 and 1,024 nodes, idle and under load, and 350 processes at once. Looked at: no bound of configuration, discovery, module, core, pool, recorder or report is under 1,024; the smallest on nodes are those of orders by hand and of the recorder's second, 1,024 each. No thread or buffer for each node; a mailbox and a task for each, some 3 KB in all.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 	target/debug/heathward-toy-node 127.0.0.1:9100 & target/debug/heathward-toy-node 127.0.0.1:9101; wait
 
 # Figures that a change must keep, each with its bound; exit code 1 when one falls short.
-.PHONY: measure-report
+.PHONY: measure-report measure-fleet
 measure-report: build
 	target/release/heathward-measure report
+
+measure-fleet: build
+	target/release/heathward-measure fleet
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `heathward-measure NAME`: prints `measure WHAT VALUE UNIT want OP BOUND` for each figure; exit code 1
 //! when one falls short. The programs are looked for beside this one.
 
+mod fleet;
 mod report;
 
 use std::path::PathBuf;
@@ -37,8 +38,9 @@
     let mut figures = Figures(true);
     match std::env::args().nth(1).as_deref() {
         Some("report") => report::run(&mut figures),
+        Some("fleet") => fleet::run(&mut figures),
         _ => {
-            eprintln!("usage: heathward-measure report");
+            eprintln!("usage: heathward-measure report|fleet");
             return ExitCode::from(2);
         }
     }
--- /dev/null
+++ b/crates/scheduler/tests/net/fleet.rs
@@ -0,0 +1,80 @@
+//! The program in a fleet far larger than any that it runs in: no list has a cap, and what it holds goes by
+//! what it uses.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+
+use rstest::rstest;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, Duration, Instant};
+
+use heathward_standin::*;
+
+const MANY: u32 = 1024;
+
+/// A list of so many nodes that all are at that address, on one line.
+fn list(revision: u32, complete: bool, nodes: u32, at: SocketAddr, phase: &str) -> String {
+    let members: Vec<_> = (0..nodes).map(|n| member(&format!("node-{n}"), at, n, phase, 0)).collect();
+    let members = members.join(",").replace('\n', "");
+    format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}\n")
+}
+
+/// A configuration with as many peers, by the rule on drains, within 32 MB and 256 descriptors.
+fn config(discovery: SocketAddr) -> PathBuf {
+    let peers: Vec<_> = (0..MANY).map(|n| format!("\"10.3.{}.{}:7946\"", n / 256, n % 256)).collect();
+    let text = config_text("127.0.0.1:0", &discovery.to_string(), "")
+        .replacen('{', &format!("{{\"peers\":[{}],", peers.join(",")), 1)
+        .replace("\"balancers\":1,", &format!("\"balancers\":{MANY},"))
+        .replace("\"memory_mb\":192", "\"memory_mb\":32")
+        .replace("\"safety\":{", "\"safety\":{\"stopSendingWithinMs\":250,");
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{}.json", discovery.port()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+async fn asked(front: SocketAddr, call: u32, shard: u32) -> u16 {
+    let mut stream = TcpStream::connect(front).await.unwrap();
+    let text = request("consulta", call, shard as i32, 900, "");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, text.as_bytes()).await.unwrap();
+    answer(&mut stream).await.0
+}
+
+/// 1,024 nodes, told as a whole list or as one change, each of them reached; and all of them taken out again by
+/// one line.
+#[rstest]
+#[tokio::test]
+async fn a_list_of_1024_nodes_is_served_within_32_mb_and_256_descriptors(#[values(true, false)] whole: bool) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let (discovery, address) = listen().await;
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+    command.env("GW_CONFIG", config(address));
+    let program = Program::start(command);
+    let (mut watch, _) = watched(&discovery).await;
+    tell(&mut watch, &list(8, whole, MANY, node, "in_service")).await;
+    let by = Instant::now() + PATIENCE;
+    while asked(program.listen, MANY, 0).await != 200 {
+        assert!(Instant::now() < by, "the list is never taken");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut most = program.held();
+    for shard in 0..MANY {
+        assert_eq!(asked(program.listen, shard, shard).await, 200, "shard {shard}");
+        if shard % 64 == 0 {
+            most.descriptors = most.descriptors.max(program.held().descriptors);
+        }
+    }
+    let held = program.held();
+    assert!(held.peak_kb <= 32 << 10 && most.descriptors <= 256, "{held:?}, {most:?}");
+    tell(&mut watch, &list(9, false, MANY, node, "terminating")).await;
+    while asked(program.listen, MANY + 1, 0).await != 503 {
+        assert!(Instant::now() < by + PATIENCE, "the drain is never taken");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let served = log.all().len();
+    for shard in 0..MANY {
+        assert_eq!(asked(program.listen, shard, shard).await, 503, "shard {shard}");
+    }
+    assert_eq!(log.all().len(), served, "nothing more is sent");
+}
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -12,6 +12,19 @@
 
 use crate::PATIENCE;
 
+/// What a process holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// Memory now, kilobytes.
+    pub resident_kb: usize,
+    /// The same at most.
+    pub peak_kb: usize,
+    /// Its threads.
+    pub threads: usize,
+    /// Its descriptors.
+    pub descriptors: usize,
+}
+
 /// A scheduler that runs; killed when dropped.
 pub struct Program {
     child: Child,
@@ -74,6 +87,26 @@
         self.child.id()
     }
 
+    /// What it holds now.
+    ///
+    /// # Panics
+    /// If it does not run.
+    pub fn held(&self) -> Held {
+        let root = format!("/proc/{}", self.child.id());
+        let status = std::fs::read_to_string(format!("{root}/status")).unwrap();
+        let figure = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+            line.split_ascii_whitespace().next().unwrap().parse().unwrap()
+        };
+        let descriptors = std::fs::read_dir(format!("{root}/fd")).unwrap().count();
+        Held {
+            resident_kb: figure("VmRSS:"),
+            peak_kb: figure("VmHWM:"),
+            threads: figure("Threads:"),
+            descriptors,
+        }
+    }
+
     /// Kills it, without a chance for last words.
     pub fn kill(self) {}
 
