--- a/crates/scheduler/tests/net/fleet.rs
+++ b/crates/scheduler/tests/net/fleet.rs
@@ -40,8 +40,7 @@
     answer(&mut stream).await.0
 }
 
-/// 1,024 nodes, told as a whole list or as one change, each of them reached; and all of them taken out again by
-/// one line.
+/// 1,024 nodes, told as a whole list or as one change, each of them reached; all taken out again by one line.
 #[rstest]
 #[tokio::test]
 async fn a_list_of_1024_nodes_is_served_within_32_mb_and_256_descriptors(#[values(true, false)] whole: bool) {
