--- a/crates/module/tests/common/mod.rs
+++ b/crates/module/tests/common/mod.rs
@@ -50,6 +50,50 @@
     }
 }
 
+/// Settings as the first deployment has them: a keyed class, no limits, cold nodes bear four times.
+pub const PREDIO_NORTE: &str = r#"{"balancers": 4, "slotNo": 0, "discovery": "pushed", "resolutionMs": 2.0,
+    "lanes": [
+        {"name": "consulta", "aimMs": 150, "deadlineMs": 1000, "credit": 2, "lateWorth": 0.2,
+         "repeat": "free"},
+        {"name": "pedido", "aimMs": 250, "deadlineMs": 1500, "credit": 3, "lateWorth": 0.1,
+         "repeat": "guarded", "dedupScope": "cell", "dedupWindowMs": 2500},
+        {"name": "exportacion", "aimMs": 1000, "deadlineMs": 3000, "credit": 1, "lateWorth": 0.2,
+         "repeat": "free"}],
+    "contracts": [
+        {"name": "basico", "usualRate": 4.8, "reserve": 0, "parts": 1, "price": 0.72},
+        {"name": "prioritario", "usualRate": 9.5, "reserve": 11, "parts": 2, "price": 1}],
+    "familyInfo": {"unitMean": 2.2, "maxUnits": 8, "withinShare": 0.3, "spareWorth": 0.05, "youngLimit": 21,
+        "changesData": [false, true, false]},
+    "limits": {"sendCap": 3, "connectTimeoutMs": 250, "idleCloseMs": 15000, "retryAfter": true,
+        "maxRetryAfterMs": 2000, "probes": true, "peers": true},
+    "safety": {"coldShare": 0.24, "coldMs": 18000, "fallMs": 2000, "tipMultiple": 4,
+        "stopSendingWithinMs": 250}}"#;
+
+/// As the second has them: a class that must never run twice, a limit, cold nodes bear twice, reports.
+pub const GRANITE_SHELF: &str = r#"{"balancers": 4, "slotNo": 0, "discovery": "pushed", "resolutionMs": 2.0,
+    "lanes": [
+        {"name": "book-read", "aimMs": 200, "deadlineMs": 1500, "credit": 3, "lateWorth": 0.1,
+         "repeat": "free"},
+        {"name": "loan-write", "aimMs": 200, "deadlineMs": 1500, "credit": 2, "lateWorth": 0.1,
+         "repeat": "single_shot"}],
+    "contracts": [
+        {"name": "basic", "usualRate": 5, "reserve": 2.5, "parts": 1, "price": 0.96, "ceilingRate": 40,
+         "burst": 60, "slack": 8},
+        {"name": "standard", "usualRate": 10, "reserve": 8, "parts": 1, "price": 1},
+        {"name": "priority", "usualRate": 12.5, "reserve": 10, "parts": 1, "price": 1.4}],
+    "familyInfo": {"unitMean": 2.2, "maxUnits": 8, "withinShare": 0.35, "spareWorth": 0.1, "youngLimit": 18,
+        "changesData": [false, true], "saysOthers": true},
+    "limits": {"sendCap": 4, "connectTimeoutMs": 250, "idleCloseMs": 30000, "retryAfter": true,
+        "maxRetryAfterMs": 500, "probes": false, "peers": false},
+    "report": {"how": "piggyback", "fields": ["utilization", "backlog"]},
+    "safety": {"coldShare": 0.16, "coldMs": 14000, "fallMs": 2000, "tipMultiple": 2,
+        "stopSendingWithinMs": 1000}}"#;
+
+/// What the module is told of such settings.
+pub fn deployment(text: &str) -> Settings {
+    settings::Deployment::read(&settings::Tree(&miniserde::json::from_str(text).unwrap())).unwrap().settings
+}
+
 pub fn entry(node: u32) -> ListEntry {
     ListEntry { node: NodeId(node), shard: ShardId(node), zone: 0, state: NodeState::Ready, started: None }
 }
--- a/crates/module/tests/property.rs
+++ b/crates/module/tests/property.rs
@@ -1,15 +1,17 @@
-//! Arbitrary legal event sequences with fixed seeds: the rules hold whatever happens.
+//! Arbitrary legal event sequences with fixed seeds: the rules hold whatever happens, with the settings of
+//! each deployment and with those that ask for every rule.
 
 mod common;
-use common::{entry, settings};
+use common::{deployment, entry, settings};
 use heathward_module::*;
+use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One request as the world sees it.
 struct Seen {
     deadline: Micros,
-    effect: Effect,
-    limited: Option<VolumeId>,
+    class: ClassSettings,
+    limited: Option<(VolumeId, PlanId)>,
     units: f64,
     key: Option<KeyId>,
     ended: bool,
@@ -29,11 +31,24 @@
     wakes: BTreeSet<(Micros, u64)>,
     ready: BTreeMap<NodeId, bool>,
     /// Units sent for each volume with a limit.
-    spent: BTreeMap<VolumeId, f64>,
+    spent: BTreeMap<(VolumeId, PlanId), f64>,
     sent: u64,
 }
 
-fn rules() -> Settings {
+/// Whose settings.
+#[derive(Clone, Copy, Debug)]
+enum Of {
+    EveryRule,
+    PredioNorte,
+    GraniteShelf,
+}
+
+fn rules(of: Of) -> Settings {
+    match of {
+        Of::EveryRule => {}
+        Of::PredioNorte => return deployment(common::PREDIO_NORTE),
+        Of::GraniteShelf => return deployment(common::GRANITE_SHELF),
+    }
     let mut set = settings();
     set.cold_units = 80.0;
     set.classes[2].in_order = true;
@@ -50,7 +65,10 @@
         for action in actions {
             match action {
                 Action::Send { request, node, .. } => self.send(set, request.0, node),
-                Action::Refuse { request, .. } => self.answer(request.0, true),
+                Action::Refuse { request, retry_after } => {
+                    assert!(retry_after.is_none_or(|hint| hint <= set.max_retry_after), "{retry_after:?}");
+                    self.answer(request.0, true);
+                }
                 Action::Fail { request } => self.answer(request.0, false),
                 Action::Wake { token, at } => {
                     assert!(at > self.now, "a timer in the past");
@@ -69,14 +87,14 @@
         assert!(self.now < r.deadline, "sent after its deadline");
         assert!(r.out.is_empty(), "two at once");
         if let Some((first, at)) = r.ran {
-            match r.effect {
+            match r.class.effect {
                 Effect::Safe => {}
-                Effect::Keyed => assert!(first == node && self.now < at + set.classes[2].window),
+                Effect::Keyed => assert!(first == node && self.now < at + r.class.window),
                 Effect::Unsafe => panic!("an unsafe request that may have run went again"),
             }
         }
-        if r.sends > 0 {
-            let budget = set.attempt_budget.expect("set above");
+        assert!(r.sends < set.max_attempts, "{} attempts before", r.sends);
+        if let (true, Some(budget)) = (r.sends > 0, set.attempt_budget) {
             self.extras.push(self.now);
             let since = self.now.saturating_sub(budget.span);
             let count = |times: &[Micros]| times.iter().filter(|at| **at > since).count() as f64;
@@ -87,7 +105,7 @@
         }
         r.out.push((r.sends, node, self.now));
         r.sends += 1;
-        if let (Some(key), Effect::Keyed) = (r.key, r.effect) {
+        if let (Some(key), true) = (r.key, r.class.in_order) {
             let (line, rest) = &self.lines[&key];
             let first = line.iter().find(|other| {
                 let o = &self.requests[other];
@@ -102,7 +120,7 @@
         let r = self.requests.get_mut(&id).expect("answered what was never taken");
         assert!(!r.ended, "answered twice");
         assert!(self.now <= r.deadline, "answered late");
-        if refused && r.effect != Effect::Safe {
+        if refused && r.class.effect != Effect::Safe {
             assert!(r.out.is_empty() && r.ran.is_none(), "refused what may have run");
         }
         r.ended = true;
@@ -110,8 +128,8 @@
     }
 }
 
-fn play(seed: u64) -> World {
-    let set = rules();
+fn play(of: Of, seed: u64) -> World {
+    let set = rules(of);
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut scheduler = Scheduler::new(set.clone(), seed).expect("sound settings");
     let mut w = World { now: 5_000_000, ..World::default() };
@@ -155,23 +173,26 @@
         }
     }
     let life = (w.now - start) as f64 / 1e6;
-    for (volume, spent) in &w.spent {
-        assert!(*spent <= 20.0 + 4.0 * life, "limit of {volume:?} passed: {spent} units in {life} s");
+    for ((volume, plan), spent) in &w.spent {
+        let PlanSettings { limit, burst, .. } = set.plans[plan.0 as usize];
+        assert!(*spent <= burst + limit * life, "limit of {volume:?} passed: {spent} units in {life} s");
     }
-    let mean = w.spent.values().sum::<f64>() / w.spent.len() as f64;
-    assert!(2.0 * mean > life, "limits were never near: {mean} units a volume in {life} s");
+    let mean = w.spent.values().sum::<f64>() / w.spent.len().max(1) as f64;
+    let near = 2.0 * mean > life || w.spent.is_empty();
+    assert!(near, "limits were never near: {mean} units a volume in {life} s");
     w
 }
 
 fn arrive(w: &mut World, scheduler: &mut Scheduler, set: &Settings, rng: &mut fastrand::Rng, id: u64) {
-    let class = rng.u16(0..3);
-    let key = (class == 2).then(|| KeyId(rng.u64(0..6)));
-    let left = rng.u64(20_000..1_000_000);
-    let plan = rng.u16(0..2);
+    let place = rng.u16(0..set.classes.len() as u16);
+    let class = &set.classes[place as usize];
+    let key = (class.effect == Effect::Keyed).then(|| KeyId(rng.u64(0..6)));
+    let left = rng.u64(20_000..class.deadline);
+    let plan = rng.u16(0..set.plans.len() as u16);
     let volume = VolumeId(u64::from(plan) * 10 + rng.u64(0..5));
     let request = Request {
         id: RequestId(id),
-        class: ClassId(class),
+        class: ClassId(place),
         plan: PlanId(plan),
         volume,
         units: rng.u32(1..=8),
@@ -183,11 +204,11 @@
 
         passes: false,
     };
-    let effect = set.classes[class as usize].effect;
+    let limited = set.plans[plan as usize].limit > 0.0;
     let seen = Seen {
         deadline: w.now + left,
-        effect,
-        limited: (plan == 1).then_some(volume),
+        class: class.clone(),
+        limited: limited.then_some((volume, PlanId(plan))),
         units: f64::from(request.units),
         key,
         ended: false,
@@ -250,19 +271,20 @@
     w.now = now;
 }
 
-#[test]
-fn the_rules_hold_on_arbitrary_days() {
-    for seed in 1..=5 {
-        let w = play(seed);
-        assert!(w.sent > 100, "seed {seed}: the day sent next to nothing");
-        for (id, r) in &w.requests {
-            assert_eq!(r.answered, 1, "seed {seed}: answers of request {id}");
-        }
+#[rstest]
+fn the_rules_hold_on_arbitrary_days(
+    #[values(Of::EveryRule, Of::PredioNorte, Of::GraniteShelf)] of: Of,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let w = play(of, seed);
+    assert!(w.sent > 100, "{of:?}, seed {seed}: the day sent next to nothing");
+    for (id, r) in &w.requests {
+        assert_eq!(r.answered, 1, "{of:?}, seed {seed}: answers of request {id}");
     }
 }
 
 #[test]
 fn the_same_events_give_the_same_actions() {
-    assert_eq!(play(3).sent, play(3).sent);
-    assert_eq!(play(4).extras, play(4).extras);
+    assert_eq!(play(Of::EveryRule, 3).sent, play(Of::EveryRule, 3).sent);
+    assert_eq!(play(Of::EveryRule, 4).extras, play(Of::EveryRule, 4).extras);
 }
