A list is gone by while the agent takes calls and has nothing to tell

Cause: Freshness (core/src/freshness.rs) knows one silence where there are two. A watch that broke is silent while the agent has news: the next call is answered at once. While discovery is down the agent has nothing more: the next call is silent, too. discovery.rs measured that only for the first call of a start.

Change: a call that the agent took (its connection is up) and did not answer within 250 ms is a word, and the list holds for 6 s from it; where nobody takes a call, or calls wait in turn at a service of all, it ends as before. Pushed lists are called for by the pauses of a fleet of one.

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -73,6 +73,8 @@
     Heard(Instant),
     /// Discovery's agent was asked, had time to answer, and has not by then.
     Silent(Instant),
+    /// The agent took a call then, which stands, and has not answered: it had nothing more to tell.
+    Nothing(Instant),
     /// Discovery is at another address since then.
     Moved(Instant),
     /// The deployment's settings have changed; the reply says whether they stand.
@@ -447,6 +449,7 @@
             Message::News(news) => self.news(news),
             Message::Heard(at) => self.fresh.heard(at),
             Message::Silent(at) => self.fresh.silent(at),
+            Message::Nothing(at) => self.fresh.nothing(at),
             Message::Moved(at) => self.fresh.moved(at),
             Message::Settings(deployment, reply) => {
                 // Whoever asked may have left.
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -1,4 +1,8 @@
 //! Until when a list that says nothing new may be gone by. No I/O, no clock of its own.
+//!
+//! Silence has two causes. A watch that broke brings nothing of what the agent has; a new call does, at once.
+//! While discovery is down the agent has nothing more, and a new call stays silent, too. So a call that the
+//! agent took and has not answered is a word as good as an empty line: what the agent had was told.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -18,7 +22,7 @@
 const FIRST_LINE: Duration = Duration::from_secs(1);
 
 /// When the list may be gone by: from its first line on, and until something may count as told that has not
-/// come, as no line has. All that was told before the last line is known, as lines come in order. The list
+/// come, as no line has and the agent was not found to have nothing. All that was told before the last line is known, as lines come in order. The list
 /// that a program starts with may be old; it is gone by only where the agent stays silent.
 ///
 /// Of the grace that settings leave after news, nothing is used: it is for a line that is read late and a
@@ -56,6 +60,14 @@
         self.begin = self.begin.min(at);
     }
 
+    /// The agent took a call then, which still stands, and has not answered it in its time: by then it had
+    /// nothing to tell. Only for an agent that answers at once what it has; a service at which calls wait in
+    /// turn says nothing by its silence.
+    pub fn nothing(&mut self, at: Instant) {
+        self.silent(at);
+        self.end = self.end.max(at + TOLD_BY);
+    }
+
     /// Discovery has moved then; what is heard from now on comes from its new address.
     pub fn moved(&mut self, at: Instant) {
         (self.heard, self.end) = (self.heard.max(at), self.end.min(at + MOVED_BY));
@@ -158,6 +170,23 @@
         assert_eq!(fresh.changes(at(start, 9.0)), None);
     }
 
+    /// Guards against a fleet that stops as a whole once discovery has been down for 6 s; and against going on
+    /// where nobody took a call.
+    #[test]
+    fn an_agent_that_is_asked_and_has_nothing_to_tell_stands_by_the_list() {
+        let start = Instant::now();
+        let mut fresh = ruled(start);
+        fresh.heard(at(start, 1.0));
+        fresh.silent(at(start, 4.0));
+        assert_eq!(fresh.end(), Some(at(start, 7.0)), "nobody took the call");
+        fresh.nothing(at(start, 4.0));
+        assert_eq!(fresh.end(), Some(at(start, 10.0)));
+        fresh.nothing(at(start, 0.5));
+        assert_eq!(fresh.end(), Some(at(start, 10.0)), "a late word takes nothing back");
+        fresh.nothing(at(start, 12.0));
+        assert_eq!(holds(&fresh, start), [5..=179]);
+    }
+
     #[test]
     fn after_a_move_the_new_address_has_4_s_to_say_something() {
         let start = Instant::now();
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -208,8 +208,9 @@
     if let Some(taken) = taken {
         meeting.go_on(taken, core.clone()).await;
     }
-    let backoff = Backoff::new(core.deployment().settings.hosts, seed);
-    tokio::spawn(discovery::follow(addresses, revision, core.news(), backoff));
+    let lists = core.deployment().settings.list;
+    let backoff = Backoff::at(lists, core.deployment().settings.hosts, seed);
+    tokio::spawn(discovery::follow(addresses, revision, lists, core.news(), backoff));
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await?;
         tracing::info!("operations on {}", listener.local_addr()?);
--- a/crates/wires/src/backoff.rs
+++ b/crates/wires/src/backoff.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use heathward_module::ListMode;
+
 /// For each host of the fleet: the spans over which the call after a first failure and after many is drawn.
 /// Discovery is one service for all. Where it has no room (measured: some 54 ms for a call, and a call that
 /// waits for 2 s fails but keeps its turn), calls must come no faster than they are served: else the queue
@@ -30,6 +32,13 @@
         Self { rng: fastrand::Rng::with_seed(seed), hosts, failures: 0 }
     }
 
+    /// For one of that many hosts where lists come so. Those that are pushed wait with an agent of this host's
+    /// own, which answers at no cost to anybody: it is called as by a fleet of one, however large that is. Only
+    /// a service that all ask has to be shared.
+    pub fn at(lists: ListMode, hosts: u32, seed: u64) -> Self {
+        Self::new(if lists == ListMode::Pushed { 1 } else { hosts }, seed)
+    }
+
     /// One for another address, with chances of its own.
     pub fn fork(&mut self) -> Self {
         Self { rng: self.rng.fork(), hosts: self.hosts, failures: 0 }
@@ -122,6 +131,18 @@
         assert!(longest <= Duration::from_millis(50), "{hosts} hosts: {longest:?}");
     }
 
+    /// Guards against a host of a large fleet that leaves its own agent alone for half a minute, and against
+    /// one that is as quick at a service of all.
+    #[test]
+    fn an_agent_of_ones_own_is_called_again_within_a_second_in_a_fleet_of_any_size() {
+        let longest = |lists| {
+            let mut backoff = Backoff::at(lists, 300, 7);
+            (0..100).map(|_| backoff.pause(false)).max().unwrap()
+        };
+        assert!(longest(ListMode::Pushed) <= Duration::from_secs(1));
+        assert!(longest(ListMode::Asked { within: 10_000_000 }) > Duration::from_secs(30));
+    }
+
     #[test]
     fn a_small_fleet_is_back_at_once_and_no_two_hosts_keep_step() {
         let mut few = Backoff::new(4, 1);
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use heathward_core::{Member, Message, News};
-use heathward_module::{ListKind, NodeState, ShardId};
+use heathward_module::{ListKind, ListMode, NodeState, ShardId};
 
 use crate::backoff::Backoff;
 
@@ -109,19 +109,21 @@
 }
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
-/// mailbox was told last; `backoff` says how long to wait between watches. At a new one the watch opens while
-/// the old one still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
+/// mailbox was told last; `backoff` says how long to wait between watches. Where lists are pushed, silence at a
+/// call that was taken tells that there is no more to tell. At a new address the watch opens while the old one
+/// still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
 pub async fn follow(
     mut addresses: watch::Receiver<SocketAddr>,
     known: u64,
+    lists: ListMode,
     core: mpsc::Sender<Message>,
     mut backoff: Backoff,
 ) {
-    let heard = Arc::new(AtomicU64::new(known));
+    let (heard, pushed) = (Arc::new(AtomicU64::new(known)), lists == ListMode::Pushed);
     loop {
         let (address, current) = (*addresses.borrow_and_update(), Arc::new(Notify::new()));
-        let staying =
-            tokio::spawn(stay(address, heard.clone(), core.clone(), current.clone(), backoff.fork()));
+        let (heard, core_there, replaced) = (heard.clone(), core.clone(), current.clone());
+        let staying = tokio::spawn(stay(address, heard, pushed, core_there, replaced, backoff.fork()));
         loop {
             tokio::select! {
                 changed = addresses.changed() => if changed.is_err() {
@@ -147,14 +149,16 @@
 async fn stay(
     address: SocketAddr,
     heard: Arc<AtomicU64>,
+    pushed: bool,
     core: mpsc::Sender<Message>,
     replaced: Arc<Notify>,
     mut backoff: Backoff,
 ) {
     let mut replaced = pin!(replaced.notified());
     let mut revision = heard.load(Ordering::Relaxed);
-    // When the first call has had time for an answer; none once there was one, or it is told that none came.
+    // When the last call has had time for an answer; none once there was one, or it is told that none came.
     let mut reply = None;
+    // Neither a line came yet, nor is it told that none did.
     let mut first = true;
     // The watch that was opened last, and one before it that is silent.
     let (mut newer, mut older): (Option<Watch>, Option<Watch>) = (None, None);
@@ -175,7 +179,7 @@
                     older = None;
                 } else if let Some(ended) = newer.take() {
                     next = Instant::now() + backoff.pause(ended.sound(revision));
-                    reply = reply.and(Some(Instant::now()));
+                    reply = first.then(Instant::now);
                 }
                 line
             }
@@ -185,8 +189,19 @@
                 for _ in 0..TURNS {
                     tokio::task::yield_now().await;
                 }
-                if newer.as_ref().is_none_or(|watch| watch.lines.is_empty()) {
-                    let _ = core.send(Message::Silent(Instant::now())).await;
+                if newer.as_ref().is_some_and(|watch| !watch.lines.is_empty()) {
+                    continue;
+                }
+                let now = Instant::now();
+                if std::mem::take(&mut first) {
+                    let _ = core.send(Message::Silent(now)).await;
+                }
+                match newer.as_ref().filter(|_| pushed && last.is_none()).map(|watch| watch.taken.get()) {
+                    Some(Some(taken)) if *taken + REPLY <= now => {
+                        let _ = core.send(Message::Nothing(*taken)).await;
+                    }
+                    Some(taken) => reply = Some(taken.map_or(now, |taken| *taken) + REPLY),
+                    None => {}
                 }
                 continue;
             }
@@ -205,14 +220,14 @@
                     None => {
                         newer = Some(Watch::open(address, revision));
                         next = Instant::now() + SILENCE;
-                        reply = std::mem::take(&mut first).then(|| Instant::now() + REPLY);
+                        reply = (first || pushed).then(|| Instant::now() + REPLY);
                     }
                 }
                 continue;
             }
         };
         let Some(line) = line else { continue };
-        reply = None;
+        (reply, first) = (None, false);
         let now = Instant::now();
         next = now + SILENCE;
         let read = read(&line);
@@ -235,6 +250,8 @@
     lines: mpsc::Receiver<Vec<u8>>,
     task: AbortHandle,
     opened: Instant,
+    /// When the agent took the call, once it has.
+    taken: Arc<OnceLock<Instant>>,
     /// What it was asked for the changes after.
     after: u64,
 }
@@ -242,8 +259,9 @@
 impl Watch {
     fn open(address: SocketAddr, after: u64) -> Self {
         let (tell, lines) = mpsc::channel(1);
-        let task = tokio::spawn(listen_to(address, after, tell)).abort_handle();
-        Self { lines, task, opened: Instant::now(), after }
+        let taken = Arc::default();
+        let task = tokio::spawn(listen_to(address, after, Arc::clone(&taken), tell)).abort_handle();
+        Self { lines, task, opened: Instant::now(), taken, after }
     }
 
     /// It has brought something, or has stood for a while.
@@ -267,8 +285,13 @@
 }
 
 /// Reads a watch, from its connection to its end.
-async fn listen_to(address: SocketAddr, after: u64, tell: mpsc::Sender<Vec<u8>>) {
-    let Some((mut body, driver)) = open(address, after).await else { return };
+async fn listen_to(
+    address: SocketAddr,
+    after: u64,
+    taken: Arc<OnceLock<Instant>>,
+    tell: mpsc::Sender<Vec<u8>>,
+) {
+    let Some((mut body, driver)) = open(address, after, &taken).await else { return };
     let reading = async {
         let mut text = Vec::new();
         while let Some(Ok(frame)) = body.frame().await {
@@ -308,6 +331,7 @@
 async fn open(
     address: SocketAddr,
     after: u64,
+    taken: &OnceLock<Instant>,
 ) -> Opened<impl Future<Output = Result<(), Infallible>> + Send + 'static> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -315,6 +339,8 @@
     let uri = format!("/v1/servers?watch=1&after={after}");
     let request = Request::get(uri).header(HOST, address.to_string()).body(Empty::<Bytes>::new()).ok()?;
     let sending = sender.send_request(request);
+    // A call's head goes out with the first turn of its connection.
+    let _ = taken.set(Instant::now());
     let response = tokio::select! {
         response = sending => response.ok()?,
         _ = connection.as_mut() => return None,
