--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,16 @@
 
 measure-fleet: build
 	target/release/heathward-measure fleet
+
+# Which runs of the bench the present state owes (exit code 1 where one is, 2 without a bench); plays them in turn.
+.PHONY: regression regression-run journal
+regression: build
+	target/release/heathward-measure regression
+
+WHY ?= The runs that this state owes
+regression-run: build
+	target/release/heathward-measure regression --run "$(WHY)"
+
+# Scores by version: docs/journal.csv and docs/journal.svg, and which falls are larger than chance.
+journal: build
+	target/release/heathward-measure journal
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -22,8 +22,9 @@
 const FIRST_LINE: Duration = Duration::from_secs(1);
 
 /// When the list may be gone by: from its first line on, and until something may count as told that has not
-/// come, as no line has and the agent was not found to have nothing. All that was told before the last line is known, as lines come in order. The list
-/// that a program starts with may be old; it is gone by only where the agent stays silent.
+/// come, as no line has and the agent was not found to have nothing. All that was told before the last line is
+/// known, as lines come in order. The list that a program starts with may be old; it is gone by only where the
+/// agent stays silent.
 ///
 /// Of the grace that settings leave after news, nothing is used: it is for a line that is read late and a
 /// write that has begun.
@@ -170,8 +171,8 @@
         assert_eq!(fresh.changes(at(start, 9.0)), None);
     }
 
-    /// Guards against a fleet that stops as a whole once discovery has been down for 6 s; and against going on
-    /// where nobody took a call.
+    /// Guards against a fleet that stops as a whole once discovery has been down for 6 s; and against going
+    /// on where nobody took a call.
     #[test]
     fn an_agent_that_is_asked_and_has_nothing_to_tell_stands_by_the_list() {
         let start = Instant::now();
--- a/crates/core/tests/drains.rs
+++ b/crates/core/tests/drains.rs
@@ -291,7 +291,7 @@
     }
     let (served, asked) = *counts.lock().unwrap();
     println!(
-        "seed {seed}, {believed:?} is believed: {} first bytes, {late} too late, {worst:?} at most; {served} of {asked}",
+        "seed {seed}, {believed:?} believed: {} first bytes, {late} too late, {worst:?}; {served} of {asked}",
         sent.len()
     );
     assert_eq!(late > 0, believed != Silence::Down, "first bytes after the grace, {worst:?} at most");
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,7 +1,10 @@
 //! `heathward-measure NAME`: prints `measure WHAT VALUE UNIT want OP BOUND` for each figure; exit code 1
-//! when one falls short. The programs are looked for beside this one.
+//! when one falls short. The programs are looked for beside this one. `journal` and `regression` read the
+//! bench's journal, from the repository's root.
 
 mod fleet;
+mod journal;
+mod regression;
 mod report;
 
 use std::path::PathBuf;
@@ -36,11 +39,26 @@
 
 fn main() -> ExitCode {
     let mut figures = Figures(true);
+    let rest: Vec<String> = std::env::args().skip(2).collect();
     match std::env::args().nth(1).as_deref() {
+        Some("journal") => {
+            let folder = rest.first().map_or("docs", String::as_str);
+            if let Err(error) = journal::run(folder.as_ref()) {
+                eprintln!("{error}");
+                return ExitCode::from(2);
+            }
+        }
+        Some("regression") => {
+            let play = rest.first().is_some_and(|word| word == "--run");
+            return regression::run(
+                play,
+                rest.get(1).map_or("The runs that this state owes", String::as_str),
+            );
+        }
         Some("report") => report::run(&mut figures),
         Some("fleet") => fleet::run(&mut figures),
         _ => {
-            eprintln!("usage: heathward-measure report|fleet");
+            eprintln!("usage: heathward-measure report|fleet|journal [FOLDER]|regression [--run [WHY]]");
             return ExitCode::from(2);
         }
     }
--- /dev/null
+++ b/crates/scheduler/tests/deploy.rs
@@ -0,0 +1,136 @@
+//! What the platform and the fleet's standing test ask of the deploy file and of the program that it starts.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::process::Command;
+
+use heathward_standin::*;
+use rstest::rstest;
+use tokio::net::TcpStream;
+
+const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+
+/// What is wrong with a deploy file, by the name of its key; `exists` tells of paths below the root.
+fn faults(text: &str, exists: impl Fn(&str) -> bool) -> Vec<String> {
+    let table: toml::Table = match text.parse() {
+        Ok(table) => table,
+        Err(error) => return vec![error.to_string()],
+    };
+    let mut faults = Vec::new();
+    for key in table.keys().filter(|key| !KEYS.contains(&key.as_str())) {
+        faults.push(format!("{key}: unknown"));
+    }
+    for key in ["build", "run", "sim"] {
+        let command = table.get(key).and_then(|value| value.as_str()).unwrap_or_default();
+        let mut words = command.split_whitespace();
+        let starts = key == "build" || words.next() == Some("exec");
+        // One process: nothing before it, beside it or behind it.
+        if command.is_empty() || !starts || (key != "build" && words.count() != 1) {
+            faults.push(format!("{key}: {command:?}"));
+        }
+    }
+    for key in ["policy", "node"] {
+        let names = table.get(key).and_then(|value| value.as_array()).cloned().unwrap_or_default();
+        if names.is_empty() {
+            faults.push(format!("{key}: empty"));
+        }
+        for name in names.iter().map(|name| name.as_str().unwrap_or_default()) {
+            if !exists(name) {
+                faults.push(format!("{key}: {name:?} does not exist"));
+            }
+        }
+    }
+    faults
+}
+
+const KEYS: [&str; 6] = ["build", "run", "sim", "policy", "node", "packages"];
+
+fn deploy_file() -> String {
+    fs::read_to_string(Path::new(ROOT).join("deploy/balancer.toml")).unwrap()
+}
+
+#[test]
+fn the_deploy_file_has_the_form_that_the_platform_asks_for() {
+    let exists = |name: &str| Path::new(ROOT).join(name).exists();
+    assert_eq!(faults(&deploy_file(), exists), [""; 0]);
+}
+
+/// Each check sees the fault that it is there for.
+#[rstest]
+#[case::no_exec("run = \"exec ", "run = \"", "run: ")]
+#[case::a_shell_beside("run = \"exec ", "run = \"exec sleep 1 & ", "run: ")]
+#[case::an_operator_file("heathward\"\nsim", "heathward --operator x\"\nsim", "run: ")]
+#[case::no_simulator("sim =", "simulator =", "sim: ")]
+#[case::a_wrong_key("build =", "built =", "built: unknown")]
+#[case::a_file_that_moved("choice.rs", "choices.rs", "policy: ")]
+#[case::a_folder_that_moved("crates/wires/src", "crates/wire/src", "node: ")]
+#[case::no_toml("build =", "build", "")]
+fn a_fault_in_the_deploy_file_is_seen(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
+    let text = deploy_file();
+    let broken = text.replacen(from, to, 1);
+    assert_ne!(text, broken);
+    let exists = |name: &str| Path::new(ROOT).join(name).exists();
+    let faults = faults(&broken, exists);
+    assert!(faults.iter().any(|fault| fault.contains(named)), "{faults:?}");
+}
+
+/// Processes whose parent that is, by what the system lists now.
+fn children(parent: u32) -> BTreeSet<u32> {
+    let entries = fs::read_dir("/proc").unwrap();
+    let ids = entries.filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok());
+    let is_child = |id: &u32| {
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        // The name in brackets may hold anything; state and parent follow it.
+        let rest = stat.rsplit(')').next().unwrap_or_default();
+        rest.split_whitespace().nth(1) == Some(parent.to_string().as_str())
+    };
+    ids.filter(is_child).collect()
+}
+
+/// Processor time of children that it waited for, in ticks: of any it ever had and that have ended.
+fn of_children(id: u32) -> u64 {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+    let rest: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    // Faults of children, and their time in user and system mode.
+    [rest[8], rest[10], rest[13], rest[14]].iter().map(|field| field.parse::<u64>().unwrap()).sum()
+}
+
+/// On the platform's road the program is one process with no ring of its own. With an operator file it has
+/// Jsonnet evaluated by another one, which the same look sees: that file is off there.
+#[rstest]
+#[case::on_the_platform(false)]
+#[case::with_an_operator_file(true)]
+#[tokio::test]
+async fn it_serves_as_one_process(#[case] operator: bool) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let discovery = Discovery::start(vec![Listed {
+        id: "s0".to_owned(),
+        address: node,
+        shard: 0,
+        phase: "in_service",
+        up_since_ms: 0,
+    }])
+    .await;
+    let config = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("deploy-{operator}.json"));
+    fs::write(&config, config_text("127.0.0.1:0", &discovery.address.to_string(), "")).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+    command.env("GW_CONFIG", &config);
+    if operator {
+        command.args(["--operator", &format!("{ROOT}/deploy/heathward.jsonnet")]);
+    }
+    let program = Program::start(command);
+    for call in 0..50 {
+        let mut client = TcpStream::connect(program.listen).await.unwrap();
+        let text = request("consulta", call, 0, 900, "");
+        tokio::io::AsyncWriteExt::write_all(&mut client, text.as_bytes()).await.unwrap();
+        answer(&mut client).await;
+        assert_eq!(children(program.id()), BTreeSet::new());
+    }
+    assert!(log.all().len() > 20, "it serves");
+    let links = fs::read_dir(format!("/proc/{}/fd", program.id())).unwrap();
+    let held: Vec<_> = links.filter_map(|link| fs::read_link(link.unwrap().path()).ok()).collect();
+    assert!(!held.iter().any(|link| link.to_string_lossy().contains("io_uring")), "{held:?}");
+    assert_eq!(of_children(program.id()) > 0, operator, "another process ran");
+}
--- a/crates/wires/src/backoff.rs
+++ b/crates/wires/src/backoff.rs
@@ -32,9 +32,9 @@
         Self { rng: fastrand::Rng::with_seed(seed), hosts, failures: 0 }
     }
 
-    /// For one of that many hosts where lists come so. Those that are pushed wait with an agent of this host's
-    /// own, which answers at no cost to anybody: it is called as by a fleet of one, however large that is. Only
-    /// a service that all ask has to be shared.
+    /// For one of that many hosts where lists come so. Those that are pushed wait with this host's own agent,
+    /// which answers at no cost to anybody: it is called as by a fleet of one, however large that is. Only a
+    /// service that all ask has to be shared.
     pub fn at(lists: ListMode, hosts: u32, seed: u64) -> Self {
         Self::new(if lists == ListMode::Pushed { 1 } else { hosts }, seed)
     }
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -109,9 +109,9 @@
 }
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
-/// mailbox was told last; `backoff` says how long to wait between watches. Where lists are pushed, silence at a
-/// call that was taken tells that there is no more to tell. At a new address the watch opens while the old one
-/// still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
+/// mailbox was told last; `backoff` says how long to wait between watches. Where lists are pushed, silence at
+/// a call that was taken tells that there is no more to tell. At a new address the watch opens while the old
+/// one still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
 pub async fn follow(
     mut addresses: watch::Receiver<SocketAddr>,
     known: u64,
