A scheduler that stops for want of a list says since when and why, in its records too

Need: a fleet that stops as a whole must not surprise anyone. So far one log line told it, without a time.

Change: /healthz answers 503 with "nothing heard from discovery for N ms" (or that there is no list, or a pause); the log line has the span; records have Stopped(span) and WentOn, the report a finding from when to when and why. An agent that has nothing to tell is told to the core as a word like any other, one message less than before.

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -69,12 +69,11 @@
     Ended(Ended),
     /// Discovery has news.
     News(News),
-    /// A line came from discovery then, be it an empty one; what it told has been told here.
+    /// A line came from discovery then, be it an empty one; what it told has been told here. Or its agent took
+    /// a call then and had nothing more to tell.
     Heard(Instant),
     /// Discovery's agent was asked, had time to answer, and has not by then.
     Silent(Instant),
-    /// The agent took a call then, which stands, and has not answered: it had nothing more to tell.
-    Nothing(Instant),
     /// Discovery is at another address since then.
     Moved(Instant),
     /// The deployment's settings have changed; the reply says whether they stand.
@@ -103,6 +102,8 @@
     pub ready: bool,
     /// Requests without an answer.
     pub open: usize,
+    /// Nothing is sent, as discovery was heard last then.
+    pub stale: Option<Instant>,
 }
 
 /// The core has stopped.
@@ -449,7 +450,6 @@
             Message::News(news) => self.news(news),
             Message::Heard(at) => self.fresh.heard(at),
             Message::Silent(at) => self.fresh.silent(at),
-            Message::Nothing(at) => self.fresh.nothing(at),
             Message::Moved(at) => self.fresh.moved(at),
             Message::Settings(deployment, reply) => {
                 // Whoever asked may have left.
@@ -939,18 +939,26 @@
         let stale = !self.fresh.holds(now);
         if stale != self.stale {
             self.stale = stale;
+            let silence = now.saturating_duration_since(self.fresh.last_word());
             if stale {
-                tracing::warn!("nothing heard from discovery: nothing is sent by the list as it was");
+                tracing::warn!(
+                    "nothing heard from discovery for {silence:?}: nothing is sent by the old list"
+                );
             } else {
                 tracing::info!("discovery is heard");
             }
+            self.note(Note::Stale(stale.then_some(silence)));
             let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
             let entries = ids.into_iter().filter_map(|id| self.listed_entry(id)).collect();
             self.feed(Event::List { kind: ListKind::Changes, entries });
             self.look_at_all(Why::List(self.revision));
         }
         let ready = !stale && self.nodes.values().any(|n| n.mailbox.is_some());
-        self.status.send_if_modified(|s| std::mem::replace(&mut s.ready, ready) != ready);
+        let stale = stale.then(|| self.fresh.last_word());
+        self.status.send_if_modified(|s| {
+            let was = (std::mem::replace(&mut s.ready, ready), std::mem::replace(&mut s.stale, stale));
+            was != (ready, stale)
+        });
     }
 
     /// A listed node's entry for the module.
--- a/crates/core/src/observe.rs
+++ b/crates/core/src/observe.rs
@@ -1,5 +1,7 @@
 //! What the core tells whoever keeps records of it.
 
+use std::time::Duration;
+
 use heathward_module::settings::Deployment;
 use heathward_module::{ClassId, End, ListKind, Micros, NodeState, PlanId, RequestId, Standing, VolumeId};
 use tokio::time::Instant;
@@ -86,6 +88,8 @@
     HandedOver,
     /// This process goes on from another's state.
     TookOver,
+    /// Nothing is sent by the list from now on, as discovery was silent for so long; or `None`, it is again.
+    Stale(Option<Duration>),
     /// Staff send clients away, or take them again.
     Paused(bool),
     /// Time has passed.
--- a/crates/incident/src/findings.rs
+++ b/crates/incident/src/findings.rs
@@ -40,6 +40,8 @@
     TookOver,
     /// Clients were sent away.
     Paused,
+    /// Nothing was sent by a list that discovery no longer stood by.
+    Stopped,
     /// A configuration was not taken.
     Refused,
     /// A wall clock was off.
@@ -215,7 +217,7 @@
                 say(boot.to, None, What::Killed, text);
             }
         }
-        let mut paused = None;
+        let (mut paused, mut stopped) = (None, None);
         for (at, what) in &boot.lifecycle {
             match what {
                 Lifecycle::TookOver => {
@@ -231,6 +233,18 @@
                         format!("{name} did not take a configuration at {}; the old one stood.", clock(*at));
                     say(*at, None, What::Refused, text);
                 }
+                Lifecycle::Stopped(silence) => stopped = Some((*at, *silence)),
+                Lifecycle::WentOn => {
+                    if let Some((from, silence)) = stopped.take() {
+                        let text = format!(
+                            "{name} sent nothing from {} to {}: discovery had been silent for {} ms.",
+                            clock(from),
+                            clock(*at),
+                            silence / 1000
+                        );
+                        say(from, Some(*at), What::Stopped, text);
+                    }
+                }
                 Lifecycle::Paused => paused = Some(*at),
                 Lifecycle::Resumed => {
                     if let Some(from) = paused.take() {
@@ -242,6 +256,13 @@
                 _ => {}
             }
         }
+        if let Some((from, silence)) = stopped {
+            let (from_clock, silence) = (clock(from), silence / 1000);
+            let text = format!(
+                "{name} sent nothing from {from_clock} on: discovery had been silent for {silence} ms."
+            );
+            say(from, None, What::Stopped, text);
+        }
         if let Some(from) = paused {
             say(from, None, What::Paused, format!("{name} sent clients away from {} on.", clock(from)));
         }
--- a/crates/incident/tests/incident.rs
+++ b/crates/incident/tests/incident.rs
@@ -4,7 +4,7 @@
 use heathward_incident::findings::What;
 use heathward_incident::{Ending, Fold, Incident, Missing, Window};
 use heathward_records::read::Item;
-use heathward_records::{Ended, Event, Gap, GapCause, NodeSecond, NodeState, Record, Why};
+use heathward_records::{Ended, Event, Gap, GapCause, Lifecycle, NodeSecond, NodeState, Record, Why};
 use heathward_standin::told::{Told, MS, NINE};
 use rstest::rstest;
 
@@ -55,6 +55,23 @@
     assert_eq!(taken, 270);
 }
 
+/// A scheduler that stops, as discovery is silent, says so with since when and why.
+#[test]
+fn a_scheduler_that_sent_nothing_is_found_with_the_cause() {
+    let mut told = Told::new("n0", 0, 0);
+    told.put(2000, Event::Lifecycle(Lifecycle::Stopped(6_000 * MS)));
+    told.put(4500, Event::Lifecycle(Lifecycle::WentOn));
+    told.put(7000, Event::Lifecycle(Lifecycle::Stopped(6_100 * MS)));
+    let incident = incident(&[told.end(11_000)]);
+    assert_eq!(
+        texts(&incident, What::Stopped),
+        [
+            "n0 sent nothing from 09:00:02.000 to 09:00:04.500: discovery had been silent for 6000 ms.",
+            "n0 sent nothing from 09:00:07.000 on: discovery had been silent for 6100 ms."
+        ]
+    );
+}
+
 /// The files of many schedulers come in any order.
 #[test]
 fn the_order_of_files_does_not_matter() {
--- a/crates/recorder/src/lib.rs
+++ b/crates/recorder/src/lib.rs
@@ -218,6 +218,10 @@
             Note::HandedOver => self.put(mono, Event::Lifecycle(Lifecycle::HandedOver)),
             Note::TookOver => self.put(mono, Event::Lifecycle(Lifecycle::TookOver)),
             Note::Paused(true) => self.put(mono, Event::Lifecycle(Lifecycle::Paused)),
+            Note::Stale(Some(silence)) => {
+                self.put(mono, Event::Lifecycle(Lifecycle::Stopped(silence.as_micros() as u64)));
+            }
+            Note::Stale(None) => self.put(mono, Event::Lifecycle(Lifecycle::WentOn)),
             Note::Paused(false) => self.put(mono, Event::Lifecycle(Lifecycle::Resumed)),
         }
     }
--- a/crates/records/src/event.rs
+++ b/crates/records/src/event.rs
@@ -114,6 +114,10 @@
     Paused,
     /// And taken again.
     Resumed,
+    /// Nothing is sent by the list: discovery has been silent for so long.
+    Stopped(Micros),
+    /// Discovery is heard, and the list gone by.
+    WentOn,
 }
 
 /// What a list is.
--- a/crates/regression/src/entry.rs
+++ b/crates/regression/src/entry.rs
@@ -39,6 +39,8 @@
     pub name: String,
     /// What it was drawn from.
     pub seed: u64,
+    /// The day itself as the bench drew it: a later bench may draw another from the same seed.
+    pub drawn: String,
     /// Schedulers that were played.
     pub schedulers: u32,
     /// 0 where a rule broke or something crashed.
@@ -121,6 +123,8 @@
     #[serde(default)]
     seed: Option<u64>,
     #[serde(default)]
+    day: Option<String>,
+    #[serde(default)]
     balancers: Option<u32>,
     #[serde(default)]
     score: Option<f64>,
@@ -169,7 +173,8 @@
 fn day(raw: RawDay) -> Option<Day> {
     let broken = raw.rules.unwrap_or_default().into_iter().filter(|(_, times)| *times > 0).collect();
     let (name, seed, schedulers) = (raw.name?, raw.seed?, raw.balancers.unwrap_or(0));
-    Some(Day { name, seed, schedulers, score: raw.score?, broken, fault: raw.fault })
+    let drawn = raw.day.unwrap_or_default();
+    Some(Day { name, seed, drawn, schedulers, score: raw.score?, broken, fault: raw.fault })
 }
 
 /// A short name for what such files make, in whatever order they come.
--- a/crates/regression/src/table.rs
+++ b/crates/regression/src/table.rs
@@ -12,6 +12,8 @@
     pub day: String,
     /// What it was drawn from.
     pub seed: u64,
+    /// The day itself.
+    pub drawn: String,
     /// Schedulers played.
     pub schedulers: u32,
     /// The program's.
@@ -70,7 +72,7 @@
 /// All days of all entries.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Table {
-    /// By day, seed, size and the order of versions.
+    /// By day, seed, what was drawn from it, and the order of versions.
     pub rows: Vec<Row>,
 }
 
@@ -80,15 +82,16 @@
         let mut entries: Vec<&Entry> = entries.iter().collect();
         entries.sort_by(|a, b| (&a.began, &a.id).cmp(&(&b.began, &b.id)));
         let mut since: BTreeMap<String, String> = BTreeMap::new();
-        let mut rows: BTreeMap<(String, u64, u32, String, String), Row> = BTreeMap::new();
+        let mut rows: BTreeMap<(String, u64, String, String, String), Row> = BTreeMap::new();
         for entry in entries {
             let version = entry.version();
             let since = since.entry(version.clone()).or_insert_with(|| entry.began.clone()).clone();
             for day in &entry.days {
-                let key = (day.name.clone(), day.seed, day.schedulers, since.clone(), version.clone());
+                let key = (day.name.clone(), day.seed, day.drawn.clone(), since.clone(), version.clone());
                 let row = rows.entry(key).or_insert_with(|| Row {
                     day: day.name.clone(),
                     seed: day.seed,
+                    drawn: day.drawn.clone(),
                     schedulers: day.schedulers,
                     version: version.clone(),
                     since: since.clone(),
@@ -110,10 +113,10 @@
         self.rows.iter().filter(|row| row.day == day).filter_map(Row::spread).reduce(f64::max)
     }
 
-    /// Each fall of a score from a version to the next that played the same day, seed and size.
+    /// Each fall of a score from a version to the next that played the same day.
     pub fn falls(&self) -> Vec<Fall> {
         let pairs = self.rows.windows(2).filter(|pair| {
-            let key = |row: &Row| (row.day.clone(), row.seed, row.schedulers);
+            let key = |row: &Row| (row.day.clone(), row.seed, row.drawn.clone());
             key(&pair[0]) == key(&pair[1]) && pair[1].mean() < pair[0].mean()
         });
         let fall = |pair: &[Row]| Fall {
@@ -132,13 +135,25 @@
     /// Those of `to`.
     pub fn write_csv(&self, to: impl io::Write) -> io::Result<()> {
         let mut csv = csv::Writer::from_writer(to);
-        let head =
-            ["day", "seed", "schedulers", "version", "since", "plays", "mean", "spread", "failed", "gate"];
+        let head = [
+            "day",
+            "seed",
+            "drawn",
+            "schedulers",
+            "version",
+            "since",
+            "plays",
+            "mean",
+            "spread",
+            "failed",
+            "gate",
+        ];
         csv.write_record(head)?;
         for row in &self.rows {
             csv.write_record([
                 row.day.clone(),
                 row.seed.to_string(),
+                row.drawn.clone(),
                 row.schedulers.to_string(),
                 row.version.clone(),
                 row.since.clone(),
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -198,7 +198,7 @@
                 }
                 match newer.as_ref().filter(|_| pushed && last.is_none()).map(|watch| watch.taken.get()) {
                     Some(Some(taken)) if *taken + REPLY <= now => {
-                        let _ = core.send(Message::Nothing(*taken)).await;
+                        let _ = core.send(Message::Heard(*taken)).await;
                     }
                     Some(taken) => reply = Some(taken.map_or(now, |taken| *taken) + REPLY),
                     None => {}
--- a/crates/wires/src/http/front.rs
+++ b/crates/wires/src/http/front.rs
@@ -62,8 +62,14 @@
         let since = client.begin();
         let framing = client.framing();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
-            let ready = self.core.status().ready && !self.core.draining().borrow().paused;
-            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+            let (status, paused) = (self.core.status(), self.core.draining().borrow().paused);
+            let why = match status.stale {
+                _ if paused => "paused by staff".to_owned(),
+                Some(since) => format!("nothing heard from discovery for {} ms", since.elapsed().as_millis()),
+                None if !status.ready => "no list of storage nodes".to_owned(),
+                None => return plain(StatusCode::OK, ""),
+            };
+            return plain(StatusCode::SERVICE_UNAVAILABLE, format!("{why}\n"));
         }
         let (head, body) = request.into_parts();
         // A body with two lengths may hide another request.
@@ -219,8 +225,8 @@
     Outgoing::Whole((!body.is_empty()).then_some(body))
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
-    let mut response = Response::new(whole(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Outgoing> {
+    let mut response = Response::new(whole(text.into()));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
