--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -21,8 +21,8 @@
 };
 use heathward_module::settings::{ConfigError, Deployment};
 use heathward_module::{
-    Action, Effect, End, Event, ListEntry, ListKind, Micros, NodeId, NodeState, Outcome, Request, RequestId,
-    Scheduler, SettingsError,
+    Action, Effect, End, Event, ListEntry, ListKind, ListMode, Micros, NodeId, NodeState, Outcome, Request,
+    RequestId, Scheduler, SettingsError,
 };
 
 /// Messages that wait for the module's actor at most; whoever brings more waits.
@@ -69,9 +69,11 @@
     Ended(Ended),
     /// Discovery has news.
     News(News),
-    /// A line came from discovery then, be it an empty one; what it told has been told here. Or its agent took
-    /// a call then and had nothing more to tell.
+    /// A line came from discovery then, be it an empty one; what it told has been told here. Or its agent
+    /// took a call then and had nothing more to tell.
     Heard(Instant),
+    /// The watch at a service that all ask has ended, or a call there has failed, and no watch is silent.
+    Unwatched,
     /// Discovery's agent was asked, had time to answer, and has not by then.
     Silent(Instant),
     /// Discovery is at another address since then.
@@ -449,6 +451,7 @@
             Message::Ended(ended) => self.ended(ended),
             Message::News(news) => self.news(news),
             Message::Heard(at) => self.fresh.heard(at),
+            Message::Unwatched => self.fresh.unwatched(),
             Message::Silent(at) => self.fresh.silent(at),
             Message::Moved(at) => self.fresh.moved(at),
             Message::Settings(deployment, reply) => {
@@ -929,10 +932,19 @@
 
     /// Goes by the settings' rule on drains, where they have one.
     fn rule(&mut self) {
-        self.fresh.rule(self.deployment.borrow().grace.is_some());
+        let (ruled, within) = (self.deployment.borrow().grace.is_some(), self.asks_within());
+        self.fresh.rule(ruled, within);
         self.end.set(self.fresh.end());
     }
 
+    /// How long a host may go on without a watch, where lists have to be asked for.
+    fn asks_within(&self) -> Option<Duration> {
+        match self.deployment.borrow().settings.list {
+            ListMode::Pushed => None,
+            ListMode::Asked { within } => Some(Duration::from_micros(within)),
+        }
+    }
+
     /// Nothing goes out by a list that may not be gone by; all goes on once it may.
     fn look_at_list(&mut self, now: Instant) {
         self.end.set(self.fresh.end());
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -22,9 +22,9 @@
 const FIRST_LINE: Duration = Duration::from_secs(1);
 
 /// When the list may be gone by: from its first line on, and until something may count as told that has not
-/// come, as no line has and the agent was not found to have nothing. All that was told before the last line is
-/// known, as lines come in order. The list that a program starts with may be old; it is gone by only where the
-/// agent stays silent.
+/// come, as no line has and the agent was not found to have nothing. All that was told before the last line
+/// is known, as lines come in order. The list that a program starts with may be old; it is gone by only
+/// where the agent stays silent.
 ///
 /// Of the grace that settings leave after news, nothing is used: it is for a line that is read late and a
 /// write that has begun.
@@ -34,6 +34,8 @@
     ruled: bool,
     /// The last line, or the start.
     heard: Instant,
+    /// What was listed so long ago counts as told to a host without a watch, where it has to ask.
+    within: Duration,
     begin: Instant,
     end: Instant,
 }
@@ -41,17 +43,24 @@
 impl Freshness {
     /// From the program's start on.
     pub fn new(start: Instant) -> Self {
-        Self { ruled: false, heard: start, begin: start + FIRST_LINE, end: start + TOLD_BY }
+        Self {
+            ruled: false,
+            heard: start,
+            within: Duration::ZERO,
+            begin: start + FIRST_LINE,
+            end: start + TOLD_BY,
+        }
     }
 
-    /// Whether settings have a rule on drains: without one, a list holds until another comes.
-    pub fn rule(&mut self, ruled: bool) {
-        self.ruled = ruled;
+    /// Whether settings have a rule on drains: without one, a list holds until another comes. And for how
+    /// long a host without a watch may go on, where lists have to be asked for.
+    pub fn rule(&mut self, ruled: bool, within: Option<Duration>) {
+        (self.ruled, self.within) = (ruled, within.unwrap_or_default());
     }
 
-    /// A line came then, be it an empty one. Or the agent took a call then, which stands, and has not answered
-    /// it in its time: it had nothing more to tell. The latter only for an agent that answers at once what it
-    /// has; a service at which calls wait in turn says nothing by its silence.
+    /// A line came then, be it an empty one. Or the agent took a call then, which stands, and has not
+    /// answered it in its time: it had nothing more to tell. The latter only for an agent that answers at
+    /// once what it has; a service at which calls wait in turn says nothing by its silence.
     pub fn heard(&mut self, at: Instant) {
         if at >= self.heard {
             (self.heard, self.begin, self.end) = (at, self.begin.min(at), at + TOLD_BY);
@@ -68,6 +77,13 @@
         self.heard
     }
 
+    /// The watch at a service that all hosts ask has ended, or a call there has failed; no watch is silent.
+    /// "An instance with no subscription that has not asked for this long is deemed told of what was listed
+    /// that long ago", and four times as long after a failed call, of which nothing is used.
+    pub fn unwatched(&mut self) {
+        self.end = self.end.max(self.heard + self.within);
+    }
+
     /// Discovery has moved then; what is heard from now on comes from its new address.
     pub fn moved(&mut self, at: Instant) {
         (self.heard, self.end) = (self.heard.max(at), self.end.min(at + MOVED_BY));
@@ -131,7 +147,7 @@
 
     fn ruled(start: Instant) -> Freshness {
         let mut fresh = Freshness::new(start);
-        fresh.rule(true);
+        fresh.rule(true, None);
         fresh
     }
 
@@ -173,6 +189,17 @@
         assert_eq!(fresh.changes(at(start, 9.0)), None);
     }
 
+    #[test]
+    fn without_a_watch_a_list_that_is_asked_for_holds_as_long_as_settings_say() {
+        let start = Instant::now();
+        let mut fresh = Freshness::new(start);
+        fresh.rule(true, Some(10 * SECOND));
+        fresh.heard(at(start, 1.0));
+        assert_eq!(holds(&fresh, start), [10..=69], "a watch that falls silent");
+        fresh.unwatched();
+        assert_eq!(holds(&fresh, start), [10..=109]);
+    }
+
     #[test]
     fn after_a_move_the_new_address_has_4_s_to_say_something() {
         let start = Instant::now();
--- /dev/null
+++ b/crates/rig/src/audit.rs
@@ -0,0 +1,393 @@
+//! Judges a play by what the stand-ins logged, and by nothing that a scheduler says of itself. No I/O, no
+//! clock.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Microseconds since the play began.
+pub type Micros = u64;
+
+/// A host, a node, a request.
+pub type Number = u32;
+
+/// What a stand-in, or the rig itself, saw.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// A client's request was written whole to a host.
+    Asked {
+        /// The request.
+        call: Number,
+        /// Whom it was asked of.
+        host: Number,
+        /// When.
+        at: Micros,
+        /// Until when its client waits.
+        until: Micros,
+    },
+    /// It got a whole answer.
+    Answered {
+        /// The request.
+        call: Number,
+        /// When.
+        at: Micros,
+        /// The answer's status.
+        status: u16,
+    },
+    /// An attempt came to a node.
+    Arrived(Arrived),
+    /// The node has answered it, or its connection has ended.
+    Over {
+        /// The request.
+        call: Number,
+        /// The node.
+        node: Number,
+        /// When.
+        at: Micros,
+    },
+    /// A host was told, or counts as told, that a node drains or is gone.
+    Leaves {
+        /// Who was told.
+        host: Number,
+        /// Of which node.
+        node: Number,
+        /// When.
+        at: Micros,
+    },
+    /// A node is in service again, under the id that it had.
+    Back {
+        /// The node.
+        node: Number,
+        /// When.
+        at: Micros,
+    },
+    /// A node began cold.
+    Began {
+        /// The node.
+        node: Number,
+        /// When.
+        at: Micros,
+    },
+    /// The rig killed a host.
+    Killed {
+        /// The host.
+        host: Number,
+        /// When.
+        at: Micros,
+    },
+    /// The rig stopped a host for a while.
+    Stopped {
+        /// The host.
+        host: Number,
+        /// From when.
+        from: Micros,
+        /// Until when.
+        to: Micros,
+    },
+    /// What a host held at some moment.
+    Held {
+        /// The host.
+        host: Number,
+        /// When.
+        at: Micros,
+        /// Its memory at most so far.
+        memory_kb: u64,
+        /// Its descriptors.
+        descriptors: u64,
+    },
+}
+
+/// An attempt as a node saw it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Arrived {
+    /// The request.
+    pub call: Number,
+    /// The host that sent it.
+    pub host: Number,
+    /// The node.
+    pub node: Number,
+    /// The shard that the node holds, and the one that the request is for.
+    pub shards: (u32, u32),
+    /// Its first byte and its last.
+    pub first: Micros,
+    /// Its last byte.
+    pub last: Micros,
+    /// The key of a write that may be repeated.
+    pub key: Option<String>,
+    /// Its volume.
+    pub volume: u64,
+    /// Its size.
+    pub units: u32,
+}
+
+/// The rules' figures, as settings have them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// An answer may be so late.
+    pub slack: Micros,
+    /// Nothing new goes to a node so long after it was told to leave.
+    pub grace: Micros,
+    /// A keyed write may be sent again so long after it may have run first.
+    pub window: Micros,
+    /// A cold node: units that it bears warm in `fall`, its share at first, the time to the whole, the span
+    /// that counts, and the multiple.
+    pub cold: Cold,
+    /// Units a second for each volume, and what a full store holds; none where there is no limit.
+    pub limit: Option<(f64, f64)>,
+    /// Kilobytes and descriptors of a host.
+    pub most: (u64, u64),
+}
+
+/// The rule on cold nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Units that a warm node bears within `fall`.
+    pub units: f64,
+    /// Its share at first.
+    pub share: f64,
+    /// Until it is warm.
+    pub time: Micros,
+    /// The window.
+    pub fall: Micros,
+    /// Times its ability.
+    pub multiple: f64,
+}
+
+impl Cold {
+    /// What a node of that age may get in a window, with the slack for chance that the rule names.
+    pub fn allowed(&self, age: Micros) -> f64 {
+        let grown = (age as f64 / self.time as f64).min(1.0);
+        let allowed = self.multiple * self.units * (self.share + (1.0 - self.share) * grown);
+        allowed + 3.0 * allowed.sqrt() + 3.0
+    }
+}
+
+/// Which rule was broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// A request got no answer, or one past its time.
+    Answer,
+    /// A request got two answers.
+    TwoAnswers,
+    /// Two attempts of a request were out at once.
+    AtOnce,
+    /// A request came to a node that does not hold its shard.
+    Shard,
+    /// A keyed write was sent again after its window.
+    Window,
+    /// A first byte went to a node after its grace.
+    Leaving,
+    /// A cold node got more than its multiple.
+    Cold,
+    /// A volume was sent more than its limit by all hosts together.
+    Limit,
+    /// A host held more memory or descriptors than it may.
+    Held,
+}
+
+/// A rule broken, once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// When.
+    pub at: Micros,
+    /// By whom, and by how much.
+    pub text: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at {:.3} s: {}", self.rule, self.at as f64 / 1e6, self.text)
+    }
+}
+
+/// All that was broken, in order of time; `log` in whatever order.
+pub fn judge(log: &[Entry], rules: &Rules) -> Vec<Breach> {
+    let mut arrived: Vec<&Arrived> = log
+        .iter()
+        .filter_map(|entry| match entry {
+            Entry::Arrived(arrived) => Some(arrived),
+            _ => None,
+        })
+        .collect();
+    arrived.sort_by_key(|arrived| arrived.last);
+    let mut found = answers(log, rules);
+    found.extend(attempts(log, &arrived, rules));
+    found.extend(leaving(log, &arrived, rules));
+    found.extend(cold(log, &arrived, rules));
+    found.extend(limits(&arrived, rules));
+    for entry in log {
+        let Entry::Held { host, at, memory_kb, descriptors } = entry else { continue };
+        if *memory_kb > rules.most.0 || *descriptors > rules.most.1 {
+            let text = format!("host {host}: {memory_kb} KB, {descriptors} descriptors");
+            found.push(Breach { rule: Rule::Held, at: *at, text });
+        }
+    }
+    found.sort_by_key(|breach| (breach.at, breach.rule));
+    found
+}
+
+fn answers(log: &[Entry], rules: &Rules) -> Vec<Breach> {
+    let mut answered: BTreeMap<Number, Vec<Micros>> = BTreeMap::new();
+    let mut excused: BTreeMap<Number, Vec<(Micros, Micros)>> = BTreeMap::new();
+    for entry in log {
+        match entry {
+            Entry::Answered { call, at, .. } => answered.entry(*call).or_default().push(*at),
+            Entry::Killed { host, at } => excused.entry(*host).or_default().push((*at, *at)),
+            Entry::Stopped { host, from, to } => excused.entry(*host).or_default().push((*from, *to)),
+            _ => {}
+        }
+    }
+    let mut found = Vec::new();
+    for entry in log {
+        let Entry::Asked { call, host, at, until } = entry else { continue };
+        let times = answered.get(call).map_or(&[][..], Vec::as_slice);
+        let last = until + rules.slack;
+        let excused = excused.get(host).is_some_and(|spans| spans.iter().any(|(a, b)| *a <= last && b >= at));
+        if times.len() > 1 {
+            let text = format!("call {call} at host {host}: {} answers", times.len());
+            found.push(Breach { rule: Rule::TwoAnswers, at: times[1], text });
+        }
+        let late = times.first().is_none_or(|answer| *answer > last);
+        if late && !excused {
+            let text = match times.first() {
+                Some(answer) => format!("call {call} at host {host}: {} us late", answer - until),
+                None => format!("call {call} at host {host}: no answer"),
+            };
+            found.push(Breach { rule: Rule::Answer, at: last, text });
+        }
+    }
+    found
+}
+
+fn attempts(log: &[Entry], arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
+    let mut over: BTreeMap<(Number, Number), Vec<Micros>> = BTreeMap::new();
+    for entry in log {
+        if let Entry::Over { call, node, at } = entry {
+            over.entry((*call, *node)).or_default().push(*at);
+        }
+    }
+    let mut found = Vec::new();
+    let mut before: BTreeMap<Number, Vec<&Arrived>> = BTreeMap::new();
+    let mut keys: BTreeMap<&str, Micros> = BTreeMap::new();
+    for attempt in arrived {
+        let (call, node, at) = (attempt.call, attempt.node, attempt.last);
+        let earlier = before.entry(call).or_default();
+        let open = |other: &&&Arrived| {
+            let ends = over.get(&(call, other.node)).map_or(&[][..], Vec::as_slice);
+            !ends.iter().any(|end| *end >= other.last && *end <= attempt.last)
+        };
+        if let Some(other) = earlier.iter().find(open) {
+            let text = format!("call {call} came to node {node} while it was out at node {}", other.node);
+            found.push(Breach { rule: Rule::AtOnce, at, text });
+        }
+        earlier.push(attempt);
+        if attempt.shards.0 != attempt.shards.1 {
+            let text = format!("call {call} for shard {} came to node {node}", attempt.shards.1);
+            found.push(Breach { rule: Rule::Shard, at, text });
+        }
+        if let Some(key) = &attempt.key {
+            let first = *keys.entry(key).or_insert(at);
+            if attempt.first > first + rules.window {
+                let text = format!("key {key} was sent again {} us after the first", attempt.first - first);
+                found.push(Breach { rule: Rule::Window, at, text });
+            }
+        }
+    }
+    found
+}
+
+fn leaving(log: &[Entry], arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
+    let mut told: BTreeMap<(Number, Number), Vec<Micros>> = BTreeMap::new();
+    let mut back: BTreeMap<Number, Vec<Micros>> = BTreeMap::new();
+    for entry in log {
+        match entry {
+            Entry::Leaves { host, node, at } => told.entry((*host, *node)).or_default().push(*at),
+            Entry::Back { node, at } => back.entry(*node).or_default().push(*at),
+            _ => {}
+        }
+    }
+    let late = |attempt: &&Arrived| {
+        let back = back.get(&attempt.node).map_or(&[][..], Vec::as_slice);
+        let stands = |at: &&Micros| !back.iter().any(|back| back >= *at && *back <= attempt.first);
+        let told = told.get(&(attempt.host, attempt.node))?.iter().filter(stands).min()?;
+        let late = attempt.first.checked_sub(told + rules.grace + 1)?;
+        let text = format!("host {} to node {}: {late} us after its grace", attempt.host, attempt.node);
+        Some(Breach { rule: Rule::Leaving, at: attempt.first, text })
+    };
+    arrived.iter().filter_map(late).collect()
+}
+
+fn cold(log: &[Entry], arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
+    let mut found = Vec::new();
+    for entry in log {
+        let Entry::Began { node, at } = entry else { continue };
+        let end = at + rules.cold.time;
+        let got: Vec<&&Arrived> =
+            arrived.iter().filter(|a| a.node == *node && a.last >= *at && a.last < end).collect();
+        let mut from = 0;
+        let mut sum = 0.0;
+        for attempt in &got {
+            sum += f64::from(attempt.units);
+            while got[from].last + rules.cold.fall <= attempt.last {
+                sum -= f64::from(got[from].units);
+                from += 1;
+            }
+            let allowed = rules.cold.allowed(attempt.last - at);
+            if sum > allowed {
+                let text = format!("node {node}: {sum} units where {allowed:.1} are borne");
+                found.push(Breach { rule: Rule::Cold, at: attempt.last, text });
+                break;
+            }
+        }
+    }
+    found
+}
+
+fn limits(arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
+    let Some((rate, burst)) = rules.limit else { return Vec::new() };
+    let mut found = Vec::new();
+    let mut stores: BTreeMap<u64, (f64, Micros)> = BTreeMap::new();
+    let mut seen = std::collections::BTreeSet::new();
+    for attempt in arrived.iter().filter(|attempt| seen.insert(attempt.call)) {
+        let (left, at) = stores.entry(attempt.volume).or_insert((burst, attempt.last));
+        *left = (*left + rate * (attempt.last - *at) as f64 / 1e6).min(burst) - f64::from(attempt.units);
+        *at = attempt.last;
+        if *left < 0.0 {
+            let text = format!("volume {}: {:.1} units over its limit", attempt.volume, -*left);
+            found.push(Breach { rule: Rule::Limit, at: attempt.last, text });
+        }
+    }
+    found
+}
+
+/// The most load that any cold node had in a window, over what the rule lets it have, the slack aside.
+pub fn most_cold(log: &[Entry], rules: &Rules) -> f64 {
+    let mut most: f64 = 0.0;
+    for entry in log {
+        let Entry::Began { node, at } = entry else { continue };
+        let got = |from: Micros| -> f64 {
+            let within = |a: &Arrived| a.node == *node && a.last >= from && a.last < from + rules.cold.fall;
+            log.iter()
+                .map(
+                    |e| {
+                        if let Entry::Arrived(a) = e {
+                            f64::from(a.units * u32::from(within(a)))
+                        } else {
+                            0.0
+                        }
+                    },
+                )
+                .sum()
+        };
+        for entry in log {
+            let Entry::Arrived(a) = entry else { continue };
+            if a.node == *node && a.last >= *at && a.last < at + rules.cold.time {
+                let grown = (a.last - at) as f64 / rules.cold.time as f64;
+                let ability = rules.cold.units * (rules.cold.share + (1.0 - rules.cold.share) * grown);
+                most = most.max(got(a.last) / (rules.cold.multiple * ability));
+            }
+        }
+    }
+    most
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,13 @@
+//! The failure rig: many processes of the program before stand-ins of everything around them, faults between
+//! them by a scenario, and an auditor that judges by the stand-ins' logs alone.
+
+pub mod audit;
+pub mod callers;
+pub mod clients;
+pub mod fleet;
+pub mod link;
+pub mod lists;
+pub mod node;
+pub mod play;
+pub mod scenario;
+pub mod service;
--- /dev/null
+++ b/crates/rig/src/lists.rs
@@ -0,0 +1,308 @@
+//! Lists: the truth about nodes, an agent for each host, and one service for all with a cost.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use heathward_standin::{member, read_message};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, timeout_at};
+
+use crate::audit::{Entry, Micros};
+use crate::link::Link;
+use crate::node::{after, listen_at, serve, until_closed};
+use crate::play::Play;
+use crate::service::Costs;
+
+/// What a broken watch misses counts as told so long after it fell silent.
+const TOLD_BY: Micros = 6_000_000;
+/// An empty line comes so often.
+const BEAT: Duration = Duration::from_secs(2);
+
+/// A node in the list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Its number, which is its shard too.
+    pub node: u32,
+    /// `in_service`, `terminating` or `terminated`.
+    pub phase: &'static str,
+    /// When it started, Unix time in milliseconds; 0 where that is long ago.
+    pub since: u128,
+    /// The version that changed it last.
+    pub revision: u64,
+}
+
+/// The list as it is, and what hosts can hear of it.
+#[derive(Clone, Debug, Default)]
+struct Truth {
+    nodes: Vec<Listed>,
+    revision: u64,
+    /// While discovery is down agents have what they had by this version.
+    down: Option<u64>,
+}
+
+/// How lists come to hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ways {
+    /// Each host has an agent that answers at once.
+    Agents,
+    /// All hosts ask one service, which has such costs.
+    Service(Costs),
+}
+
+/// What calls met.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// All that were made.
+    pub made: u64,
+    /// Those that waited for their turn in vain.
+    pub in_vain: u64,
+    /// Bytes of lists that were sent.
+    pub bytes: u64,
+}
+
+/// All of it; all clones are one.
+#[derive(Clone)]
+pub struct Lists {
+    play: Play,
+    truth: Arc<watch::Sender<Truth>>,
+    ways: Ways,
+    /// Counts up: watches from before are broken and fall silent.
+    broken: Arc<watch::Sender<u32>>,
+    /// Since when each host's watch is broken, until it calls anew.
+    silent: Arc<Mutex<Vec<Option<Micros>>>>,
+    /// Who is before each node, for each host.
+    addresses: Arc<Mutex<Vec<Vec<SocketAddr>>>>,
+    /// The service's turns, in order.
+    turns: Arc<tokio::sync::Mutex<()>>,
+    waiting: Arc<AtomicU64>,
+    counts: Arc<Mutex<(Calls, Vec<Micros>)>>,
+}
+
+impl Lists {
+    /// Of so many nodes, all in service.
+    pub fn new(play: &Play, nodes: u32, ways: Ways) -> Self {
+        let listed = |node| Listed { node, phase: "in_service", since: 0, revision: 1 };
+        let truth = Truth { nodes: (0..nodes).map(listed).collect(), revision: 1, down: None };
+        Self {
+            play: play.clone(),
+            truth: Arc::new(watch::channel(truth).0),
+            ways,
+            broken: Arc::new(watch::channel(0).0),
+            silent: Arc::default(),
+            addresses: Arc::default(),
+            turns: Arc::default(),
+            waiting: Arc::default(),
+            counts: Arc::default(),
+        }
+    }
+
+    /// A node changes. Hosts whose agent has it count as told at once; while discovery is down, once it is
+    /// back.
+    pub fn change(&self, node: u32, phase: &'static str, since: u128) {
+        self.truth.send_modify(|truth| {
+            truth.revision += 1;
+            let revision = truth.revision;
+            if let Some(listed) = truth.nodes.iter_mut().find(|listed| listed.node == node) {
+                *listed = Listed { node, phase, since, revision };
+            }
+        });
+        let at = self.play.now();
+        if phase == "in_service" {
+            self.play.note(Entry::Back { node, at });
+        } else if self.truth.borrow().down.is_none() && self.ways == Ways::Agents {
+            for (host, silent) in (0..).zip(self.silent().iter()) {
+                // What a broken watch misses counts as told so long after it fell silent; sooner, if it is
+                // told on another one.
+                let at = silent.map_or(at, |since| at.max(since + TOLD_BY));
+                self.play.note(Entry::Leaves { host, node, at });
+            }
+        }
+    }
+
+    /// Discovery is down, or back: what changed meanwhile counts as told then.
+    pub fn down(&self, down: bool) {
+        let mut left = Vec::new();
+        self.truth.send_modify(|truth| {
+            let had = truth.down.take();
+            let leaves = |listed: &&Listed| listed.phase != "in_service" && Some(listed.revision) > had;
+            left = truth.nodes.iter().filter(leaves).map(|listed| listed.node).collect();
+            truth.down = down.then_some(truth.revision);
+            left.retain(|_| !down && had.is_some());
+        });
+        let (at, hosts) = (self.play.now(), self.addresses().len() as u32);
+        for node in left {
+            (0..hosts).for_each(|host| self.play.note(Entry::Leaves { host, node, at }));
+        }
+    }
+
+    /// All watches that stand break: they stay open and say nothing more.
+    pub fn break_watches(&self) {
+        let at = self.play.now();
+        self.silent().iter_mut().for_each(|silent| *silent = Some(at));
+        self.broken.send_modify(|count| *count += 1);
+    }
+
+    /// What calls met so far, and when each was made.
+    pub fn calls(&self) -> (Calls, Vec<Micros>) {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn addresses(&self) -> std::sync::MutexGuard<'_, Vec<Vec<SocketAddr>>> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn silent(&self) -> std::sync::MutexGuard<'_, Vec<Option<Micros>>> {
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, count: impl FnOnce(&mut (Calls, Vec<Micros>))) {
+        count(&mut self.counts.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// What changed after a version, as one line for that host; the whole list after none.
+    fn line(&self, host: usize, after: u64) -> (String, u64) {
+        let truth = self.truth.borrow();
+        let revision = truth.down.unwrap_or(truth.revision);
+        let addresses = self.addresses();
+        let changed =
+            truth.nodes.iter().filter(|listed| listed.revision > after && listed.revision <= revision);
+        let entry = |listed: &Listed| {
+            let at = addresses[host][listed.node as usize];
+            let id = format!("s{}", listed.node);
+            member(&id, at, listed.node, listed.phase, listed.since).replace('\n', "")
+        };
+        let members: Vec<_> = changed.map(entry).collect();
+        (
+            format!(
+                r#"{{"revision":{revision},"complete":{},"members":[{}]}}"#,
+                after == 0,
+                members.join(",")
+            ),
+            revision,
+        )
+    }
+
+    /// A line has told a host of what changed between these versions.
+    fn note_told(&self, host: usize, after: u64, revision: u64) {
+        let truth = self.truth.borrow();
+        let told = |l: &&Listed| l.revision > after && l.revision <= revision && l.phase != "in_service";
+        let (host, at) = (host as u32, self.play.now());
+        for listed in truth.nodes.iter().filter(told) {
+            self.play.note(Entry::Leaves { host, node: listed.node, at });
+        }
+    }
+
+    /// The list as a host is told it at its start.
+    pub fn known(&self, host: usize) -> String {
+        self.line(host, 0).0
+    }
+
+    /// A host joins: it finds nodes at such addresses, and calls at the address given back.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn join(&self, nodes: Vec<SocketAddr>, link: Link) -> std::io::Result<SocketAddr> {
+        let host = {
+            let mut addresses = self.addresses();
+            addresses.push(nodes);
+            self.silent().push(None);
+            addresses.len() - 1
+        };
+        let (address, first) = listen_at(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let lists = self.clone();
+        serve(address, first, link.clone(), move |stream| {
+            let (lists, link) = (lists.clone(), link.clone());
+            tokio::spawn(async move {
+                lists.watch(host, stream, link).await;
+            });
+        });
+        Ok(address)
+    }
+
+    async fn watch(self, host: usize, mut stream: TcpStream, link: Link) -> Option<()> {
+        let mut broken = self.broken.subscribe();
+        broken.mark_unchanged();
+        let (head, ..) = read_message(&mut stream).await?;
+        let at = self.play.now();
+        self.silent()[host] = None;
+        self.count(|(calls, times)| {
+            calls.made += 1;
+            times.push(at);
+        });
+        let after_version = head.split("after=").nth(1)?.split_whitespace().next()?.parse().ok()?;
+        let since = link.state().resets;
+        let telling = async {
+            link.pass_there().await.ok()?;
+            self.turn(&mut stream).await?;
+            self.tell(host, &mut stream, after_version, &link).await
+        };
+        tokio::select! {
+            _ = telling => {}
+            () = link.until_reset(since) => return None,
+            _ = broken.changed() => {}
+        }
+        // It has broken, or has nothing more to say: open, and silent.
+        until_closed(&mut stream).await;
+        None
+    }
+
+    /// Its turn at the service. One that waits too long fails, and its turn still comes.
+    async fn turn(&self, stream: &mut TcpStream) -> Option<()> {
+        let Ways::Service(costs) = self.ways else { return Some(()) };
+        let full = self.waiting.load(Ordering::Relaxed) >= costs.places as u64;
+        if !full {
+            self.waiting.fetch_add(1, Ordering::Relaxed);
+            let (turns, waiting) = (self.turns.clone(), self.waiting.clone());
+            let turn = tokio::spawn(async move {
+                let turn = turns.lock().await;
+                sleep(costs.call).await;
+                waiting.fetch_sub(1, Ordering::Relaxed);
+                drop(turn);
+            });
+            if timeout(costs.patience, turn).await.is_ok() {
+                return Some(());
+            }
+            self.count(|(calls, _)| calls.in_vain += 1);
+        }
+        stream.write_all(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n").await.ok()?;
+        None
+    }
+
+    async fn tell(&self, host: usize, stream: &mut TcpStream, mut version: u64, link: &Link) -> Option<()> {
+        let mut truth = self.truth.subscribe();
+        let mut beat = after(Duration::ZERO);
+        let mut open = false;
+        loop {
+            let (down, line, revision) = {
+                let down = truth.borrow_and_update().down.is_some();
+                let (line, revision) = self.line(host, version);
+                (down, line, revision)
+            };
+            let news = revision > version;
+            // While discovery is down the agent tells what it has, and nothing else.
+            if news || (!down && beat <= after(Duration::ZERO)) {
+                link.pass_back().await.ok()?;
+                if !open {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await.ok()?;
+                    open = true;
+                }
+                let line = if news { line } else { String::new() };
+                self.count(|(calls, _)| calls.bytes += line.len() as u64);
+                let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                stream.write_all(chunk.as_bytes()).await.ok()?;
+                self.note_told(host, version, revision);
+                version = revision;
+                beat = after(BEAT);
+            }
+            if down {
+                truth.changed().await.ok()?;
+            } else {
+                let _ = timeout_at(beat, truth.changed()).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/node.rs
@@ -0,0 +1,219 @@
+//! A storage node: it serves so many requests at a time, has a queue, starts cold, and logs what came.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use heathward_standin::{header, read_message};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, Instant};
+
+use crate::audit::{Arrived, Cold, Entry};
+use crate::clients::told_by_path;
+use crate::link::{reset, Link};
+use crate::play::Play;
+
+/// What a node can do.
+#[derive(Clone, Copy, Debug)]
+pub struct Ability {
+    /// Requests at a time.
+    pub cores: usize,
+    /// Requests that wait beside; one more is turned away.
+    pub queue: u32,
+    /// For one unit, warm.
+    pub unit: Duration,
+    /// For a new connection.
+    pub connection: Duration,
+    /// How it starts.
+    pub cold: Cold,
+}
+
+/// A node; all clones are one.
+#[derive(Clone)]
+pub struct Node {
+    /// Its number, which is its shard too.
+    pub number: u32,
+    ability: Ability,
+    play: Play,
+    places: Arc<Semaphore>,
+    held: Arc<AtomicU32>,
+    /// When it began cold, microseconds of the play; 0 where that is long ago.
+    began: Arc<AtomicU64>,
+    /// New connections, each with the moment that it came.
+    connections: Arc<std::sync::Mutex<Vec<u64>>>,
+}
+
+impl Node {
+    /// A warm one.
+    pub fn new(number: u32, ability: Ability, play: &Play) -> Self {
+        Self {
+            number,
+            ability,
+            play: play.clone(),
+            places: Arc::new(Semaphore::new(ability.cores)),
+            held: Arc::default(),
+            began: Arc::default(),
+            connections: Arc::default(),
+        }
+    }
+
+    /// It begins anew, cold.
+    pub fn begin(&self) {
+        let at = self.play.now().max(1);
+        self.began.store(at, Ordering::Relaxed);
+        self.play.note(Entry::Began { node: self.number, at });
+    }
+
+    /// When its connections came, microseconds of the play.
+    pub fn connections(&self) -> Vec<u64> {
+        self.connections.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    /// What it can do now, of the whole.
+    fn share(&self) -> f64 {
+        let Cold { share, time, .. } = self.ability.cold;
+        match self.began.load(Ordering::Relaxed) {
+            0 => 1.0,
+            began => {
+                let grown = self.play.now().saturating_sub(began) as f64 / time as f64;
+                share + (1.0 - share) * grown.min(1.0)
+            }
+        }
+    }
+
+    /// Listens for one host, behind a link.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn listen(&self, host: u32, link: Link) -> std::io::Result<SocketAddr> {
+        let (address, first) = listen_at(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let node = self.clone();
+        serve(address, first, link.clone(), move |stream| {
+            tokio::spawn(node.clone().connection(host, stream, link.clone()));
+        });
+        Ok(address)
+    }
+
+    async fn connection(self, host: u32, mut stream: TcpStream, link: Link) {
+        self.connections.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push(self.play.now());
+        let since = link.state().resets;
+        sleep(self.ability.connection).await;
+        loop {
+            tokio::select! {
+                on = self.request(host, &mut stream, &link) => if on.is_none() { break },
+                () = link.until_reset(since) => break,
+            }
+        }
+        reset(stream);
+    }
+
+    async fn request(&self, host: u32, stream: &mut TcpStream, link: &Link) -> Option<()> {
+        let mut first = [0];
+        if stream.peek(&mut first).await.ok()? == 0 {
+            return None;
+        }
+        let began = self.play.now();
+        let (small, ..) = read_message(stream).await?;
+        let call = u64::from_str_radix(header(&small, "x-call-id")?, 16).ok()? as u32;
+        let (volume, shard, units) = told_by_path(&small)?;
+        self.play.note(Entry::Arrived(Arrived {
+            call,
+            host,
+            node: self.number,
+            shards: (self.number, shard),
+            first: began,
+            last: self.play.now(),
+            key: header(&small, "idempotency-key").map(str::to_owned),
+            volume,
+            units,
+        }));
+        let over = Over { node: self, call };
+        let passed = link.pass_there().await;
+        let served = match passed {
+            Ok(()) => self.serve(units).await,
+            Err(_) => return None,
+        };
+        link.pass_back().await.ok()?;
+        drop(over);
+        let answer: &[u8] = match served {
+            true => b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+            false => b"HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
+        };
+        stream.write_all(answer).await.ok()
+    }
+
+    /// Its turn and its work; not at all where the queue is full.
+    async fn serve(&self, units: u32) -> bool {
+        let most = self.ability.cores as u32 + self.ability.queue;
+        if self.held.fetch_add(1, Ordering::Relaxed) >= most {
+            self.held.fetch_sub(1, Ordering::Relaxed);
+            return false;
+        }
+        let turn = self.places.acquire().await;
+        sleep((self.ability.unit * units).div_f64(self.share())).await;
+        drop(turn);
+        self.held.fetch_sub(1, Ordering::Relaxed);
+        true
+    }
+}
+
+/// Notes that an attempt is over, however it ends.
+struct Over<'a> {
+    node: &'a Node,
+    call: u32,
+}
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        let (call, node, at) = (self.call, self.node.number, self.node.play.now());
+        self.node.play.note(Entry::Over { call, node, at });
+    }
+}
+
+/// Listens there; the port of 0 is chosen by the system.
+pub(crate) fn listen_at(address: SocketAddr) -> std::io::Result<(SocketAddr, TcpListener)> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(1024)?;
+    Ok((listener.local_addr()?, listener))
+}
+
+/// Hands over what connects there, while the link is not refused: then nobody listens.
+pub(crate) fn serve(
+    address: SocketAddr,
+    first: TcpListener,
+    link: Link,
+    mut take: impl FnMut(TcpStream) + Send + 'static,
+) {
+    tokio::spawn(async move {
+        let mut listener = Some(first);
+        loop {
+            match &listener {
+                Some(open) => tokio::select! {
+                    accepted = open.accept() => if let Ok((stream, _)) = accepted { take(stream) },
+                    () = link.until_refused(true) => listener = None,
+                },
+                None => {
+                    link.until_refused(false).await;
+                    listener = listen_at(address).ok().map(|(_, listener)| listener);
+                    sleep(Duration::from_millis(if listener.is_none() { 20 } else { 0 })).await;
+                }
+            }
+        }
+    });
+}
+
+/// Waits for the other side's end of a connection that brings nothing more.
+pub(crate) async fn until_closed(stream: &mut TcpStream) {
+    let mut rest = [0; 256];
+    while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
+}
+
+/// A moment some time from now.
+pub(crate) fn after(span: Duration) -> Instant {
+    Instant::now() + span
+}
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -10,7 +10,8 @@
 use heathward_core::{Core, Gone, Message};
 use heathward_logs::Logs;
 use heathward_module::settings::ConfigError;
-use heathward_wires::backoff::Backoff;
+use heathward_startup::Place;
+use heathward_wires::backoff::Pace;
 use heathward_wires::http::{self, ConnectionTable, Front};
 use heathward_wires::node::{Figures, Pool};
 use heathward_wires::nvme::{self, Subsystem};
@@ -208,9 +209,12 @@
     if let Some(taken) = taken {
         meeting.go_on(taken, core.clone()).await;
     }
-    let lists = core.deployment().settings.list;
-    let backoff = Backoff::at(lists, core.deployment().settings.hosts, seed);
-    tokio::spawn(discovery::follow(addresses, revision, lists, core.news(), backoff));
+    let (lists, place) = {
+        let settings = &core.deployment().settings;
+        (settings.list, Place { host: settings.host, hosts: settings.hosts })
+    };
+    let pace = Pace::new(lists, place, seed);
+    tokio::spawn(discovery::follow(addresses, revision, lists, core.news(), pace));
     if let Some(ops) = ops {
         let listener = TcpListener::bind(ops).await?;
         tracing::info!("operations on {}", listener.local_addr()?);
--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -5,7 +5,8 @@
 
 use heathward_core::{Answers, Counters, Message};
 use heathward_module::{End, ListMode};
-use heathward_wires::backoff::Backoff;
+use heathward_startup::Place;
+use heathward_wires::backoff::Pace;
 use heathward_wires::discovery;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
@@ -510,8 +511,8 @@
 /// The rig follows discovery there, as one of 300 hosts, for as long as what is given back stands.
 fn follow(rig: &Rig, address: SocketAddr, lists: ListMode) -> watch::Sender<SocketAddr> {
     let (keep, addresses) = watch::channel(address);
-    let backoff = Backoff::at(lists, 300, 1);
-    tokio::spawn(discovery::follow(addresses, 7, lists, rig.core.news(), backoff));
+    let pace = Pace::new(lists, Place { host: 1, hosts: 300 }, 1);
+    tokio::spawn(discovery::follow(addresses, 7, lists, rig.core.news(), pace));
     keep
 }
 
@@ -640,13 +641,9 @@
     for seed in [1, 2] {
         let (listener, address) = listen().await;
         let (_keep, addresses) = watch::channel(address);
-        let following = tokio::spawn(discovery::follow(
-            addresses,
-            7,
-            ListMode::Pushed,
-            rig.core.news(),
-            Backoff::new(1, seed),
-        ));
+        let pace = Pace::new(ListMode::Pushed, Place { host: 0, hosts: 1 }, seed);
+        let following =
+            tokio::spawn(discovery::follow(addresses, 7, ListMode::Pushed, rig.core.news(), pace));
         let mut seen = Vec::new();
         while seen.len() < 5 {
             // Closed as soon as it is there.
--- /dev/null
+++ b/crates/startup/src/calls.rs
@@ -0,0 +1,209 @@
+//! When one of many schedulers may call a list service that all of them ask.
+//!
+//! The service is one for all and has room for so many calls a second; what it can do is told nowhere. A call
+//! that finds no room waits, fails, and has still cost a turn. So the calls of a fleet have to come no faster
+//! than they are served. Each host keeps an estimate of what one call costs the service, by what its own
+//! calls met: an answer that came at once shows the cost, one that came late bounds it, a failure shows that
+//! it is larger than thought. A round of calls of the whole fleet then takes the estimate times the number
+//! of hosts, and each host calls at its own place in the round, by its number: evenly, not by chance.
+
+use std::time::Duration;
+
+/// What a call is taken to cost before any was answered. Measured: some 54 ms at one service. Too small a
+/// guess costs rounds of failures, too large a one makes the first round as much longer.
+const FIRST_GUESS: Duration = Duration::from_millis(54);
+/// No estimate is outside these.
+const BOUNDS: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(1_000));
+/// A round leaves so much room beside the estimate.
+const ROOM: f64 = 1.2;
+/// A failure raises the estimate by that, and an answer raises it by no more: one answer may have waited
+/// long.
+const RAISE: f64 = 1.6;
+/// An answer lowers it by no more.
+const LOWER: f64 = 0.5;
+/// What the soonest answer grows by with each further one.
+const FORGET: f64 = 1.1;
+/// A round is no shorter: guards against calls without a pause in a fleet of a few.
+const LEAST_ROUND: Duration = Duration::from_millis(100);
+/// And no longer: a host is out of the list's reach meanwhile.
+const LONGEST_ROUND: Duration = Duration::from_secs(600);
+/// A hint to come again later is followed up to that.
+const LONGEST_HINT: Duration = Duration::from_secs(60);
+
+/// Which of how many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The host's number, from 0; taken by the number of hosts where it is none of them.
+    pub host: u32,
+    /// How many there are; 0 counts as 1.
+    pub hosts: u32,
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nobody was there, or the connection broke at once: it has cost no turn.
+    Absent,
+    /// It waited, and failed: it has had its turn, or will have it.
+    Waited,
+    /// It was turned away, with a hint when to come again where there was one.
+    TurnedAway(Option<Duration>),
+}
+
+/// When the next call may be made.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    rng: fastrand::Rng,
+    place: Place,
+    /// What one call costs the service, as far as this host has seen.
+    cost: Duration,
+    /// The soonest answer so far, by and by forgotten.
+    least: Option<Duration>,
+    /// Failures since the last answer.
+    failures: u32,
+}
+
+impl Calls {
+    /// For that host; `seed` is its only source of chance.
+    pub fn new(place: Place, seed: u64) -> Self {
+        let hosts = place.hosts.max(1);
+        let place = Place { host: place.host % hosts, hosts };
+        Self { rng: fastrand::Rng::with_seed(seed), place, cost: FIRST_GUESS, least: None, failures: 0 }
+    }
+
+    /// One for another service, of which nothing is known.
+    pub fn fork(&mut self) -> Self {
+        Self { rng: self.rng.fork(), place: self.place, cost: FIRST_GUESS, least: None, failures: 0 }
+    }
+
+    /// What one call is taken to cost now.
+    pub fn cost(&self) -> Duration {
+        self.cost
+    }
+
+    /// How long a round of the whole fleet's calls takes now.
+    pub fn round(&self) -> Duration {
+        self.cost.mul_f64(ROOM * f64::from(self.place.hosts)).clamp(LEAST_ROUND, LONGEST_ROUND)
+    }
+
+    /// How long the first call after a start waits: this host's place in a round, as all may start at once.
+    pub fn first(&mut self) -> Duration {
+        self.placed()
+    }
+
+    /// A call was answered after so long. Returns how long the next one waits should this watch end.
+    pub fn answered(&mut self, after: Duration) -> Duration {
+        self.failures = 0;
+        // Waiting for others' calls makes an answer later, never sooner: the least seen is nearest to the
+        // truth. It grows a little with each answer, as a service may become slower.
+        let least = self.least.map_or(after, |least| after.min(least.mul_f64(FORGET)));
+        self.least = Some(least);
+        let (low, high) = (self.cost.mul_f64(LOWER), self.cost.mul_f64(RAISE));
+        self.cost = least.clamp(low, high).clamp(BOUNDS.0, BOUNDS.1);
+        self.placed()
+    }
+
+    /// A call failed so, `since` after it was made. Returns how long the next one waits: for the rest of this
+    /// round, and for its place in the next. Guards against hosts whose place is early and who would call
+    /// again and again meanwhile.
+    pub fn failed(&mut self, how: Failure, since: Duration) -> Duration {
+        let (first, before) = (self.failures == 0, self.round());
+        self.failures = self.failures.saturating_add(1);
+        let overloaded = match how {
+            // Whoever is not there is not overloaded.
+            Failure::Absent => false,
+            Failure::Waited => true,
+            // Once may be chance.
+            Failure::TurnedAway(_) => !first,
+        };
+        if overloaded {
+            self.cost = self.cost.mul_f64(RAISE).clamp(BOUNDS.0, BOUNDS.1);
+        }
+        let rest = before.mul_f64(1.0 - f64::from(self.place.host) / f64::from(self.place.hosts));
+        let next = rest.saturating_sub(since) + self.placed();
+        match how {
+            Failure::TurnedAway(Some(hint)) => next.max(hint.min(LONGEST_HINT)),
+            _ => next,
+        }
+    }
+
+    /// This host's place in a round, with a chance within the place alone.
+    fn placed(&mut self) -> Duration {
+        let place = (f64::from(self.place.host) + self.rng.f64()) / f64::from(self.place.hosts);
+        self.round().mul_f64(place)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    fn calls(host: u32) -> Calls {
+        Calls::new(Place { host, hosts: 100 }, u64::from(host))
+    }
+
+    #[test]
+    fn first_calls_are_spread_evenly_over_a_round() {
+        let mut firsts: Vec<_> = (0..100).map(|host| calls(host).first()).collect();
+        firsts.sort_unstable();
+        let round = calls(0).round();
+        for (host, first) in firsts.iter().enumerate() {
+            let (from, to) = (round.mul_f64(host as f64 / 100.0), round.mul_f64((host + 1) as f64 / 100.0));
+            assert!((from..=to).contains(first), "host {host}: {first:?}");
+        }
+    }
+
+    /// What each kind of end does to the estimate, in ms, from a start at 54.
+    #[rstest]
+    #[case::absent(&[Failure::Absent, Failure::Absent], 54)]
+    #[case::waited(&[Failure::Waited], 86)]
+    #[case::twice(&[Failure::Waited, Failure::Waited], 138)]
+    #[case::turned_away_once(&[Failure::TurnedAway(None)], 54)]
+    #[case::turned_away_twice(&[Failure::TurnedAway(None), Failure::TurnedAway(None)], 86)]
+    #[case::bounded(&[Failure::Waited; 9], 1_000)]
+    fn what_failures_tell_of_the_cost(#[case] failures: &[Failure], #[case] cost: u128) {
+        let mut calls = calls(7);
+        for how in failures {
+            calls.failed(*how, Duration::ZERO);
+        }
+        assert_eq!(calls.cost().as_millis(), cost);
+    }
+
+    /// The same of answers: one that waited long moves it little, the soonest counts.
+    #[rstest]
+    #[case::sooner(&[11, 11, 11], 11)]
+    #[case::one_late(&[1_900], 86)]
+    #[case::late_beside_soon(&[60, 1_900, 1_900], 72)]
+    #[case::slower_for_good(&[&[54], &[270; 20][..]].concat(), 270)]
+    fn what_answers_tell_of_the_cost(#[case] answers: &[u32], #[case] cost: u128) {
+        let mut calls = calls(7);
+        for ms in answers {
+            calls.answered(MS * *ms);
+        }
+        assert_eq!(calls.cost().as_millis(), cost);
+    }
+
+    /// Guards against hosts whose place is early and who call again and again within a round.
+    #[test]
+    fn a_call_that_failed_is_followed_by_one_in_the_next_round() {
+        for host in 0..100 {
+            let mut calls = calls(host);
+            let made = calls.first();
+            let next = made + calls.failed(Failure::Absent, Duration::ZERO);
+            let round = calls.round();
+            let slack = round / 50;
+            assert!(next + slack >= round && next <= round * 2 + slack, "host {host}: {next:?} of {round:?}");
+        }
+    }
+
+    #[test]
+    fn a_hint_is_kept_to_within_its_bound() {
+        let hinted = |seconds| calls(3).failed(Failure::TurnedAway(Some(Duration::from_secs(seconds))), MS);
+        assert!(hinted(30) >= Duration::from_secs(30));
+        assert!(hinted(100_000) <= Duration::from_secs(61), "{:?}", hinted(100_000));
+    }
+}
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::header::HOST;
+use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use miniserde::{json, Deserialize, Serialize};
@@ -23,13 +23,16 @@
 
 use heathward_core::{Member, Message, News};
 use heathward_module::{ListKind, ListMode, NodeState, ShardId};
+use heathward_startup::Failure;
 
-use crate::backoff::Backoff;
+use crate::backoff::{Ended, Pace};
 
 /// An empty line comes every 2 s: a watch without one for this long is broken.
 const SILENCE: Duration = Duration::from_millis(2750);
 /// An agent that has something to tell has told it by then: it replies at once.
 const REPLY: Duration = Duration::from_millis(250);
+/// A call that ended sooner found nobody, or was broken off at once.
+const AT_ONCE: Duration = Duration::from_millis(5);
 /// Whoever reads a watch has come to its end after so many turns of all tasks.
 const TURNS: u32 = 8;
 /// The watch at a former address counts for so long at most.
@@ -109,7 +112,7 @@
 }
 
 /// Follows the list for as long as the core runs, from the `known` version on, at the address that the
-/// mailbox was told last; `backoff` says how long to wait between watches. Where lists are pushed, silence at
+/// mailbox was told last; `pace` says how long to wait between watches. Where lists are pushed, silence at
 /// a call that was taken tells that there is no more to tell. At a new address the watch opens while the old
 /// one still stands: until that ends by itself, or for 5 s, whatever either of them tells counts.
 pub async fn follow(
@@ -117,13 +120,13 @@
     known: u64,
     lists: ListMode,
     core: mpsc::Sender<Message>,
-    mut backoff: Backoff,
+    mut pace: Pace,
 ) {
     let (heard, pushed) = (Arc::new(AtomicU64::new(known)), lists == ListMode::Pushed);
     loop {
         let (address, current) = (*addresses.borrow_and_update(), Arc::new(Notify::new()));
         let (heard, core_there, replaced) = (heard.clone(), core.clone(), current.clone());
-        let staying = tokio::spawn(stay(address, heard, pushed, core_there, replaced, backoff.fork()));
+        let staying = tokio::spawn(stay(address, heard, pushed, core_there, replaced, pace.fork()));
         loop {
             tokio::select! {
                 changed = addresses.changed() => if changed.is_err() {
@@ -152,7 +155,7 @@
     pushed: bool,
     core: mpsc::Sender<Message>,
     replaced: Arc<Notify>,
-    mut backoff: Backoff,
+    mut pace: Pace,
 ) {
     let mut replaced = pin!(replaced.notified());
     let mut revision = heard.load(Ordering::Relaxed);
@@ -164,9 +167,13 @@
     let (mut newer, mut older): (Option<Watch>, Option<Watch>) = (None, None);
     // When the newer one counts as silent, or else the next is opened. It is drawn: guards against a fleet
     // whose watches all broke at once, and that comes back as one time after time.
-    let mut next = Instant::now();
+    let mut next = Instant::now() + pace.first();
     // Once there is another address, these watches end then, or by themselves.
     let mut last = None;
+    if !pushed {
+        // No watch stands until the first call has had its turn.
+        let _ = core.send(Message::Unwatched).await;
+    }
     while last.is_none() || newer.is_some() || older.is_some() {
         let line = tokio::select! {
             biased;
@@ -178,7 +185,10 @@
                 if line.is_some() {
                     older = None;
                 } else if let Some(ended) = newer.take() {
-                    next = Instant::now() + backoff.pause(ended.sound(revision));
+                    next = Instant::now() + pace.next(ended.ended(revision));
+                    if !pushed && older.is_none() {
+                        let _ = core.send(Message::Unwatched).await;
+                    }
                     reply = first.then(Instant::now);
                 }
                 line
@@ -214,7 +224,7 @@
                 match newer.take() {
                     _ if last.is_some() => return,
                     Some(silent) => {
-                        next = Instant::now() + backoff.pause(silent.sound(revision));
+                        next = Instant::now() + pace.next(silent.ended(revision));
                         older = older.or(Some(silent));
                     }
                     None => {
@@ -245,6 +255,9 @@
     }
 }
 
+/// When an answer's head came, and what it was.
+type Head = OnceLock<(Instant, Result<(), Option<Duration>>)>;
+
 /// One watch, read by a task of its own.
 struct Watch {
     lines: mpsc::Receiver<Vec<u8>>,
@@ -252,6 +265,8 @@
     opened: Instant,
     /// When the agent took the call, once it has.
     taken: Arc<OnceLock<Instant>>,
+    /// When its answer began, and whether it is one: else the hint when to come again, if there was one.
+    head: Arc<Head>,
     /// What it was asked for the changes after.
     after: u64,
 }
@@ -259,14 +274,24 @@
 impl Watch {
     fn open(address: SocketAddr, after: u64) -> Self {
         let (tell, lines) = mpsc::channel(1);
-        let taken = Arc::default();
-        let task = tokio::spawn(listen_to(address, after, Arc::clone(&taken), tell)).abort_handle();
-        Self { lines, task, opened: Instant::now(), taken, after }
+        let (taken, head) = (Arc::default(), Arc::default());
+        let task = tokio::spawn(listen_to(address, after, Arc::clone(&taken), Arc::clone(&head), tell));
+        Self { lines, task: task.abort_handle(), opened: Instant::now(), taken, head, after }
     }
 
-    /// It has brought something, or has stood for a while.
-    fn sound(&self, revision: u64) -> bool {
-        revision != self.after || self.opened.elapsed() > SILENCE * 2
+    /// How it counts now that another is to follow.
+    fn ended(&self, revision: u64) -> Ended {
+        let since = self.opened.elapsed();
+        match (self.head.get(), self.taken.get()) {
+            // It has brought something, or has stood for a while.
+            (head, Some(taken)) if revision != self.after || since > SILENCE * 2 => {
+                let answered = head.map_or(since, |(at, _)| *at - *taken);
+                Ended::Sound(answered)
+            }
+            (Some((_, Err(hint))), _) => Ended::Failed(Failure::TurnedAway(*hint), since),
+            (_, Some(_)) if since > AT_ONCE => Ended::Failed(Failure::Waited, since),
+            _ => Ended::Failed(Failure::Absent, since),
+        }
     }
 }
 
@@ -289,9 +314,10 @@
     address: SocketAddr,
     after: u64,
     taken: Arc<OnceLock<Instant>>,
+    head: Arc<Head>,
     tell: mpsc::Sender<Vec<u8>>,
 ) {
-    let Some((mut body, driver)) = open(address, after, &taken).await else { return };
+    let Some((mut body, driver)) = open(address, after, &taken, &head).await else { return };
     let reading = async {
         let mut text = Vec::new();
         while let Some(Ok(frame)) = body.frame().await {
@@ -332,6 +358,7 @@
     address: SocketAddr,
     after: u64,
     taken: &OnceLock<Instant>,
+    head: &Head,
 ) -> Opened<impl Future<Output = Result<(), Infallible>> + Send + 'static> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -345,7 +372,11 @@
         response = sending => response.ok()?,
         _ = connection.as_mut() => return None,
     };
-    let body = (response.status() == StatusCode::OK).then(|| response.into_body())?;
+    let granted = response.status() == StatusCode::OK;
+    let hint = || response.headers().get(RETRY_AFTER)?.to_str().ok()?.trim().parse::<f64>().ok();
+    let hint = || hint().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    let _ = head.set((Instant::now(), if granted { Ok(()) } else { Err(hint()) }));
+    let body = granted.then(|| response.into_body())?;
     Some((body, async move {
         let _kept = sender;
         // The watch ends with its connection; its body tells.
