A process that stood still reads what came meanwhile before it sends anything

Cause: on waking, requests that waited in sockets and the news beside them are all ready; the core's loop (core/src/actor.rs, run) takes whatever its mailboxes hold, and news has four more tasks to pass than a request. Looking only before requests was not enough (one of four hosts): a timer may come first.

Change: after 100 ms without a turn the core lets all tasks run eight times and takes the news before it does anything else (core/src/stalls.rs). An idle core does so too, for some microseconds.

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -15,6 +15,7 @@
 use super::body::{Ids, OpenId};
 use super::freshness::{self, Freshness};
 use super::observe::{self, Note, Observer, Treated, Why};
+use super::stalls::{news_that_waits, Stalls};
 use super::{
     Answer, Attempt, Call, Clock, Counters, Draining, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
     Order, Passing, Reply, State, Tries, Upload,
@@ -414,22 +415,30 @@
         mut news: mpsc::Receiver<Message>,
         mut orders: mpsc::Receiver<Urgent>,
     ) {
+        let mut stalls = Stalls::new(Instant::now());
         loop {
             let wake = self.wakes.first().map(|(at, _)| self.clock.instant(*at));
             let limit = self.limits.first().map(|(at, _)| *at);
             let tick = self.observer.as_ref().map(|_| self.tick);
             let list = self.fresh.changes(Instant::now());
             let next = wake.into_iter().chain(limit).chain(tick).chain(list).min();
+            let (mut urgent, mut message) = (None, None);
             tokio::select! {
                 biased;
-                Some(urgent) = orders.recv() => self.urgent(urgent),
+                Some(order) = orders.recv() => urgent = Some(order),
                 Some(news) = news.recv() => self.take(news),
-                message = messages.recv() => match message {
-                    Some(message) => self.take(message),
+                told = messages.recv() => match told {
+                    Some(told) => message = Some(told),
                     None => return,
                 },
                 () = tokio::time::sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
             }
+            if stalls.stood(Instant::now()) {
+                news_that_waits(&mut news).await.into_iter().for_each(|news| self.take(news));
+                self.look_at_list(Instant::now());
+            }
+            urgent.into_iter().for_each(|order| self.urgent(order));
+            message.into_iter().for_each(|message| self.take(message));
             self.look_at_list(Instant::now());
             let now = self.ring();
             self.pass_time(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 mod counters;
 pub mod freshness;
 pub mod observe;
+mod stalls;
 
 pub use actor::{report, start, Core, Dial, Gone, Message, Status};
 pub use body::{stream, BrokenOff, Feed, Passing, Pieces, Reply, Upload};
--- /dev/null
+++ b/crates/core/src/stalls.rs
@@ -0,0 +1,62 @@
+//! What a process does first after it stood still: a full core, a stopped process, a suspended machine. News that
+//! came meanwhile counts as told, and stands unread beside the requests that came with it.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::Message;
+
+/// After so long without a turn what waits for discovery's reader is read before a request is decided on. Less
+/// than half of the grace that settings leave after news.
+const STOOD: Duration = Duration::from_millis(100);
+/// From a socket to the core news goes through the connection, the watch's reader and discovery's actor; each
+/// takes a turn of all tasks, and the system is asked for what came at each.
+const TURNS: u32 = 8;
+
+/// When the core had its last turn.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stalls(Instant);
+
+impl Stalls {
+    /// It has one now.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self(now)
+    }
+
+    /// It has one now. Whether it may have stood still before: an idle core looks the same, and pays a few
+    /// microseconds.
+    pub(crate) fn stood(&mut self, now: Instant) -> bool {
+        now.saturating_duration_since(std::mem::replace(&mut self.0, now)) >= STOOD
+    }
+}
+
+/// The news that was there when the process went on.
+pub(crate) async fn news_that_waits(news: &mut mpsc::Receiver<Message>) -> Vec<Message> {
+    let mut came = Vec::new();
+    for _ in 0..TURNS {
+        tokio::task::yield_now().await;
+        came.extend(std::iter::from_fn(|| news.try_recv().ok()));
+    }
+    came
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn what_came_while_it_stood_is_read_before_a_request() {
+        let (tell, mut news) = mpsc::channel(4);
+        let mut stalls = Stalls::new(Instant::now());
+        assert!(!stalls.stood(Instant::now() + STOOD / 2) && stalls.stood(Instant::now() + STOOD * 2));
+        // Three tasks hand it on, one after the other, as on its way from a socket.
+        let (first, mut second) = mpsc::channel(1);
+        let (third, mut fourth) = mpsc::channel(1);
+        tokio::spawn(async move { first.send(Instant::now()).await });
+        tokio::spawn(async move { third.send(second.recv().await.unwrap()).await });
+        tokio::spawn(async move { tell.send(Message::Heard(fourth.recv().await.unwrap())).await });
+        assert_eq!(news_that_waits(&mut news).await.len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/faults.rs
@@ -0,0 +1,45 @@
+//! Fleets of real processes through scenarios of faults, judged by the stand-ins' logs alone.
+
+use std::path::{Path, PathBuf};
+
+use heathward_rig::fleet::{play, Outcome};
+use heathward_rig::scenario::Scenario;
+use rstest::rstest;
+
+fn scenario(name: &str) -> Scenario {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../rig/scenarios");
+    Scenario::load(&Path::new(path).join(format!("{name}.jsonnet"))).unwrap_or_else(|wrong| panic!("{wrong}"))
+}
+
+async fn played(scenario: &Scenario) -> Outcome {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let program = Path::new(env!("CARGO_BIN_EXE_heathward"));
+    play(scenario, program, &folder).await.unwrap()
+}
+
+/// Every rule is kept through each scenario, and what the faults leave is served: the share of requests from
+/// one second to another that were served in time.
+#[rstest]
+#[case::power_cut("power-cut", 3.0, 8.0, 0.9)]
+#[case::killed("killed", 6.0, 9.0, 0.95)]
+#[case::rolling("rolling", 10.5, 14.0, 0.95)]
+// Guards against a fleet that stops as a whole while discovery is down.
+#[case::lists_down("lists-down", 6.0, 12.0, 0.9)]
+#[case::broken_watches("broken-watches", 0.5, 11.0, 0.6)]
+#[case::stopped("stopped", 0.5, 12.0, 0.6)]
+#[case::partition("partition", 10.2, 11.0, 0.9)]
+#[case::shared_service("shared-service", 4.0, 9.0, 0.95)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rules_are_kept_through(#[case] name: &str, #[case] from: f64, #[case] to: f64, #[case] least: f64) {
+    let scenario = scenario(name);
+    let outcome = played(&scenario).await;
+    let (served, asked) = outcome.served(from, to);
+    let calls = outcome.calls.0;
+    println!("{name}, seed {}: {served} of {asked} served from {from} to {to} s, {calls:?}", scenario.seed);
+    for breach in outcome.breaches.iter().take(10) {
+        println!("{breach}");
+    }
+    assert!(outcome.breaches.is_empty(), "{} rules broken", outcome.breaches.len());
+    assert!(asked > 50 && served as f64 >= least * asked as f64, "{served} of {asked}");
+    assert!(outcome.ready.len() >= scenario.hosts as usize, "all were ready");
+}
