--- a/crates/core/src/stalls.rs
+++ b/crates/core/src/stalls.rs
@@ -1,5 +1,5 @@
-//! What a process does first after it stood still: a full core, a stopped process, a suspended machine. News that
-//! came meanwhile counts as told, and stands unread beside the requests that came with it.
+//! What a process does first after it stood still: a full core, a stopped process, a suspended machine. News
+//! that came meanwhile counts as told, and stands unread beside the requests that came with it.
 
 use std::time::Duration;
 
@@ -8,8 +8,8 @@
 
 use super::Message;
 
-/// After so long without a turn what waits for discovery's reader is read before a request is decided on. Less
-/// than half of the grace that settings leave after news.
+/// After so long without a turn what waits for discovery's reader is read before a request is decided on.
+/// Less than half of the grace that settings leave after news.
 const STOOD: Duration = Duration::from_millis(100);
 /// From a socket to the core news goes through the connection, the watch's reader and discovery's actor; each
 /// takes a turn of all tasks, and the system is asked for what came at each.
