The rig's auditor is proven by a scheduler stand-in that breaks each rule on purpose

Need: an auditor that sees nothing proves nothing.

Change: rogue, a scheduler stand-in on real sockets that is mute, late, answers twice, sends two attempts at once, to another shard, past the window, to a leaving node, or floods cold nodes; each must be seen as its own rule, and a sound one as none. Wrong scenarios are named with their place.

The first try did not see two answers that came in one piece: the client's reader took the second for a body. It looks at the length now.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use heathward_standin::read_message;
+use heathward_standin::{header, read_message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
@@ -69,14 +69,23 @@
         self.play.note(Entry::Asked { call, host, at, until });
         let patience = self.load.budget * 2;
         // A broken connection brings no answer, which the auditor sees.
-        let (head, ..) = timeout(patience, read_message(&mut stream)).await.ok()??;
-        let status = head.get(9..12)?.parse().ok()?;
+        let (head, _, body) = timeout(patience, read_message(&mut stream)).await.ok()??;
+        let status: u16 = head.get(9..12)?.parse().ok()?;
         let at = self.play.now();
         self.play.note(Entry::Answered { call, at, status });
+        // Nothing may come behind it: neither with it, nor a little later.
+        let length = header(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        if body.len() > length || timeout(MORE, read_message(&mut stream)).await.ok()?.is_some() {
+            let at = self.play.now();
+            self.play.note(Entry::Answered { call, at, status });
+        }
         Some(())
     }
 }
 
+/// A second answer is waited for so long.
+const MORE: Duration = Duration::from_millis(20);
+
 /// Units of each request.
 const UNITS: u64 = 2;
 
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod lists;
 pub mod node;
 pub mod play;
+pub mod rogue;
 pub mod scenario;
 pub mod service;
--- /dev/null
+++ b/crates/rig/tests/auditor.rs
@@ -0,0 +1,125 @@
+//! The auditor sees each rule broken by a scheduler stand-in that breaks it, and nothing where none is.
+
+use std::time::Duration;
+
+use heathward_rig::audit::{judge, Cold, Entry, Rule, Rules};
+use heathward_rig::clients::{Clients, Load};
+use heathward_rig::fleet::RULES;
+use heathward_rig::link::Link;
+use heathward_rig::lists::{Lists, Ways};
+use heathward_rig::node::{Ability, Node};
+use heathward_rig::play::Play;
+use heathward_rig::rogue::{rogue, Planted};
+use heathward_rig::scenario::Scenario;
+use rstest::rstest;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+const NODES: u32 = 3;
+
+/// The log of a rogue before three nodes, of which one drains after half a second, through so many seconds.
+async fn played(planted: Planted, leaves: bool, seconds: f64) -> Vec<Entry> {
+    let play = Play::default();
+    let ability = Ability {
+        cores: 8,
+        queue: 100,
+        unit: Duration::from_millis(1),
+        connection: Duration::ZERO,
+        cold: Cold { units: 20.0, ..RULES.cold },
+    };
+    let lists = Lists::new(&play, NODES, Ways::Agents);
+    let mut addresses = Vec::new();
+    for number in 0..NODES {
+        let node = Node::new(number, ability, &play);
+        node.begin();
+        addresses.push(node.listen(0, Link::default()).await.unwrap());
+    }
+    lists.join(addresses.clone(), Link::default()).await.unwrap();
+    let host = rogue(addresses, planted).await.unwrap();
+    let load = Load { rate: 20.0, writes: 0.5, shards: NODES, budget: Duration::from_millis(400) };
+    let (at, address) = watch::channel(Some(host));
+    let asking = tokio::spawn(Clients::new(&play, load).ask(0, address, 5));
+    sleep(Duration::from_millis(500)).await;
+    if leaves {
+        lists.change(1, "terminating", 0);
+    }
+    sleep(Duration::from_secs_f64(seconds - 0.5)).await;
+    asking.abort();
+    drop(at);
+    sleep(Duration::from_millis(1_000)).await;
+    play.log().0
+}
+
+fn rules() -> Rules {
+    let cold = Cold { units: 20.0, ..RULES.cold };
+    Rules { window: 500_000, cold, ..RULES }
+}
+
+#[rstest]
+#[case::sound(Planted::Sound, false, rules(), None)]
+#[case::mute(Planted::Mute, false, rules(), Some(Rule::Answer))]
+#[case::late(Planted::Late(Duration::from_millis(1_000)), false, rules(), Some(Rule::Answer))]
+#[case::two_answers(Planted::Twice, false, rules(), Some(Rule::TwoAnswers))]
+#[case::at_once(Planted::AtOnce, false, rules(), Some(Rule::AtOnce))]
+#[case::other_shard(Planted::OtherShard, false, rules(), Some(Rule::Shard))]
+#[case::past_the_window(Planted::Later(Duration::from_millis(700)), false, rules(), Some(Rule::Window))]
+#[case::leaving(Planted::Sound, true, rules(), Some(Rule::Leaving))]
+#[case::cold(Planted::Again(12), false, rules(), Some(Rule::Cold))]
+#[case::limit(Planted::Sound, false, Rules { limit: Some((0.1, 2.0)), ..rules() }, Some(Rule::Limit))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planted_fault_is_seen(
+    #[case] planted: Planted,
+    #[case] leaves: bool,
+    #[case] rules: Rules,
+    #[case] expected: Option<Rule>,
+) {
+    // Late writes of a volume come again only where there are enough requests.
+    let seconds = if rules.limit.is_some() { 4.0 } else { 1.5 };
+    let breaches = judge(&played(planted, leaves, seconds).await, &rules);
+    println!("{} breaches, first {:?}", breaches.len(), breaches.first().map(ToString::to_string));
+    match expected {
+        None => assert!(breaches.is_empty(), "{breaches:?}"),
+        Some(rule) => assert!(breaches.iter().any(|breach| breach.rule == rule), "{breaches:?}"),
+    }
+    // Nothing else is made of it; more load at once is what a flood is.
+    let other = breaches.iter().filter(|breach| Some(breach.rule) != expected).count();
+    assert!(other == 0 || expected == Some(Rule::Cold), "{breaches:?}");
+}
+
+#[test]
+fn what_a_host_holds_is_judged_by_its_limits() {
+    let held = |memory_kb, descriptors| Entry::Held { host: 3, at: 1, memory_kb, descriptors };
+    let (memory, descriptors) = RULES.most;
+    let log = [held(memory, descriptors), held(memory + 1, 1), held(1, descriptors + 1)];
+    let broken: Vec<Rule> = judge(&log, &RULES).iter().map(|breach| breach.rule).collect();
+    assert_eq!(broken, [Rule::Held, Rule::Held]);
+}
+
+/// A scenario that makes no sense is named with its place.
+#[rstest]
+#[case::node("nodes: [9]", "faults[0].nodes", "there is no number 9, only 0 to 2")]
+#[case::host("hosts: [2]", "faults[0].hosts", "there is no number 2, only 0 to 1")]
+#[case::end("until: 0.5", "faults[0].until", "an end before its start, or after the play")]
+#[case::late("ms: 4", "faults[0].ms", "goes with late, and late with it")]
+fn a_wrong_scenario_is_named_with_its_place(#[case] field: &str, #[case] place: &str, #[case] why: &str) {
+    let (name, value) = field.split_once(": ").unwrap();
+    let text = format!(
+        r#"{{"seed":1,"seconds":5,"hosts":2,"nodes":3,"rate":1,
+        "faults":[{{"at":1,"do":"kill","{name}":{value}}}]}}"#
+    );
+    let wrong = Scenario::parse(&text).unwrap_err();
+    assert_eq!((wrong.place.as_str(), wrong.why.as_str()), (place, why));
+}
+
+#[rstest]
+#[case::unknown(r#"{"seed":1,"seconds":5,"hosts":2,"nodes":3,"rate":1,"fault":[]}"#, "unknown field `fault`")]
+#[case::missing(r#"{"seed":1,"seconds":5,"hosts":2,"nodes":3}"#, "missing field `rate`")]
+#[case::hosts(r#"{"seed":1,"seconds":5,"hosts":351,"nodes":3,"rate":1}"#, "351 is not within 1 to 350")]
+#[case::what(
+    r#"{"seed":1,"seconds":5,"hosts":2,"nodes":3,"rate":1,"faults":[{"at":1,"do":"burn"}]}"#,
+    "unknown variant `burn`"
+)]
+fn a_wrong_scenario_says_why(#[case] text: &str, #[case] why: &str) {
+    let wrong = Scenario::parse(text).unwrap_err().to_string();
+    assert!(wrong.starts_with("scenario: ") && wrong.contains(why), "{wrong}");
+}
