--- a/Makefile
+++ b/Makefile
@@ -20,13 +20,16 @@
 	target/debug/heathward-toy-node 127.0.0.1:9100 & target/debug/heathward-toy-node 127.0.0.1:9101; wait
 
 # Figures that a change must keep, each with its bound; exit code 1 when one falls short.
-.PHONY: measure-report measure-fleet
+.PHONY: measure-report measure-fleet measure-coldstart
 measure-report: build
 	target/release/heathward-measure report
 
 measure-fleet: build
 	target/release/heathward-measure fleet
 
+measure-coldstart: build
+	target/release/heathward-measure coldstart
+
 # Which runs of the bench the present state owes (exit code 1 where one is, 2 without a bench); plays them in turn.
 .PHONY: regression regression-run journal
 regression: build
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! when one falls short. The programs are looked for beside this one. `journal` and `regression` read the
 //! bench's journal, from the repository's root.
 
+mod coldstart;
 mod fleet;
 mod journal;
 mod regression;
@@ -14,6 +15,7 @@
 #[derive(Clone, Copy)]
 enum Want {
     AtMost(f64),
+    AtLeast(f64),
     Exactly(f64),
 }
 
@@ -24,6 +26,7 @@
     fn tell(&mut self, what: &str, value: f64, unit: &str, want: Want) {
         let (kept, op, bound) = match want {
             Want::AtMost(bound) => (value <= bound, "<=", bound),
+            Want::AtLeast(bound) => (value >= bound, ">=", bound),
             Want::Exactly(bound) => (value == bound, "==", bound),
         };
         println!("measure {what} {value:.3} {unit} want {op} {bound}");
@@ -56,9 +59,12 @@
             );
         }
         Some("report") => report::run(&mut figures),
+        Some("coldstart") => coldstart::run(&mut figures),
         Some("fleet") => fleet::run(&mut figures),
         _ => {
-            eprintln!("usage: heathward-measure report|fleet|journal [FOLDER]|regression [--run [WHY]]");
+            eprintln!(
+                "usage: heathward-measure report|fleet|coldstart|journal [FOLDER]|regression [--run [WHY]]"
+            );
             return ExitCode::from(2);
         }
     }
