--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! bench's journal, from the repository's root.
 
 mod coldstart;
+mod experiment;
 mod fleet;
 mod journal;
 mod regression;
@@ -44,6 +45,16 @@
     let mut figures = Figures(true);
     let rest: Vec<String> = std::env::args().skip(2).collect();
     match std::env::args().nth(1).as_deref() {
+        Some("experiment") => {
+            let words = std::env::args().skip(1).collect();
+            return match experiment::run(words) {
+                Ok(kept) => ExitCode::from(u8::from(!kept)),
+                Err(error) => {
+                    eprintln!("{error}");
+                    ExitCode::from(2)
+                }
+            };
+        }
         Some("journal") => {
             let folder = rest.first().map_or("docs", String::as_str);
             if let Err(error) = journal::run(folder.as_ref()) {
@@ -63,7 +74,8 @@
         Some("fleet") => fleet::run(&mut figures),
         _ => {
             eprintln!(
-                "usage: heathward-measure report|fleet|coldstart|journal [FOLDER]|regression [--run [WHY]]"
+                "usage: heathward-measure report|fleet|coldstart|experiment SCENARIO|journal [FOLDER]|\
+                 regression [--run [WHY]]"
             );
             return ExitCode::from(2);
         }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod callers;
 pub mod clients;
+pub mod compare;
 pub mod fleet;
 pub mod link;
 pub mod lists;
