The rig tells a scheduler that is late from one that gets no processor

Change: the rig reads /proc/ID/schedstat five times a second; a host that waited for a processor for 150 ms of 200 owes no answer meanwhile, and neither does any while the rig itself is late.

--- a/crates/rig/src/audit.rs
+++ b/crates/rig/src/audit.rs
@@ -83,6 +83,15 @@
         /// Until when.
         to: Micros,
     },
+    /// A host was ready to run and got no processor: the machine's fault, and no answer is due meanwhile.
+    Starved {
+        /// The host.
+        host: Number,
+        /// From when.
+        from: Micros,
+        /// Until when.
+        to: Micros,
+    },
     /// What a host held at some moment.
     Held {
         /// The host.
@@ -234,7 +243,9 @@
         match entry {
             Entry::Answered { call, at, .. } => answered.entry(*call).or_default().push(*at),
             Entry::Killed { host, at } => excused.entry(*host).or_default().push((*at, *at)),
-            Entry::Stopped { host, from, to } => excused.entry(*host).or_default().push((*from, *to)),
+            Entry::Stopped { host, from, to } | Entry::Starved { host, from, to } => {
+                excused.entry(*host).or_default().push((*from, *to))
+            }
             _ => {}
         }
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -99,6 +99,8 @@
     lists: Lists,
     ready: Vec<Micros>,
     asking: Vec<AbortHandle>,
+    /// Looks whether a host gets its processor.
+    watching: std::collections::BTreeMap<u32, AbortHandle>,
 }
 
 /// Plays a scenario with processes of `program`; their configurations go into `folder`.
@@ -160,7 +162,17 @@
             hosts.push(Host { number, config, program: None, at, lists: link, nodes: links });
         }
         let program = program.to_owned();
-        Ok(Self { play, scenario, program, hosts, nodes, lists, ready: Vec::new(), asking: Vec::new() })
+        Ok(Self {
+            play,
+            scenario,
+            program,
+            hosts,
+            nodes,
+            lists,
+            ready: Vec::new(),
+            asking: Vec::new(),
+            watching: Default::default(),
+        })
     }
 
     async fn start_all(&mut self) {
@@ -206,6 +218,8 @@
         }
         for (host, starting) in which.iter().zip(starting) {
             if let Ok(Some((program, ready))) = starting.await {
+                let watching = tokio::spawn(watch_over(*host, program.id(), self.play.clone()));
+                self.watching.insert(*host, watching.abort_handle());
                 self.hosts[*host as usize].program = Some(program);
                 self.ready.extend(ready);
             }
@@ -309,6 +323,7 @@
         host.at.send_replace(None);
         if let Some(program) = host.program.take() {
             self.play.note(Entry::Killed { host: host.number, at: self.play.now() });
+            self.watching.remove(&host.number);
             program.kill();
         }
     }
@@ -359,6 +374,30 @@
     link.change(|state| (state.there, state.back, state.refused) = (Way::Open, Way::Open, false));
 }
 
+/// Notes when a process waited for a processor for most of a while, by what the system counts.
+async fn watch_over(host: u32, id: u32, play: Play) {
+    let mut before = None;
+    loop {
+        let from = play.now();
+        sleep(LOOK).await;
+        // It has ended.
+        let Ok(told) = std::fs::read_to_string(format!("/proc/{id}/schedstat")) else { return };
+        let waited =
+            told.split_whitespace().nth(1).and_then(|ns| ns.parse::<u64>().ok()).unwrap_or(0) / 1_000;
+        let to = play.now();
+        let more = waited.saturating_sub(before.replace(waited).unwrap_or(waited));
+        // The rig itself was late, or the host waited.
+        if more > STARVED || to - from > 2 * LOOK.as_micros() as Micros + STARVED {
+            play.note(Entry::Starved { host, from: from.saturating_sub(more), to });
+        }
+    }
+}
+
+/// How often a host's processor time is looked at.
+const LOOK: Duration = Duration::from_millis(200);
+/// A host that waited for a processor for so long, microseconds, may answer late.
+const STARVED: Micros = 150_000;
+
 /// When it answers 200 on health, after its start; `None` where it never does within 20 s.
 async fn until_ready(listen: SocketAddr, began: Instant) -> Option<Micros> {
     let ask = "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
--- a/crates/rig/tests/auditor.rs
+++ b/crates/rig/tests/auditor.rs
@@ -123,3 +123,13 @@
     let wrong = Scenario::parse(text).unwrap_err().to_string();
     assert!(wrong.starts_with("scenario: ") && wrong.contains(why), "{wrong}");
 }
+
+/// An answer is not due while its host had no processor; another host's is.
+#[test]
+fn a_host_without_a_processor_may_be_late() {
+    let asked = |call, host| Entry::Asked { call, host, at: 1_000_000, until: 1_900_000 };
+    let starved = |from, to| Entry::Starved { host: 1, from, to };
+    let judged = |log: &[Entry]| judge(log, &RULES).len();
+    assert_eq!(judged(&[asked(1, 1), asked(2, 2), starved(1_500_000, 1_800_000)]), 1);
+    assert_eq!(judged(&[asked(1, 1), starved(100_000, 900_000)]), 1);
+}
