The auditor takes nothing as told of a node that was back before it would have counted

Cause: what a broken watch misses was noted for 6 s after it fell silent, here 9.05 s, and only a return after that moment took it back (rig/src/audit.rs, leaving; rig/src/lists.rs, change). The program did nothing wrong: hosts had been told of the drain at 5.8 s and of the return at 9.0 s.

Change: the entry says since when the node leaves, and a return after that takes it back.

--- a/crates/rig/src/audit.rs
+++ b/crates/rig/src/audit.rs
@@ -50,6 +50,8 @@
         host: Number,
         /// Of which node.
         node: Number,
+        /// When the node began to leave: if it is back since then, nothing counts as told.
+        since: Micros,
         /// When.
         at: Micros,
     },
@@ -309,19 +311,22 @@
 }
 
 fn leaving(log: &[Entry], arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
-    let mut told: BTreeMap<(Number, Number), Vec<Micros>> = BTreeMap::new();
+    let mut told: BTreeMap<(Number, Number), Vec<(Micros, Micros)>> = BTreeMap::new();
     let mut back: BTreeMap<Number, Vec<Micros>> = BTreeMap::new();
     for entry in log {
         match entry {
-            Entry::Leaves { host, node, at } => told.entry((*host, *node)).or_default().push(*at),
+            Entry::Leaves { host, node, since, at } => {
+                told.entry((*host, *node)).or_default().push((*since, *at));
+            }
             Entry::Back { node, at } => back.entry(*node).or_default().push(*at),
             _ => {}
         }
     }
     let late = |attempt: &&Arrived| {
         let back = back.get(&attempt.node).map_or(&[][..], Vec::as_slice);
-        let stands = |at: &&Micros| !back.iter().any(|back| back >= *at && *back <= attempt.first);
-        let told = told.get(&(attempt.host, attempt.node))?.iter().filter(stands).min()?;
+        let stands = |(since, _): &&(Micros, Micros)| !back.iter().any(|b| b >= since && *b <= attempt.first);
+        let told = told.get(&(attempt.host, attempt.node))?.iter().filter(stands);
+        let told = told.map(|(_, at)| at).min()?;
         let late = attempt.first.checked_sub(told + rules.grace + 1)?;
         let text = format!("host {} to node {}: {late} us after its grace", attempt.host, attempt.node);
         Some(Breach { rule: Rule::Leaving, at: attempt.first, text })
--- a/crates/rig/src/lists.rs
+++ b/crates/rig/src/lists.rs
@@ -117,8 +117,8 @@
             for (host, silent) in (0..).zip(self.silent().iter()) {
                 // What a broken watch misses counts as told so long after it fell silent; sooner, if it is
                 // told on another one.
-                let at = silent.map_or(at, |since| at.max(since + TOLD_BY));
-                self.play.note(Entry::Leaves { host, node, at });
+                let (since, at) = (at, silent.map_or(at, |silent| at.max(silent + TOLD_BY)));
+                self.play.note(Entry::Leaves { host, node, since, at });
             }
         }
     }
@@ -135,7 +135,7 @@
         });
         let (at, hosts) = (self.play.now(), self.addresses().len() as u32);
         for node in left {
-            (0..hosts).for_each(|host| self.play.note(Entry::Leaves { host, node, at }));
+            (0..hosts).for_each(|host| self.play.note(Entry::Leaves { host, node, since: at, at }));
         }
     }
 
@@ -192,7 +192,7 @@
         let told = |l: &&Listed| l.revision > after && l.revision <= revision && l.phase != "in_service";
         let (host, at) = (host as u32, self.play.now());
         for listed in truth.nodes.iter().filter(told) {
-            self.play.note(Entry::Leaves { host, node: listed.node, at });
+            self.play.note(Entry::Leaves { host, node: listed.node, since: at, at });
         }
     }
 
--- a/crates/rig/tests/auditor.rs
+++ b/crates/rig/tests/auditor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use heathward_rig::audit::{judge, Cold, Entry, Rule, Rules};
+use heathward_rig::audit::{judge, Arrived, Cold, Entry, Rule, Rules};
 use heathward_rig::clients::{Clients, Load};
 use heathward_rig::fleet::RULES;
 use heathward_rig::link::Link;
@@ -133,3 +133,15 @@
     assert_eq!(judged(&[asked(1, 1), asked(2, 2), starved(1_500_000, 1_800_000)]), 1);
     assert_eq!(judged(&[asked(1, 1), starved(100_000, 900_000)]), 1);
 }
+
+/// A node that is back before a host would have counted as told is none that leaves.
+#[test]
+fn what_is_back_in_service_may_be_sent_to() {
+    let leaves = Entry::Leaves { host: 1, node: 2, since: 3_100_000, at: 9_050_000 };
+    let arrived =
+        |first| Entry::Arrived(Arrived { host: 1, node: 2, first, last: first, ..Arrived::default() });
+    let judged = |log: &[Entry]| judge(log, &RULES).len();
+    assert_eq!(judged(&[leaves.clone(), arrived(9_300_000)]), 0);
+    assert_eq!(judged(&[leaves.clone(), arrived(9_400_000)]), 1);
+    assert_eq!(judged(&[leaves, Entry::Back { node: 2, at: 9_000_000 }, arrived(9_400_000)]), 0);
+}
