One count of the busiest span and one worst of seeds, in place of three and two

Need: the read of the whole change found the same sliding count in rig/callers, rig/fleet and measure, and the worst of seeds in measure and in a test.

Change: both stand in rig/callers; the others call them. No bound and no assertion changed; module and network code are untouched.

--- a/crates/measure/src/coldstart.rs
+++ b/crates/measure/src/coldstart.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use heathward_rig::audit::most_cold;
-use heathward_rig::callers::{fleet, start, Constants, Start};
+use heathward_rig::callers::{busiest, fleet, start, worst, Constants};
 use heathward_rig::fleet::{play, Outcome, RULES};
 use heathward_rig::scenario::Scenario;
 use heathward_rig::service::Costs;
@@ -18,23 +18,13 @@
 /// What the shared service of the processes' play takes for a call, milliseconds.
 const CALL: f64 = 50.0;
 
-fn worst(one: impl Fn(u64) -> Start, seeds: u64) -> Start {
-    let mut worst = Start { busiest: 0.0, in_vain: 0.0, slowest: 0.0, mean: 0.0 };
-    for start in (1..=seeds).map(one) {
-        worst.busiest = worst.busiest.max(start.busiest);
-        worst.in_vain = worst.in_vain.max(start.in_vain);
-        worst.slowest = worst.slowest.max(start.slowest);
-    }
-    worst
-}
-
 fn law(figures: &mut Figures) {
     for (name, ms, down, known) in
         [("start", 54, 0, 0), ("return", 54, 8, 6), ("return-slow", 270, 8, 6), ("return-fast", 11, 8, 6)]
     {
         let costs = Costs { call: Duration::from_millis(ms), ..Costs::default() };
         let down = Duration::from_secs(down);
-        let came = worst(|seed| start(&mut fleet(HOSTS, seed, (known, costs.call)), costs, down), SEEDS);
+        let came = worst(SEEDS, |seed| start(&mut fleet(HOSTS, seed, (known, costs.call)), costs, down));
         // Where it serves fewer than four calls a second one call more is a third of that.
         let room = if ms > 250 { 1.5 } else { 1.2 };
         figures.tell(&format!("{name}-busiest-second"), came.busiest, "of-capacity", Want::AtMost(room));
@@ -47,8 +37,8 @@
             (0..HOSTS).map(|host| Constants::new(HOSTS, seed * 10_000 + u64::from(host))).collect();
         start(&mut laws, costs, Duration::ZERO)
     };
-    let now = worst(|seed| start(&mut fleet(HOSTS, seed, (0, costs.call)), costs, Duration::ZERO), 5);
-    let before = worst(constants, 5);
+    let now = worst(5, |seed| start(&mut fleet(HOSTS, seed, (0, costs.call)), costs, Duration::ZERO));
+    let before = worst(5, constants);
     figures.tell("start-against-constants", now.slowest / before.slowest, "ratio", Want::AtMost(0.6));
     println!("law: {SEEDS} seeds of {HOSTS} hosts");
 }
@@ -57,12 +47,6 @@
     Scenario::parse(text).unwrap_or_else(|wrong| panic!("{wrong}"))
 }
 
-/// The most that came within a second, of sorted moments in microseconds.
-fn busiest(times: &[u64]) -> usize {
-    let within = |(first, at): (usize, &u64)| times[first..].partition_point(|t| *t < at + 1_000_000);
-    times.iter().enumerate().map(within).max().unwrap_or_default()
-}
-
 async fn processes(figures: &mut Figures) -> std::io::Result<()> {
     let folder = std::env::temp_dir().join(format!("heathward-coldstart-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
@@ -84,7 +68,7 @@
     let alone = r#"{"seed":3,"seconds":2,"hosts":1,"nodes":6,"rate":20}"#;
     let alone = played(alone).await?;
     std::fs::remove_dir_all(&folder)?;
-    let calls_made = busiest(&times) as f64 / capacity;
+    let calls_made = busiest(&times, 1_000_000) as f64 / capacity;
     figures.tell("processes-busiest-second", calls_made, "of-capacity", Want::AtMost(1.2));
     let in_vain = calls.in_vain as f64 / (calls.made - calls.in_vain).max(1) as f64;
     figures.tell("processes-in-vain", in_vain, "of-served", Want::AtMost(0.05));
--- a/crates/rig/src/callers.rs
+++ b/crates/rig/src/callers.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::ops::Add;
 use std::time::Duration;
 
 use heathward_startup::{Calls, Failure, Place};
@@ -119,9 +120,7 @@
     made.sort_unstable();
     done.sort_unstable();
     let second = Duration::from_secs(1);
-    let within =
-        |(first, at): (usize, &Duration)| made[first..].partition_point(|later| *later < *at + second);
-    let busiest = made.iter().enumerate().map(within).max().unwrap_or_default();
+    let busiest = busiest(made, second);
     let most = (hosts * 99).div_ceil(100).max(1);
     let least = costs.call * most as u32;
     let slowest = done.get(most - 1).copied().unwrap_or(down + END).saturating_sub(down);
@@ -135,6 +134,24 @@
     }
 }
 
+/// The most moments within a span that begins with one of them; `times` in order.
+pub fn busiest<T: Copy + PartialOrd + Add<Output = T>>(times: &[T], span: T) -> usize {
+    let within = |(first, at): (usize, &T)| times[first..].partition_point(|later| *later < *at + span);
+    times.iter().enumerate().map(within).max().unwrap_or_default()
+}
+
+/// The worst of each figure over so many seeds, from 1.
+pub fn worst(seeds: u64, one: impl Fn(u64) -> Start) -> Start {
+    let starts: Vec<_> = (1..=seeds).map(one).collect();
+    let most = |of: fn(&Start) -> f64| starts.iter().map(of).fold(0.0, f64::max);
+    Start {
+        busiest: most(|s| s.busiest),
+        in_vain: most(|s| s.in_vain),
+        slowest: most(|s| s.slowest),
+        mean: most(|s| s.mean),
+    }
+}
+
 /// The law for so many hosts, which have been answered `known` times after so long.
 pub fn fleet(hosts: u32, seed: u64, known: (u32, Duration)) -> Vec<Calls> {
     let one = |host| {
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::audit::{judge, Breach, Cold, Entry, Micros, Rules};
+use crate::callers::busiest;
 use crate::clients::{Clients, Load};
 use crate::link::{Link, Way};
 use crate::lists::{Calls, Lists, Ways};
@@ -73,8 +74,7 @@
         let within = |times: &Vec<Micros>| {
             let mut times = times.clone();
             times.sort_unstable();
-            let count = |(first, at): (usize, &Micros)| times[first..].partition_point(|t| *t < at + 100_000);
-            times.iter().enumerate().map(count).max().unwrap_or_default()
+            busiest(&times, 100_000)
         };
         self.connections.iter().map(within).max().unwrap_or_default()
     }
--- a/crates/rig/tests/callers.rs
+++ b/crates/rig/tests/callers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use heathward_rig::callers::{fleet, start, Constants, Start};
+use heathward_rig::callers::{fleet, start, worst, Constants};
 use heathward_rig::service::Costs;
 use rstest::rstest;
 
@@ -12,18 +12,6 @@
     Costs { call: Duration::from_millis(ms), ..Costs::default() }
 }
 
-/// The worst of each figure over seeds.
-fn worst(one: impl Fn(u64) -> Start) -> Start {
-    let starts: Vec<_> = (1..=SEEDS).map(one).collect();
-    let most = |of: fn(&Start) -> f64| starts.iter().map(of).fold(0.0, f64::max);
-    Start {
-        busiest: most(|s| s.busiest),
-        in_vain: most(|s| s.in_vain),
-        slowest: most(|s| s.slowest),
-        mean: most(|s| s.mean),
-    }
-}
-
 /// All hosts start at once, or come back after 8 s without the service, and it is five times slower or faster
 /// than the one that the first guess was measured at: they have been answered by it before.
 #[rstest]
@@ -38,7 +26,7 @@
     #[values(100, 350, 1000)] hosts: u32,
 ) {
     let (costs, down) = (costs(ms), Duration::from_secs(down));
-    let came = worst(|seed| start(&mut fleet(hosts, seed, (known, costs.call)), costs, down));
+    let came = worst(SEEDS, |seed| start(&mut fleet(hosts, seed, (known, costs.call)), costs, down));
     println!("{came:.2?} over {SEEDS} seeds");
     // A call more than the service has room for, where that has room for a few.
     let room = 1.2_f64.max(1.0 + 2.0 * costs.call.as_secs_f64());
@@ -50,7 +38,7 @@
 #[test]
 fn a_slow_service_that_nobody_knows_is_overrun_for_some_rounds_and_then_spared() {
     let costs = costs(270);
-    let came = worst(|seed| start(&mut fleet(100, seed, (0, costs.call)), costs, Duration::ZERO));
+    let came = worst(SEEDS, |seed| start(&mut fleet(100, seed, (0, costs.call)), costs, Duration::ZERO));
     println!("{came:.2?}");
     assert!(came.slowest < 10.0, "{came:?}");
     let constants =
@@ -63,6 +51,7 @@
 /// One that is five times faster is not known to be: the first guess makes the start as much longer.
 #[test]
 fn a_fast_service_that_nobody_knows_costs_the_round_of_the_first_guess() {
-    let came = worst(|seed| start(&mut fleet(350, seed, (0, Duration::ZERO)), costs(11), Duration::ZERO));
+    let came =
+        worst(SEEDS, |seed| start(&mut fleet(350, seed, (0, Duration::ZERO)), costs(11), Duration::ZERO));
     assert!(came.in_vain == 0.0 && came.slowest < 6.5, "{came:?}");
 }
