--- a/crates/regression/src/entry.rs
+++ b/crates/regression/src/entry.rs
@@ -164,9 +164,15 @@
         version(self.module.iter().chain(&self.network))
     }
 
-    /// Played to its end, the gate passed where there is one, every rule kept and nothing crashed.
+    /// A run of real processes that came to no score: too many of its days were void, as the machine was
+    /// busy.
+    pub fn void(&self) -> bool {
+        self.command == "real-score" && self.score.is_none()
+    }
+
+    /// Played to its end and scored, the gate passed where there is one, every rule kept and nothing crashed.
     pub fn kept(&self) -> bool {
-        self.whole && self.gate != Some(false) && self.days.iter().all(Day::kept)
+        self.whole && !self.void() && self.gate != Some(false) && self.days.iter().all(Day::kept)
     }
 }
 
--- a/crates/regression/src/owed.rs
+++ b/crates/regression/src/owed.rs
@@ -93,6 +93,14 @@
         full: true,
         ..NONE
     },
+    Run {
+        name: "granite-full",
+        program: "real/bin/lbreal",
+        arguments: &["score", SECOND],
+        site: "granite-shelf-main",
+        full: true,
+        ..NONE
+    },
 ];
 
 impl Run {
@@ -173,6 +181,9 @@
     if entry.gate == Some(false) {
         said.push("the gate failed".to_owned());
     }
+    if entry.whole && entry.void() {
+        said.push("no score: the machine was too busy".to_owned());
+    }
     if !entry.whole {
         said.push("it was not played to its end".to_owned());
     }
--- a/crates/regression/tests/regression.rs
+++ b/crates/regression/tests/regression.rs
@@ -43,6 +43,7 @@
         ("real-score", "granite-shelf-main", "real:upgrade:quick"),
         ("score", "granite-shelf-main", "x"),
         ("real-score", "predio-norte", "real:soak,calm+mass"),
+        ("real-score", "granite-shelf-main", "real:upgrade,herd"),
     ];
     let entry = |(number, (command, site, panel)): (usize, &(&str, &str, &str))| {
         Entry::parse("j", &text(number, command, site, panel, module, 0.5, KEPT)).unwrap()
@@ -87,6 +88,7 @@
 
 #[rstest]
 #[case::gate("\"figures\":{", "\"figures\":{\"gate\":0.0,", "the gate failed")]
+#[case::void("\"real_score\":0.9", "\"x\":0", "no score: the machine was too busy")]
 #[case::cut_off("\"ok\":true", "\"ok\":false", "it was not played to its end")]
 fn a_gate_that_failed_or_a_run_cut_off_is_due_again(
     #[case] from: &str,
