Cancel on drop: nothing is sent for a client that has left, wherever its request waits

Seen on reading, then by tests: a client's departure was a try_send, lost when the core's mailbox was full; an attempt that was still dialling when its client left was written once the connection came up; one that waited past its time was begun all the same; a second answer or a close that crossed the next request on a kept connection was not seen until the runtime told of it.

Changed: each call has a cancellation token (tokio-util, in place of an own one) that the wait for its answer cancels when it is dropped, and the core with the final answer. The writer looks at it before each byte until the last, a dial ends with it. Departures go to the core beside its mailbox, bounded by calls that it holds; what waits in the mailbox for nobody is dropped there. Before the first byte on a kept connection the writer asks the system whether anything is unread. The wait for a kept connection to be ready has the dial's limit; it had none.

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -11,8 +11,10 @@
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::body::{Ids, OpenId};
+use super::cancel::{CancelOnDrop, Departures};
 use super::freshness::{self, Freshness};
 use super::observe::{self, Note, Observer, Treated, Why};
 use super::stalls::{news_that_waits, Stalls};
@@ -61,9 +63,9 @@
         call: Call,
         /// Where its one answer goes.
         reply: oneshot::Sender<Answer>,
+        /// Cancelled once nobody waits for that any more.
+        cancel: CancellationToken,
     },
-    /// Nobody waits for the request any more.
-    Gone(RequestId),
     /// A front turned a request away that made no sense.
     Malformed,
     /// An attempt has ended.
@@ -130,6 +132,7 @@
     mailbox: mpsc::Sender<Message>,
     news: mpsc::Sender<Message>,
     urgent: mpsc::Sender<Urgent>,
+    departures: Arc<Departures>,
     next: Arc<AtomicU64>,
     status: watch::Receiver<Status>,
     draining: Arc<watch::Sender<Draining>>,
@@ -239,14 +242,16 @@
 
     fn call(&mut self, call: Call) -> Self::Future {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
-        let mailbox = self.mailbox.clone();
+        let (mailbox, departures) = (self.mailbox.clone(), self.departures.clone());
         Box::pin(async move {
             let (reply, answer) = oneshot::channel();
-            mailbox.send(Message::Call { id, call, reply }).await.map_err(|_| Gone)?;
+            let cancel = CancellationToken::new();
+            let told = Message::Call { id, call, reply, cancel: cancel.clone() };
+            mailbox.send(told).await.map_err(|_| Gone)?;
             // Whoever drops this future has gone away before the answer.
-            let mut leave = Leave { mailbox, id, answered: false };
+            let client = CancelOnDrop::new(departures, id, cancel);
             let answer = answer.await.map_err(|_| Gone);
-            leave.answered = true;
+            client.answered();
             answer
         })
     }
@@ -260,28 +265,13 @@
     });
 }
 
-struct Leave {
-    mailbox: mpsc::Sender<Message>,
-    id: RequestId,
-    answered: bool,
-}
-
-impl Drop for Leave {
-    fn drop(&mut self) {
-        if !self.answered {
-            // With a full mailbox the request just lives on to its deadline.
-            let _ = self.mailbox.try_send(Message::Gone(self.id));
-        }
-    }
-}
-
 /// Starts the module's actor on the current runtime.
 pub fn start(deployment: Arc<Deployment>, seed: u64, dial: Dial) -> Result<Core, SettingsError> {
     let scheduler = Scheduler::new(deployment.settings.clone(), seed)?;
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (urgent, orders) = mpsc::channel(ORDERS);
     let (news, heard) = mpsc::channel(NEWS);
-    let draining = Arc::new(watch::channel(Draining::default()).0);
+    let (draining, departures) = (Arc::new(watch::channel(Draining::default()).0), Arc::default());
     let (status, watched) = watch::channel(Status::default());
     let start = Instant::now();
     let end = freshness::End::new(start);
@@ -295,6 +285,7 @@
         clock: Clock::start(),
         dial,
         mailbox: mailbox.downgrade(),
+        departures: Arc::clone(&departures),
         status,
         draining: draining.clone(),
         partner: None,
@@ -323,6 +314,7 @@
         mailbox,
         news,
         urgent,
+        departures,
         next: Arc::new(AtomicU64::new(1)),
         status: watched,
         draining,
@@ -341,6 +333,8 @@
     half: Instant,
     /// Taken by the one final answer.
     reply: Option<oneshot::Sender<Answer>>,
+    /// Cancelled by its client's departure and by the final answer: nothing of it is written from then on.
+    cancel: CancellationToken,
     sends: u32,
     /// The attempt that is out, and since when.
     out: Option<(u32, Instant)>,
@@ -376,6 +370,7 @@
     clock: Clock,
     dial: Dial,
     mailbox: mpsc::WeakSender<Message>,
+    departures: Arc<Departures>,
     status: watch::Sender<Status>,
     draining: Arc<watch::Sender<Draining>>,
     /// Orders for the other process, while there is one.
@@ -427,6 +422,7 @@
                 biased;
                 Some(order) = orders.recv() => urgent = Some(order),
                 Some(news) = news.recv() => self.take(news),
+                () = self.departures.told() => {}
                 told = messages.recv() => match told {
                     Some(told) => message = Some(told),
                     None => return,
@@ -437,6 +433,8 @@
                 news_that_waits(&mut news).await.into_iter().for_each(|news| self.take(news));
                 self.look_at_list(Instant::now());
             }
+            // First of all who has left: nothing is decided for them.
+            self.departures.take().into_iter().for_each(|id| self.depart(id));
             urgent.into_iter().for_each(|order| self.urgent(order));
             message.into_iter().for_each(|message| self.take(message));
             self.look_at_list(Instant::now());
@@ -449,13 +447,12 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Call { id, call, reply } => self.arrive(id, call, reply),
-            Message::Gone(id) => {
-                if self.settle(id, None) {
-                    self.counters.gone += 1;
-                    self.feed(Event::ClientGone { request: id });
-                }
+            Message::Call { cancel, .. } if cancel.is_cancelled() => {
+                // Its client left while it waited here: the module never hears of it.
+                self.counters.taken += 1;
+                self.counters.gone += 1;
             }
+            Message::Call { id, call, reply, cancel } => self.arrive(id, call, reply, cancel),
             Message::Malformed => self.counters.malformed += 1,
             Message::Ended(ended) => self.ended(ended),
             Message::News(news) => self.news(news),
@@ -481,6 +478,14 @@
         }
     }
 
+    /// Nobody waits for the request any more. One that is still in the mailbox is dropped once it is read.
+    fn depart(&mut self, id: RequestId) {
+        if self.settle(id, None) {
+            self.counters.gone += 1;
+            self.feed(Event::ClientGone { request: id });
+        }
+    }
+
     fn urgent(&mut self, urgent: Urgent) {
         match urgent {
             Urgent::Order(order, from_partner, reply) => {
@@ -687,6 +692,7 @@
     fn settle(&mut self, id: RequestId, answer: Option<Answer>) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
         let Some(reply) = open.reply.take() else { return false };
+        open.cancel.cancel();
         let class = open.call.class;
         if let Some(observer) = &mut self.observer {
             let at_once = self.arriving == Some(id) && open.sends == 0;
@@ -785,7 +791,13 @@
         }
     }
 
-    fn arrive(&mut self, id: RequestId, mut call: Call, reply: oneshot::Sender<Answer>) {
+    fn arrive(
+        &mut self,
+        id: RequestId,
+        mut call: Call,
+        reply: oneshot::Sender<Answer>,
+        cancel: CancellationToken,
+    ) {
         call.deadline = self.last.map_or(call.deadline, |last| last.min(call.deadline));
         let Some(taken) = self.calls.open(&call.work.call) else {
             self.counters.malformed += 1;
@@ -821,6 +833,7 @@
             came: now,
             half,
             reply: Some(reply),
+            cancel,
             sends: 0,
             out: None,
             ran: None,
@@ -854,8 +867,8 @@
         let reach = if now < open.half { until.min(open.half) } else { until };
         let work = open.call.work.clone();
         let sent = self.nodes.get(&node).filter(|node| sound && !node.gate.is_shut()).is_some_and(|to| {
-            let (gate, tries) = (to.gate.clone(), self.tries.clone());
-            let attempt = Attempt { request, number, node, until, reach, work, gate, tries };
+            let (gate, tries, cancel) = (to.gate.clone(), self.tries.clone(), open.cancel.clone());
+            let attempt = Attempt { request, number, node, until, reach, work, gate, cancel, tries };
             to.mailbox.as_ref().is_some_and(|mailbox| mailbox.try_send(attempt).is_ok())
         });
         let to = self.nodes.get(&node);
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::body::{Reply, Upload};
 use super::counters::{Counters, Tries};
@@ -101,10 +102,21 @@
     pub work: Arc<Work>,
     /// Once this is shut, it is not to be begun any more.
     pub gate: Gate,
+    /// Once this is cancelled, its client has left or has its answer: nothing of it is to be written any more.
+    pub cancel: CancellationToken,
     /// Counts it, once its last byte is written.
     pub tries: Tries,
 }
 
+impl Attempt {
+    /// Its first byte may be written now: nobody has left, nothing has shut the way, and it has time left. Where
+    /// the rest of a body is still coming, its time has not begun.
+    pub fn may_begin(&self) -> bool {
+        let timely = self.work.rest.is_some() || Instant::now() < self.until;
+        timely && !self.cancel.is_cancelled() && !self.gate.is_shut()
+    }
+}
+
 /// Whether anything new may go to a node; all its clones are one. Whoever writes looks right before the first
 /// byte. Guards against an attempt that was on its way, for want of a connection, when its node was taken out
 /// or the list could no longer be gone by.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod actor;
 mod body;
 mod call;
+mod cancel;
 mod clock;
 mod counters;
 pub mod freshness;
--- /dev/null
+++ b/crates/scheduler/tests/net/leaving.rs
@@ -0,0 +1,108 @@
+//! Clients that leave: nothing that waits for them is sent on, wherever it waits.
+
+use std::net::SocketAddr;
+
+use heathward_core::Gate;
+use heathward_module::End;
+use heathward_wires::node::{HttpLink, Job};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{timeout, Instant};
+use tower::Service;
+
+use heathward_standin::*;
+
+/// A node's machine whose queue of connections is full: none comes up until it takes what waits there.
+async fn full_node() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let listener = socket.listen(1).unwrap();
+    // A queue of one takes two.
+    let mut filling = Vec::new();
+    for _ in 0..2 {
+        filling.push(TcpStream::connect(address).await.unwrap());
+    }
+    (listener, address, filling)
+}
+
+/// Guards against an attempt that goes on waiting for a connection, and holds its place, for nobody.
+#[tokio::test]
+async fn a_dial_ends_as_soon_as_its_client_has_left() {
+    let (_listener, address, _filling) = full_node().await;
+    let by = Instant::now() + PATIENCE * 10;
+    let attempt = attempt(Gate::default(), by);
+    let cancel = attempt.cancel.clone();
+    let dialling = tokio::spawn(HttpLink::new(address).call(Job { attempt, idle: None, connect_by: by }));
+    tokio::task::yield_now().await;
+    assert!(!dialling.is_finished());
+    cancel.cancel();
+    let Ok(done) = timeout(PATIENCE, dialling).await.expect("at once").unwrap();
+    assert_eq!(done.end, End::Moot);
+    assert!(done.idle.is_none());
+}
+
+/// Reads on each connection that comes up what there is to its end, and answers a request; gives back their
+/// heads once `until` have come.
+async fn heads(listener: TcpListener, until: usize) -> Vec<String> {
+    let mut heads = Vec::new();
+    while heads.iter().filter(|head: &&String| !head.is_empty()).count() < until {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\nw") && stream.read_buf(&mut head).await.is_ok_and(|n| n > 0) {}
+        // Whoever has left has closed meanwhile.
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello").await;
+        heads.push(String::from_utf8(head).unwrap().to_lowercase());
+    }
+    heads
+}
+
+const NODES: usize = 6;
+/// At each node, the first ones: their connections would come up first.
+const LEAVING: usize = 2;
+const STAYING: usize = 1;
+
+/// Dials that come up late, and clients most of which leave meanwhile: of what waits for its first attempt then
+/// the share that is sent on is 0. The stayers are served on connections that were asked for after the others'.
+#[tokio::test]
+async fn of_requests_whose_clients_left_while_connections_came_up_none_is_sent() {
+    let mut nodes = Vec::new();
+    for _ in 0..NODES {
+        nodes.push(full_node().await);
+    }
+    let entry =
+        |(n, node): (usize, &(_, SocketAddr, _))| member(&format!("s{n}"), node.1, n as u32, "in_service", 0);
+    let members: Vec<String> = nodes.iter().enumerate().map(entry).collect();
+    let text = config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(","))
+        .replace(r#""connectTimeoutMs":1000.0"#, r#""connectTimeoutMs":9000.0"#)
+        .replace(r#""aimMs":250,"deadlineMs":700"#, r#""aimMs":20000,"deadlineMs":20000"#);
+    let rig = rig_of(&text, None).await;
+    let (mut leaving, mut staying) = (Vec::new(), Vec::new());
+    for call in 0..NODES * (LEAVING + STAYING) {
+        let mut stream = TcpStream::connect(rig.front).await.unwrap();
+        let shard = call % NODES;
+        stream.write_all(request("pedido", call as u32, shard as i32, 20_000, "w").as_bytes()).await.unwrap();
+        rig.until(|c| c.sent == call as u64 + 1).await;
+        if call < NODES * LEAVING { &mut leaving } else { &mut staying }.push(stream);
+    }
+    let left = leaving.len() as u64;
+    drop(leaving);
+    rig.until(|c| c.gone == left).await;
+    let mut serving = JoinSet::new();
+    for (listener, _, filling) in nodes {
+        drop(filling);
+        serving.spawn(heads(listener, STAYING));
+    }
+    let mut answers = Vec::new();
+    for mut stream in staying {
+        answers.push(answer(&mut stream).await.0);
+    }
+    let heads = serving.join_all().await.concat();
+    let sent: Vec<&str> = heads.iter().filter_map(|head| header(head, "x-call-id")).collect();
+    let of_leavers = sent.iter().filter(|id| u64::from_str_radix(id, 16).unwrap() < left).count();
+    assert_eq!((of_leavers, sent.len()), (0, NODES * STAYING), "{sent:?}");
+    assert_eq!(answers, [200; NODES * STAYING]);
+    let counters = rig.counters().await;
+    assert_eq!((counters.tries, counters.gone), ((NODES * STAYING) as u64, left), "{counters}");
+}
--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -4,8 +4,10 @@
 mod fleet;
 mod handover;
 mod http;
+mod leaving;
 mod nvme;
 mod ops;
 mod parsers;
 mod process;
 mod size;
+mod writer;
--- a/crates/scheduler/tests/net/ops.rs
+++ b/crates/scheduler/tests/net/ops.rs
@@ -1,8 +1,7 @@
 //! The second address: one test with real sockets for each rule.
 
-use bytes::Bytes;
-use heathward_core::{Attempt, Gate, Message, Tries, Work};
-use heathward_module::{End, KeyId, NodeId, RequestId, VolumeId};
+use heathward_core::{Gate, Message};
+use heathward_module::End;
 use heathward_wires::node::{HttpLink, Job};
 use heathward_wires::{discovery, ops};
 use rstest::rstest;
@@ -145,24 +144,10 @@
 ) {
     let log = Log::default();
     let node = http_node(0, &[Does::Serve], &log).await;
-    let work = Work {
-        call: "0000000000000001".into(),
-        class: "consulta".into(),
-        write: false,
-        target: "/consulta/0/0".into(),
-        once: None,
-        volume: VolumeId(1),
-        key: KeyId(1),
-        units: 1,
-        length: None,
-        body: Bytes::new(),
-        rest: None,
-    };
-    let (by, gate, tries) = (Instant::now() + PATIENCE, Gate::default(), Tries::default());
+    let (by, gate) = (Instant::now() + PATIENCE, Gate::default());
     gate.set(out);
-    let (request, node_id, work) = (RequestId(1), NodeId(0), work.into());
-    let attempt =
-        Attempt { request, number: 0, node: node_id, until: by, reach: by, work, gate, tries: tries.clone() };
+    let attempt = attempt(gate, by);
+    let tries = attempt.tries.clone();
     let Ok(done) = HttpLink::new(node).call(Job { attempt, idle: None, connect_by: by }).await;
     assert_eq!((done.end, log.all().len(), tries.so_far()), (end, seen, seen as u64));
 }
--- a/crates/scheduler/tests/net/parsers.rs
+++ b/crates/scheduler/tests/net/parsers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use heathward_core::{Gate, Tries};
+use heathward_core::Gate;
 use heathward_load::{access_log, har, Recorded, Rules};
 use heathward_module::settings::Deployment;
 use heathward_module::{KeyId, ListKind, NodeState, ShardId, VolumeId};
@@ -31,9 +31,10 @@
     #[case] whole: bool,
     #[values(1, 3, 1000)] piece: usize,
 ) {
-    let (written, tries) = (Written::default(), Tries::default());
+    let (written, attempt) = (Written::default(), attempt(Gate::default(), Instant::now()));
+    let tries = attempt.tries.clone();
     for _ in 0..2 {
-        written.begin(body, Gate::default(), tries.clone());
+        written.begin(body, attempt.clone());
         bytes.as_bytes().chunks(piece).for_each(|part| written.note(part));
         assert_eq!(written.whole(), whole);
     }
--- /dev/null
+++ b/crates/scheduler/tests/net/writer.rs
@@ -0,0 +1,112 @@
+//! The one place from which a request's first byte goes out, on a real socket.
+
+use std::sync::Arc;
+
+use heathward_core::{freshness, Gate};
+use heathward_standin::{attempt, listen, PATIENCE};
+use heathward_wires::node::{Counted, Written};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, Duration, Instant};
+
+const HEAD: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
+
+async fn pair() -> (Counted, Arc<Written>, TcpStream) {
+    let (listener, address) = listen().await;
+    let near = TcpStream::connect(address).await.unwrap();
+    let written = Arc::new(Written::default());
+    (Counted::new(near, written.clone()), written, listener.accept().await.unwrap().0)
+}
+
+/// What shuts the way to a node, or ends the wish to go there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Shuts {
+    /// The list says that it drains.
+    Drain,
+    /// The list may no longer be gone by.
+    Silence,
+    /// The attempt's time is over, as it waited somewhere.
+    Time,
+    /// The client has left, or has its answer.
+    Cancel,
+}
+
+/// Guards against an attempt that was decided before the news, and whose connection comes up after the grace:
+/// nothing of it is written, whatever it has waited for; one that has begun goes on to its end. And against
+/// one whose client has left: of that no byte more is written.
+#[rstest]
+#[tokio::test]
+async fn no_first_byte_once_the_way_is_shut_and_no_request_cut(
+    #[values(Shuts::Drain, Shuts::Silence, Shuts::Time, Shuts::Cancel)] shuts: Shuts,
+    #[values(0, 1, 7)] before: usize,
+) {
+    let (mut near, written, mut far) = pair().await;
+    let (end, moment) = (freshness::End::new(Instant::now()), Instant::now() + Duration::from_millis(20));
+    let gate = Gate::new(end.clone());
+    let until = if shuts == Shuts::Time { moment } else { moment + PATIENCE };
+    let attempt = attempt(gate.clone(), until);
+    written.begin(0, attempt.clone());
+    near.write_all(&HEAD[..before]).await.unwrap();
+    match shuts {
+        Shuts::Drain => gate.set(true),
+        Shuts::Silence => {
+            end.set(Some(moment));
+            sleep_until(moment).await;
+        }
+        Shuts::Time => sleep_until(moment).await,
+        Shuts::Cancel => attempt.cancel.cancel(),
+    }
+    let rest = near.write_all(&HEAD[before..]).await;
+    let stopped = before == 0 || shuts == Shuts::Cancel;
+    assert_eq!((rest.is_err(), written.withheld(), written.whole()), (stopped, stopped, !stopped));
+    // Not even where the way opens again meanwhile: the attempt has been told as never sent.
+    gate.set(false);
+    end.set(None);
+    assert_eq!(near.write_all(HEAD).await.is_err(), stopped);
+    drop(near);
+    let mut came = Vec::new();
+    far.read_to_end(&mut came).await.unwrap();
+    let whole = if stopped { before } else { 2 * HEAD.len() };
+    assert_eq!(came.len(), whole, "{came:?}");
+}
+
+/// What a node does on a connection that has carried a request, in the very moment in which the next is due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Crosses {
+    Nothing,
+    SecondAnswer,
+    HalfALine,
+    Close,
+}
+
+/// The runtime has not been told of it, as nothing here waits for the socket: only the system knows. Guards
+/// against a second answer that is taken for that of the next request, and against a request that may have run
+/// for want of a look at a connection that was closed before.
+#[rstest]
+#[tokio::test]
+async fn a_connection_on_which_something_crosses_takes_nothing_of_the_next_request(
+    #[values(Crosses::Nothing, Crosses::SecondAnswer, Crosses::HalfALine, Crosses::Close)] crosses: Crosses,
+) {
+    let (mut near, written, mut far) = pair().await;
+    let attempt = attempt(Gate::default(), Instant::now() + PATIENCE);
+    written.begin(0, attempt.clone());
+    near.write_all(HEAD).await.unwrap();
+    far.write_all(b"first").await.unwrap();
+    let mut answer = [0; 5];
+    near.read_exact(&mut answer).await.unwrap();
+    let far = far.into_std().unwrap();
+    let text: &[u8] = match crosses {
+        Crosses::SecondAnswer => b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        Crosses::HalfALine => b"HT",
+        Crosses::Nothing | Crosses::Close => b"",
+    };
+    std::io::Write::write_all(&mut &far, text).unwrap();
+    if crosses == Crosses::Close {
+        far.shutdown(std::net::Shutdown::Both).unwrap();
+    }
+    written.begin(0, attempt);
+    let sound = crosses == Crosses::Nothing;
+    assert_eq!(near.write_all(HEAD).await.is_ok(), sound);
+    assert_eq!((written.stale(), written.withheld(), written.whole()), (!sound, false, sound));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use discovery::{member, tell, watched, Discovery, Listed};
 pub use message::{answer, header, listen, nobody, read_message, request, reserved};
-pub use node::{http_node, scripted_node, Does, Log, Script, Seen, LATE};
+pub use node::{attempt, http_node, scripted_node, Does, Log, Script, Seen, LATE};
 pub use program::{Held, Program};
 pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS, NODE_SOCKETS};
 
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -5,6 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
+use heathward_core::{Attempt, Gate, Tries, Work};
+use heathward_module::{KeyId, NodeId, RequestId, VolumeId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
@@ -39,6 +42,34 @@
     Say(&'static str),
 }
 
+/// An attempt of a read that nobody has decided on, given up then: for tests of what writes and what dials.
+pub fn attempt(gate: Gate, until: Instant) -> Attempt {
+    let work = Work {
+        call: "0000000000000001".into(),
+        class: "consulta".into(),
+        write: false,
+        target: "/consulta/0/0".into(),
+        once: None,
+        volume: VolumeId(1),
+        key: KeyId(1),
+        units: 1,
+        length: None,
+        body: Bytes::new(),
+        rest: None,
+    };
+    Attempt {
+        request: RequestId(1),
+        number: 0,
+        node: NodeId(0),
+        until,
+        reach: until,
+        work: work.into(),
+        gate,
+        cancel: Default::default(),
+        tries: Tries::default(),
+    }
+}
+
 /// What nodes have seen, all together.
 #[derive(Clone, Debug)]
 pub struct Seen {
--- a/crates/wires/src/node/http.rs
+++ b/crates/wires/src/node/http.rs
@@ -1,7 +1,7 @@
 //! A storage node that speaks the platform's HTTP.
 
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
+use std::future::{pending, poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -216,33 +216,42 @@
     }
 }
 
+/// A connection that can carry a request: the idle one, where it still can, or a new one.
+async fn reach(address: SocketAddr, idle: Option<HttpConnection>) -> Option<HttpConnection> {
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => HttpConnection::open(address).await?,
+    };
+    connection.ready().await.then_some(connection)
+}
+
 /// One attempt. Whatever it is given up on is dropped, and so closed, before the end is told: no other
 /// attempt of the request may start while a connection of this one is open.
 async fn run(address: SocketAddr, job: Job<HttpConnection>) -> Done<HttpConnection> {
     let Job { attempt, mut idle, connect_by } = job;
     loop {
         let reused = idle.is_some();
-        let mut connection = match idle.take() {
-            Some(connection) => connection,
-            None => match timeout_at(connect_by.min(attempt.reach), HttpConnection::open(address)).await {
-                Ok(Some(connection)) => connection,
-                _ => return Done::lost(End::NotConnected),
-            },
+        let reached = timeout_at(connect_by.min(attempt.reach), reach(address, idle.take()));
+        let reached = tokio::select! {
+            biased;
+            // Whoever has left waits for no connection, and holds none.
+            () = attempt.cancel.cancelled() => return Done::lost(End::Moot),
+            reached = reached => reached,
         };
-        if attempt.gate.is_shut() {
+        let mut connection = match reached {
+            Ok(Some(connection)) => connection,
+            // One that has grown stale takes nothing of a request.
+            Ok(None) if reused => continue,
+            _ => return Done::lost(End::NotConnected),
+        };
+        if !attempt.may_begin() {
             return Done::back(End::Moot, Bytes::new(), connection);
         }
-        // One that has grown stale takes nothing of a request.
-        if !connection.ready().await {
-            if reused {
-                continue;
-            }
-            return Done::lost(End::NotConnected);
-        }
         let (Ok(request), length) = encode(&attempt, address, &connection.written) else {
             return Done::lost(End::Moot);
         };
-        connection.written.begin(length, attempt.gate.clone(), attempt.tries.clone());
+        let written = connection.written.clone();
+        written.begin(length, attempt.clone());
         let tried = connection.exchange(request);
         let expired = async {
             match &attempt.work.rest {
@@ -250,8 +259,17 @@
                 None => sleep_until(attempt.until).await,
             }
         };
+        let unwanted = async {
+            attempt.cancel.cancelled().await;
+            // What has been written whole goes on to its answer: the node is at work on it.
+            if written.whole() {
+                pending::<()>().await;
+            }
+        };
         let tried = tokio::select! {
+            biased;
             tried = tried => Ok(tried),
+            () = unwanted => return Done::lost(End::Moot),
             () = expired => Err(()),
         };
         match tried {
@@ -266,16 +284,16 @@
                 return Done { end: End::Served, body, idle: None, rest: Some(Box::pin(rest)) };
             }
             // It was not to go any more.
-            Ok(_) if connection.written.withheld() => return Done::lost(End::Moot),
+            Ok(_) if written.withheld() => return Done::lost(End::Moot),
             // Guards against taking a connection that had grown stale for a node that is down: the node has
             // not had the request, so that this is still the same attempt.
-            Ok(_) if reused && !connection.written.whole() && repeatable(&attempt) => {}
-            Ok(_) if !connection.written.whole() => return Done::lost(End::NotConnected),
-            Ok(_) if connection.written.broken() => return Done::lost(End::Reset),
+            Ok(_) if reused && !written.whole() && repeatable(&attempt) => {}
+            Ok(_) if !written.whole() => return Done::lost(End::NotConnected),
+            Ok(_) if written.broken() => return Done::lost(End::Reset),
             // The node is there and has said something that makes no sense. Guards against taking it for one
             // that went down and is cold now: it may have run the request, and that is all.
             Ok(_) => return Done::lost(End::Error),
-            Err(_) => return Done::lost(End::TimedOut),
+            Err(()) => return Done::lost(End::TimedOut),
         }
     }
 }
--- a/crates/wires/src/node/wire.rs
+++ b/crates/wires/src/node/wire.rs
@@ -3,13 +3,14 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 
+use rustix::net::{recv, RecvFlags};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use heathward_core::{Gate, Tries};
+use heathward_core::Attempt;
 
 /// The blank line that ends a head, and the chunk that ends a body.
 const END: &[u8] = b"\r\n\r\n";
@@ -28,18 +29,25 @@
     whole: AtomicBool,
     begun: AtomicBool,
     withheld: AtomicBool,
-    attempt: Mutex<(Gate, Tries)>,
+    /// It has carried an attempt before this one, and what has come since belongs to none.
+    used: AtomicBool,
+    stale: AtomicBool,
+    /// The attempt at hand, or the last one.
+    attempt: Mutex<Option<Attempt>>,
     broken: AtomicBool,
 }
 
 impl Written {
-    /// A request begins whose body holds so many bytes, where that is told; else it goes in chunks.
-    /// Once `gate` is shut, its first byte is not written any more.
-    pub fn begin(&self, body: impl Into<Option<usize>>, gate: Gate, tries: Tries) {
+    /// An attempt begins whose body holds so many bytes, where that is told; else it goes in chunks.
+    /// Once it [may not begin](Attempt::may_begin), its first byte is not written any more; once it is
+    /// cancelled, no byte is.
+    pub fn begin(&self, body: impl Into<Option<usize>>, attempt: Attempt) {
         let body = body.into().unwrap_or(UNTOLD);
-        *self.attempt.lock().unwrap_or_else(PoisonError::into_inner) = (gate, tries);
+        let before = self.lock().replace(attempt);
+        self.stale.store(false, Ordering::Relaxed);
         self.begun.store(false, Ordering::Relaxed);
         self.withheld.store(false, Ordering::Relaxed);
+        self.used.store(before.is_some(), Ordering::Relaxed);
         self.ending.store(0, Ordering::Relaxed);
         self.body.store(body, Ordering::Relaxed);
         self.whole.store(false, Ordering::Relaxed);
@@ -61,17 +69,35 @@
         self.broken.load(Ordering::Relaxed)
     }
 
-    /// Its first byte was due when its gate had shut: nothing of it has been or will be written.
+    /// A byte of it was due that was not to go any more: its last one has not been and will not be written.
     pub fn withheld(&self) -> bool {
         self.withheld.load(Ordering::Relaxed)
     }
 
-    /// Whether bytes may be written now: what has begun goes on to its end.
-    fn may_go(&self) -> bool {
-        let shut = || self.attempt.lock().unwrap_or_else(PoisonError::into_inner).0.is_shut();
-        let withheld = self.withheld() || !self.begun.load(Ordering::Relaxed) && shut();
+    /// Its first byte was due on a connection that the far side had ended, or on which something had come that
+    /// nobody asked for: nothing of it has been or will be written there.
+    pub fn stale(&self) -> bool {
+        self.stale.load(Ordering::Relaxed)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Attempt>> {
+        self.attempt.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether bytes may be written now. What has begun goes on to its end, but for a client that has left.
+    fn may_go(&self, stream: &TcpStream) -> bool {
+        if self.withheld() || self.stale() {
+            return false;
+        }
+        let begun = self.begun.load(Ordering::Relaxed);
+        let withheld = self.lock().as_ref().is_some_and(|attempt| match begun {
+            false => !attempt.may_begin(),
+            true => !self.whole() && attempt.cancel.is_cancelled(),
+        });
+        let stale = !begun && self.used.load(Ordering::Relaxed) && !quiet(stream);
         self.withheld.store(withheld, Ordering::Relaxed);
-        !withheld
+        self.stale.store(stale, Ordering::Relaxed);
+        !withheld && !stale
     }
 
     /// Takes note of bytes that the socket has taken.
@@ -93,12 +119,21 @@
             }
             self.body.store(left, Ordering::Relaxed);
             if left == 0 && !self.whole.swap(true, Ordering::Relaxed) {
-                self.attempt.lock().unwrap_or_else(PoisonError::into_inner).1.count();
+                if let Some(attempt) = &*self.lock() {
+                    attempt.tries.count();
+                }
             }
         }
     }
 }
 
+/// Nothing has come that is unread, and the far side has not closed. Asks the system: what has come in this very
+/// moment is not known to the runtime yet, and would be taken for the next answer.
+fn quiet(stream: &TcpStream) -> bool {
+    let unread = recv(stream, &mut [0], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    unread.is_err_and(|error| error == rustix::io::Errno::AGAIN)
+}
+
 /// A stream whose written bytes are noted.
 #[derive(Debug)]
 pub struct Counted {
@@ -132,7 +167,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         // The one place from which a request's first byte goes out: whatever it has waited for, here it is
         // looked whether it still may.
-        if !self.written.may_go() {
+        if !self.written.may_go(&self.stream) {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
         let wrote = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
--- a/crates/wires/src/nvme/initiator.rs
+++ b/crates/wires/src/nvme/initiator.rs
@@ -17,7 +17,7 @@
 use super::pdu::{Pdu, MOST_DATA};
 use super::wire::{Broken, Wire};
 use crate::node::{Connection, Done, Job};
-use heathward_core::{Tries, Work};
+use heathward_core::{Attempt, Work};
 use heathward_module::End;
 
 /// Entries of a queue, from 0: a queue carries one command at a time.
@@ -83,15 +83,11 @@
         Ok(Self { admin, io, in_capsule, max_h2c, cid: 0 })
     }
 
-    /// One read or write, from its first byte to its completion.
-    async fn exchange(
-        &mut self,
-        write: bool,
-        blocks: Blocks,
-        data: Bytes,
-        size: usize,
-        tries: &Tries,
-    ) -> Exchange {
+    /// One read or write, from its first byte to its completion. Once its client has left, no more of it is
+    /// written; what is written whole goes on.
+    async fn exchange(&mut self, attempt: &Attempt, blocks: Blocks, data: Bytes, size: usize) -> Exchange {
+        let Attempt { tries, cancel, .. } = attempt;
+        let write = attempt.work.write;
         self.cid = self.cid.wrapping_add(1);
         let (cid, length) = (self.cid, size as u32);
         let carried = write && size <= self.in_capsule;
@@ -108,7 +104,12 @@
         let mut page = BytesMut::new();
         loop {
             let broke = BrokeOff { whole, spoilt: true };
-            match self.io.next().await {
+            let next = tokio::select! {
+                biased;
+                () = cancel.cancelled(), if !whole => Err(Broken::Closed),
+                next = self.io.next() => next,
+            };
+            match next {
                 Err(Broken::Closed) => return Err(BrokeOff { whole, spoilt: false }),
                 Ok(Pdu::Response(completion)) if completion.cid == cid => {
                     return Ok((completion.status, page.freeze()));
@@ -121,6 +122,9 @@
                         return Err(broke);
                     }
                     while sent < end {
+                        if cancel.is_cancelled() {
+                            return Err(BrokeOff { whole, spoilt: false });
+                        }
                         let upto = end.min(sent + self.max_h2c);
                         let (data, last) = (data.slice(sent..upto), upto == end);
                         let pdu = Pdu::H2cData { cid, ttag, offset: sent as u32, last, data };
@@ -228,7 +232,14 @@
                 Some(connection) => connection,
                 None => {
                     let opened = NvmeConnection::open(self.address, &self.subsystem);
-                    match timeout_at(connect_by.min(attempt.reach), opened).await {
+                    let opened = timeout_at(connect_by.min(attempt.reach), opened);
+                    let opened = tokio::select! {
+                        biased;
+                        // Whoever has left waits for no connection, and holds none.
+                        () = attempt.cancel.cancelled() => return Done::lost(End::Moot),
+                        opened = opened => opened,
+                    };
+                    match opened {
                         Ok(Ok(connection)) => connection,
                         _ => return Done::lost(End::NotConnected),
                     }
@@ -237,12 +248,16 @@
             if reused && !connection.io.quiet().await {
                 continue;
             }
-            if attempt.gate.is_shut() {
+            if !attempt.may_begin() {
                 return Done::back(End::Moot, Bytes::new(), connection);
             }
-            let exchange = connection.exchange(work.write, blocks, data.clone(), size, &attempt.tries);
+            let exchange = connection.exchange(&attempt, blocks, data.clone(), size);
             return match timeout_at(until, exchange).await {
                 Ok(Ok((status, body))) => Done::back(end_of(status), body, connection),
+                // Its client has left, and the target has not had the command whole.
+                Ok(Err(BrokeOff { whole: false, .. })) if attempt.cancel.is_cancelled() => {
+                    Done::lost(End::Moot)
+                }
                 // The target has not had the command whole: on an old queue it is still the same attempt.
                 Ok(Err(BrokeOff { whole: false, .. })) if reused => continue,
                 Ok(Err(BrokeOff { whole: false, .. })) => Done::lost(End::NotConnected),
