Lingering close, departures behind unread bytes, connections rest after an answer

Changed: what comes behind a request is read ahead, up to the size of a head, so that a close, half-close or reset is seen at once; more than that, and the connection ends with the answer at hand. Idle, overdue and evicted connections are closed lingeringly: asked first whether they make way, then no byte is read, FIN, drain for 1 s at most; a sixteenth beside the places is for them, the oldest is cut. What is coming at the stop is answered.

So a connection rests for 5 ms, and another is used or opened. Ruled out: taking soon answers for none (fast nodes' answers are as soon; four tests showed it).

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -102,15 +102,16 @@
     pub work: Arc<Work>,
     /// Once this is shut, it is not to be begun any more.
     pub gate: Gate,
-    /// Once this is cancelled, its client has left or has its answer: nothing of it is to be written any more.
+    /// Once this is cancelled, its client has left or has its answer: nothing of it is to be written any
+    /// more.
     pub cancel: CancellationToken,
     /// Counts it, once its last byte is written.
     pub tries: Tries,
 }
 
 impl Attempt {
-    /// Its first byte may be written now: nobody has left, nothing has shut the way, and it has time left. Where
-    /// the rest of a body is still coming, its time has not begun.
+    /// Its first byte may be written now: nobody has left, nothing has shut the way, and it has time left.
+    /// Where the rest of a body is still coming, its time has not begun.
     pub fn may_begin(&self) -> bool {
         let timely = self.work.rest.is_some() || Instant::now() < self.until;
         timely && !self.cancel.is_cancelled() && !self.gate.is_shut()
--- a/crates/core/src/cancel.rs
+++ b/crates/core/src/cancel.rs
@@ -1,5 +1,5 @@
-//! Cancel on drop: a front that drops the wait for an answer has lost its client, and that is never lost on the
-//! core, however full its mailbox is.
+//! Cancel on drop: a front that drops the wait for an answer has lost its client, and that is never lost on
+//! the core, however full its mailbox is.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -7,9 +7,9 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-/// Requests whose clients have left, until the core takes note of them. Each call adds one at most, and a call
-/// is here only once it has found room in the core's mailbox: so it holds no more than that mailbox and the
-/// open requests do together.
+/// Requests whose clients have left, until the core takes note of them. Each call adds one at most, and a
+/// call is here only once it has found room in the core's mailbox: so it holds no more than that mailbox and
+/// the open requests do together.
 #[derive(Debug, Default)]
 pub(crate) struct Departures {
     left: Mutex<Vec<RequestId>>,
@@ -33,8 +33,8 @@
     }
 }
 
-/// Cancels a request when it is dropped before its answer has come. Whoever writes sees the token at once, the
-/// core at its next turn.
+/// Cancels a request when it is dropped before its answer has come. Whoever writes sees the token at once,
+/// the core at its next turn.
 #[derive(Debug)]
 pub(crate) struct CancelOnDrop {
     departures: Arc<Departures>,
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -7,6 +7,7 @@
 
 use heathward_core::{self as core, Core, Member, Message};
 use heathward_module::settings::Deployment;
+use heathward_wires::http::closing_places;
 use heathward_wires::node::{self, Figures, HttpLink, Pool};
 use heathward_wires::nvme::{Map, NvmeLink, Target};
 use tokio::net::{TcpListener, TcpSocket};
@@ -22,10 +23,11 @@
     Figures::new(deployment, open, (sockets / 48).max(2))
 }
 
-/// The other half is for clients. While there are two processes, each has less: clients hold a third at most,
-/// and leave the one for the other.
+/// The other half is for clients, those that are being closed among them. While there are two processes, each
+/// has less: clients hold a third at most, and leave the one for the other.
 pub fn client_figures(sockets: usize, joint: bool) -> (usize, usize) {
-    (sockets / 2, if joint { sockets * 3 / 8 } else { sockets / 2 })
+    let places = |share: usize| share - closing_places(share).min(share / 2);
+    (places(sockets / 2), places(if joint { sockets * 3 / 8 } else { sockets / 2 }))
 }
 
 /// Staff have a part of the spare eighth.
--- /dev/null
+++ b/crates/scheduler/tests/net/closing.rs
@@ -0,0 +1,134 @@
+//! Closing clients' connections, by either side, in the instant in which something crosses it.
+
+use std::net::SocketAddr;
+
+use heathward_core::Answers;
+use heathward_wires::http::{self, ConnectionTable, Front};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{timeout, Duration, Instant};
+
+use heathward_standin::*;
+
+/// A front of so many places before that core, and what tells it to stop.
+async fn front(rig: &Rig, places: usize) -> (SocketAddr, ConnectionTable, watch::Sender<bool>) {
+    let (listener, address) = listen().await;
+    let (stop, stopping) = watch::channel(false);
+    let table = ConnectionTable::new(places);
+    tokio::spawn(http::serve(listener, Front::new(rig.core.clone()), table.clone(), stopping));
+    (address, table, stop)
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Leaves {
+    Close,
+    HalfClose,
+    Reset,
+}
+
+/// Guards against work for a client that has left behind bytes that nobody has read: its request goes on, and
+/// then the next one, and all of them, are sent to nodes for nobody.
+#[rstest]
+#[case::nothing(0)]
+#[case::another_request(1)]
+#[case::many(200)]
+#[tokio::test]
+async fn a_client_is_seen_to_leave_behind_what_it_has_sent(
+    #[case] behind: u32,
+    #[values(Leaves::Close, Leaves::HalfClose, Leaves::Reset)] leaves: Leaves,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    let text: String = (0..=behind).map(|call| request("consulta", call, 0, 1000, "")).collect();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    rig.until(|c| c.sent == 1).await;
+    match leaves {
+        Leaves::Close => drop(stream),
+        Leaves::HalfClose => stream.shutdown().await.unwrap(),
+        Leaves::Reset => {
+            stream.set_zero_linger().unwrap();
+            drop(stream);
+        }
+    }
+    let counters = rig.until(|c| c.gone == 1).await;
+    // Another client's request comes after all that was read of the one that left.
+    assert!(matches!(rig.ask(&request("consulta", 1000, 0, 100, "")).await.0, 503 | 504));
+    assert_eq!((counters.total(), log.all().len()), (Answers::default(), 2), "{counters}");
+}
+
+/// More requests than are held stand behind the one that is worked on: that one is answered, and its
+/// connection ends. Memory stays as it is, however much comes.
+#[tokio::test]
+async fn a_flood_behind_a_request_ends_its_connection_with_its_answer() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::LateError, Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    stream.write_all(request("consulta", 1, 0, 1000, "").as_bytes()).await.unwrap();
+    rig.until(|c| c.sent == 1).await;
+    let flood = request("consulta", 2, 0, 1000, "").repeat(4_000);
+    let (mut read, mut write) = stream.into_split();
+    let writing = tokio::spawn(async move { write.write_all(flood.as_bytes()).await.map(|()| write) });
+    let mut came = Vec::new();
+    timeout(PATIENCE, read.read_to_end(&mut came)).await.expect("an end").unwrap();
+    let text = String::from_utf8(came).unwrap();
+    assert!(text.contains("connection: close"), "{text}");
+    assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    drop(writing.await);
+    assert!(log.all().iter().all(|seen| seen.call == "0000000000000001"));
+}
+
+/// The request is with the system when its connection has to make way: it is not read. Guards against a
+/// reset, against a request that is read and dropped, and against one that is read after the close and sent
+/// on.
+#[rstest]
+#[case::nothing("")]
+#[case::half_a_head("GET /consulta/0000")]
+#[case::a_request(&request("consulta", 2, 0, 900, ""))]
+#[case::a_large_write(&request("pedido", 2, 0, 900, &"x".repeat(60_000)))]
+#[tokio::test]
+async fn a_request_that_crosses_an_eviction_is_not_read_and_not_reset(#[case] crosses: &str) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let (address, table, _stop) = front(&rig, 2).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
+    assert_eq!(answer(&mut stream).await.0, 200);
+    // Nobody else has a turn from here to the newcomer.
+    stream.try_write(crosses.as_bytes()).unwrap();
+    let newcomer = table.enter(Instant::now() + Duration::from_secs(5));
+    assert!(newcomer.is_some(), "the idle one makes way");
+    let mut came = Vec::new();
+    let ended = timeout(PATIENCE, stream.read_to_end(&mut came)).await.expect("an end");
+    assert!(ended.is_ok() && came.is_empty(), "closed, not reset: {ended:?} {came:?}");
+    assert_eq!(log.all().len(), 1);
+}
+
+/// Half of a request is there when the program stops: it has its answer, which is the last on its connection.
+#[tokio::test]
+async fn a_request_that_is_coming_at_the_stop_is_answered() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    let (address, _table, stop) = front(&rig, 8).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let text = request("consulta", 1, 0, 900, "");
+    let (half, rest) = text.split_at(40);
+    stream.write_all(request("consulta", 2, 0, 900, "").as_bytes()).await.unwrap();
+    assert_eq!(answer(&mut stream).await.0, 200);
+    stream.write_all(half.as_bytes()).await.unwrap();
+    // An answer that comes after shows that the half was read.
+    assert_eq!(rig.ask(&request("consulta", 3, 0, 900, "")).await.0, 200);
+    stop.send_replace(true);
+    assert_eq!(rig.ask(&request("consulta", 4, 0, 900, "")).await.0, 200);
+    stream.write_all(rest.as_bytes()).await.unwrap();
+    let (status, head, _) = answer(&mut stream).await;
+    assert_eq!((status, header(&head, "connection")), (200, Some("close")));
+    assert!(timeout(PATIENCE, read_message(&mut stream)).await.expect("an end").is_none());
+}
--- a/crates/scheduler/tests/net/leaving.rs
+++ b/crates/scheduler/tests/net/leaving.rs
@@ -63,8 +63,9 @@
 const LEAVING: usize = 2;
 const STAYING: usize = 1;
 
-/// Dials that come up late, and clients most of which leave meanwhile: of what waits for its first attempt then
-/// the share that is sent on is 0. The stayers are served on connections that were asked for after the others'.
+/// Dials that come up late, and clients most of which leave meanwhile: of what waits for its first attempt
+/// then the share that is sent on is 0. The stayers are served on connections that were asked for after the
+/// others'.
 #[tokio::test]
 async fn of_requests_whose_clients_left_while_connections_came_up_none_is_sent() {
     let mut nodes = Vec::new();
--- a/crates/scheduler/tests/net/writer.rs
+++ b/crates/scheduler/tests/net/writer.rs
@@ -81,8 +81,8 @@
 }
 
 /// The runtime has not been told of it, as nothing here waits for the socket: only the system knows. Guards
-/// against a second answer that is taken for that of the next request, and against a request that may have run
-/// for want of a look at a connection that was closed before.
+/// against a second answer that is taken for that of the next request, and against a request that may have
+/// run for want of a look at a connection that was closed before.
 #[rstest]
 #[tokio::test]
 async fn a_connection_on_which_something_crosses_takes_nothing_of_the_next_request(
--- a/crates/wires/src/http/connections.rs
+++ b/crates/wires/src/http/connections.rs
@@ -1,7 +1,7 @@
 //! Who is connected: what each connection is at and until when, and who makes way for a newcomer.
 
-use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
 /// How dispensable an idle connection is: only one that is ending anyway is more so. And one that has not
 /// been idle for long: the last to go.
+const PARTING_RANK: u8 = 0;
 const IDLE_RANK: u8 = 1;
 const LATELY_IDLE_RANK: u8 = 4;
 /// A client that takes nothing of a long answer for so long has left.
@@ -42,6 +43,8 @@
     },
     /// A request is being worked on.
     Busy,
+    /// A piece of its body waits for the node that takes it; more may be coming.
+    Handing,
     /// A long answer is on its way, of which the client has taken some then.
     Passing(Instant),
     /// Between requests.
@@ -57,7 +60,7 @@
             Self::Silent(since) | Self::Asking(since) => Some(since + REQUEST),
             // Whoever reads the body sees to the time, and answers.
             Self::Sending { by, .. } => Some(by + PARTING),
-            Self::Busy => None,
+            Self::Busy | Self::Handing => None,
             Self::Passing(since) => Some(since + STALLED),
             Self::Idle(since) => Some(since + IDLE.0),
             Self::Parting(since) => Some(since + PARTING),
@@ -76,7 +79,7 @@
     fn dispensable(self, now: Instant) -> Option<(u8, Instant)> {
         let lasting = |since| now.saturating_duration_since(since);
         let (rank, since, after) = match self {
-            Self::Parting(since) => (0, since, SETTLED),
+            Self::Parting(since) => (PARTING_RANK, since, SETTLED),
             // Its client just opens another; the first request of a silent one may be on its way.
             Self::Idle(since) if lasting(since) >= IDLE.0 => (IDLE_RANK, since, IDLE.0),
             Self::Silent(since) => (2, since, SETTLED),
@@ -84,7 +87,7 @@
             // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while
             // the client of an idle connection asks again on another.
             Self::Idle(since) => (LATELY_IDLE_RANK, since, SETTLED),
-            Self::Busy | Self::Passing(_) => return None,
+            Self::Busy | Self::Handing | Self::Passing(_) => return None,
         };
         (lasting(since) >= after).then_some((rank, since))
     }
@@ -146,8 +149,12 @@
 pub struct Client {
     phase: Mutex<Phase>,
     head: Mutex<Head>,
-    /// Told when it has to make way.
-    pub leave: Notify,
+    /// Its next answer is its last.
+    ending: AtomicBool,
+    /// Told when it has to make way: its connection is closed so that what it was told can be read.
+    pub evicted: Notify,
+    /// The same while that is under way: it is closed outright.
+    pub cut: Notify,
 }
 
 /// Nobody panics while holding one of these locks for a look-up.
@@ -166,6 +173,16 @@
         *lock(&self.phase) = phase;
     }
 
+    /// The request that is coming, or worked on, is the last on its connection.
+    pub fn end_with_answer(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+    }
+
+    /// Its connection ends with the answer at hand.
+    pub fn ends_with_answer(&self) -> bool {
+        self.ending.load(Ordering::Relaxed)
+    }
+
     /// What the head of the request at hand says of its body's length, in all; once for each.
     pub fn framing(&self) -> Framing {
         let mut head = lock(&self.head);
@@ -192,6 +209,7 @@
             Phase::Asking(_)
             | Phase::Sending { .. }
             | Phase::Busy
+            | Phase::Handing
             | Phase::Passing(_)
             | Phase::Parting(_) => {}
         }
@@ -214,6 +232,14 @@
 struct Slots {
     next: u64,
     taken: BTreeMap<u64, Arc<Client>>,
+    /// Those that had to make way and are being closed, the oldest first.
+    closing: VecDeque<(u64, Arc<Client>)>,
+}
+
+/// Beside so many places, those for connections that had to make way and are being closed: the oldest of them
+/// is cut for the next.
+pub fn closing_places(cap: usize) -> usize {
+    (cap / 16).max(1)
 }
 
 /// The connections that the front holds. It never stops taking new ones: when it is full, the one that can
@@ -237,7 +263,7 @@
 }
 
 impl ConnectionTable {
-    /// A table of so many places.
+    /// A table of so many places, and [`closing_places`] beside them.
     pub fn new(most: usize) -> Self {
         let (most, cap) = (Arc::new(AtomicUsize::new(most)), Arc::new(AtomicUsize::new(most)));
         Self { most, cap, slots: Arc::default() }
@@ -258,13 +284,13 @@
     pub fn enter(&self, now: Instant) -> Option<Slot> {
         let (mut slots, most) = (lock(&self.slots), self.most.load(Ordering::Relaxed));
         let cap = self.cap.load(Ordering::Relaxed);
-        let taken = slots.taken.len();
+        let (closing, taken) = (closing_places(cap), slots.taken.len());
         // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the
         // places: before it comes to that, the answered go, long idle or not.
         let ranks: &[u8] = match () {
-            () if taken >= cap => &[0, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
-            () if 8 * taken >= 5 * most => &[0, IDLE_RANK, LATELY_IDLE_RANK],
-            () if 2 * taken >= most => &[0, IDLE_RANK],
+            () if taken >= cap => &[PARTING_RANK, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
+            () if 8 * taken >= 5 * most => &[PARTING_RANK, IDLE_RANK, LATELY_IDLE_RANK],
+            () if 2 * taken >= most => &[PARTING_RANK, IDLE_RANK],
             () => &[],
         };
         if !ranks.is_empty() {
@@ -272,8 +298,19 @@
                 |(number, client): (&u64, &Arc<Client>)| Some((client.phase().dispensable(now)?, *number));
             let least =
                 slots.taken.iter().filter_map(spared).filter(|((rank, _), _)| ranks.contains(rank)).min();
-            if let Some(client) = least.and_then(|(_, number)| slots.taken.remove(&number)) {
-                client.leave.notify_one();
+            let least =
+                least.and_then(|((rank, _), number)| Some((rank, number, slots.taken.remove(&number)?)));
+            if let Some((rank, number, client)) = least {
+                if rank == PARTING_RANK {
+                    // It is being closed already, and had its time.
+                    client.cut.notify_one();
+                } else {
+                    client.evicted.notify_one();
+                    slots.closing.push_back((number, client));
+                    if slots.closing.len() > closing {
+                        slots.closing.pop_front().inspect(|(_, oldest)| oldest.cut.notify_one());
+                    }
+                }
             } else if taken >= cap {
                 return None;
             }
@@ -283,7 +320,9 @@
         let client = Arc::new(Client {
             phase: Mutex::new(Phase::Silent(now)),
             head: Mutex::default(),
-            leave: Notify::new(),
+            ending: AtomicBool::new(false),
+            evicted: Notify::new(),
+            cut: Notify::new(),
         });
         slots.taken.insert(number, client.clone());
         Some(Slot { table: self.clone(), number, client })
@@ -292,6 +331,12 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        lock(&self.table.slots).taken.remove(&self.number);
+        let mut slots = lock(&self.table.slots);
+        if slots.taken.remove(&self.number).is_none() {
+            slots.closing.retain(|(number, _)| *number != self.number);
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/wires/src/http/front.rs
+++ b/crates/wires/src/http/front.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::{pending, poll_fn, Future};
-use std::io;
 use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -17,7 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout_at, Instant};
@@ -25,6 +24,7 @@
 
 use super::body::Outgoing;
 use super::connections::{Client, ConnectionTable, Framing, Phase, Slot, REQUEST};
+use super::stream::ClientStream;
 use super::{decode, headers, retry_after, Bad, HEAD_LIMIT, LONGEST_BODY};
 use heathward_core::{stream, Answer, Call, Core, Draining, Feed, Reply, Upload, BODY_LIMIT};
 
@@ -183,7 +183,7 @@
 /// Passes on what is still to come of a body. What the node does not take in time is not its client's fault.
 async fn pass(mut coming: Coming, feed: Feed, upload: Option<&Upload>) -> Result<(), StatusCode> {
     while let Some(piece) = coming.next().await? {
-        coming.client.enter(Phase::Busy);
+        coming.client.enter(Phase::Handing);
         let handed = Instant::now();
         if !feed.more(piece).await {
             // The answer tells why nobody takes it.
@@ -254,7 +254,7 @@
             let draining = front.core.draining();
             let mut answer = front.answer(request, &client).await;
             // Its client asks elsewhere from now on.
-            if draining.borrow().closing() {
+            if draining.borrow().closing() || client.ends_with_answer() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             let passes = matches!(answer.body(), Outgoing::Passing(..));
@@ -293,10 +293,12 @@
 enum Over {
     /// By what passed on it.
     Done,
+    /// Its client has left, while a request of it was worked on.
+    Gone,
     /// Its time in a phase is over.
     Overdue,
     /// It has to make way.
-    Leave,
+    Evicted,
     /// The program ends.
     Stop,
     /// Clients are to be sent away, or no longer.
@@ -309,7 +311,8 @@
     }
     let client = slot.client.clone();
     let mut last = *stopping.borrow_and_update();
-    let io = TokioIo::new(ObservedStream { stream, client: client.clone() });
+    let stream = ClientStream::new(stream, client.clone());
+    let io = TokioIo::new(stream.clone());
     let mut draining = front.core.draining();
     let told = draining.clone();
     let mut closing = closes(*draining.borrow_and_update());
@@ -321,16 +324,21 @@
     let mut kept = Instant::now();
     loop {
         let mut overdue = pin!(sleep_until(Instant::now()));
-        let mut leave = pin!(client.leave.notified());
+        let mut evicted = pin!(client.evicted.notified());
         let mut stop = pin!(stopping.changed());
         let mut turn = pin!(draining.changed());
         let over = poll_fn(|cx| {
+            // Before anything more is read: a request that is read from now on would be dropped.
+            if evicted.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Over::Evicted);
+            }
             // A client that breaks off ends its connection; its request is dropped, and the core hears of it.
             if connection.poll_without_shutdown(cx).is_ready() {
                 return Poll::Ready(Over::Done);
             }
-            if leave.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(Over::Leave);
+            let working = matches!(client.phase(), Phase::Busy | Phase::Passing(_));
+            if working && stream.poll_gone(cx).is_ready() {
+                return Poll::Ready(Over::Gone);
             }
             // A connection that nothing has come on yet is not closed: its first request may be on its way.
             if !last && !matches!(client.phase(), Phase::Silent(_)) && stop.as_mut().poll(cx).is_ready() {
@@ -355,17 +363,14 @@
             Over::Turn => closing = closes(*told.borrow()),
             Over::Stop => {
                 last = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
-            Over::Done => break,
-            Over::Overdue if matches!(client.phase(), Phase::Asking(_) | Phase::Sending { .. }) => {
-                let mut stream = connection.into_parts().io.into_inner().stream;
-                // A few bytes, of which nothing else has been written: they find room, or it has left.
-                if stream.try_write(TOO_SLOW).is_ok() {
-                    close_after_answer(&mut stream, &client).await;
+                // A request that is coming has its answer; between requests the connection is closed.
+                client.end_with_answer();
+                if !matches!(client.phase(), Phase::Asking(_)) {
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
-                return;
             }
+            Over::Done => break,
+            Over::Gone => return,
             Over::Overdue
                 if closing.is_none()
                     && !slot.table.crowded()
@@ -373,10 +378,21 @@
             {
                 kept = Instant::now() + LOOK;
             }
-            Over::Overdue | Over::Leave => return,
+            Over::Overdue | Over::Evicted => {
+                let asking = matches!(client.phase(), Phase::Asking(_) | Phase::Sending { .. });
+                // A few bytes, of which nothing else has been written: they find room, or it has left.
+                if asking && stream.try_write(TOO_SLOW).is_err() {
+                    return;
+                }
+                break;
+            }
         }
     }
-    close_after_answer(&mut connection.into_parts().io.into_inner().stream, &client).await;
+    // What was being worked on is dropped with it.
+    drop(connection);
+    if let Some(mut stream) = stream.into_stream() {
+        linger(&mut stream, &client).await;
+    }
 }
 
 /// From now on idle connections are closed after so long, if clients are to be sent away.
@@ -385,9 +401,10 @@
     draining.closing().then(|| (Instant::now(), span))
 }
 
-/// Ends a connection so that its client can read what it was last told: says that no more comes, and takes in
-/// what is still on its way. A connection closed over unread bytes is reset, which may overtake the answer.
-async fn close_after_answer(stream: &mut TcpStream, client: &Client) {
+/// Closes a connection so that its client can read what it was last told: says that no more comes, and takes
+/// in for a while what is still on its way. A connection closed over unread bytes is reset, which may
+/// overtake the answer; a request that crosses the close is not read, and its client sends it once more.
+async fn linger(stream: &mut TcpStream, client: &Client) {
     let phase = Phase::Parting(Instant::now());
     client.enter(phase);
     if stream.shutdown().await.is_err() {
@@ -399,41 +416,6 @@
     tokio::select! {
         // Whether it has closed by then or not, it had its time.
         _ = timeout_at(by, read) => {}
-        () = client.leave.notified() => {}
-    }
-}
-
-/// A client's stream, which takes note that bytes have come.
-struct ObservedStream {
-    stream: TcpStream,
-    client: Arc<Client>,
-}
-
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.client.heard(&buf.filled()[before..]);
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        () = client.cut.notified() => {}
     }
 }
--- a/crates/wires/src/http/mod.rs
+++ b/crates/wires/src/http/mod.rs
@@ -4,8 +4,9 @@
 mod connections;
 mod decode;
 mod front;
+mod stream;
 
-pub use connections::ConnectionTable;
+pub use connections::{closing_places, ConnectionTable};
 pub use decode::{decode, retry_after, Bad};
 pub use front::{serve, Front};
 
--- /dev/null
+++ b/crates/wires/src/http/stream.rs
@@ -0,0 +1,130 @@
+//! A client's stream: it takes note that bytes have come, and sees its client leave also behind bytes that
+//! nobody has read yet.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll};
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::connections::Client;
+use super::HEAD_LIMIT;
+
+/// Bytes that are read at a time while a request is worked on.
+const PIECE: usize = 4096;
+
+/// What came while nobody had asked for it.
+#[derive(Debug, Default)]
+struct Ahead {
+    bytes: BytesMut,
+    /// The client has closed, or the connection is reset.
+    gone: bool,
+    /// More came than is held: it was thrown away.
+    overrun: bool,
+}
+
+/// A client's stream; all its clones are one.
+///
+/// While a request is worked on, whoever decodes requests stops reading once anything stands behind it, and
+/// would not see its client leave. So what comes then is read here, up to the size of a head. "Clients send
+/// one request at a time on a connection": of one that sends more than that, no further request is taken.
+#[derive(Clone, Debug)]
+pub(super) struct ClientStream {
+    stream: Arc<TcpStream>,
+    client: Arc<Client>,
+    ahead: Arc<Mutex<Ahead>>,
+}
+
+impl ClientStream {
+    pub(super) fn new(stream: TcpStream, client: Arc<Client>) -> Self {
+        Self { stream: Arc::new(stream), client, ahead: Arc::default() }
+    }
+
+    fn ahead(&self) -> MutexGuard<'_, Ahead> {
+        self.ahead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ready once the client has left. To be asked while a request is worked on.
+    pub(super) fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut ahead = self.ahead();
+        while !ahead.gone {
+            let mut piece = [0; PIECE];
+            let read = match ready!(self.stream.poll_read_ready(cx)) {
+                Ok(()) => self.stream.try_read(&mut piece),
+                Err(error) => Err(error),
+            };
+            match read {
+                Ok(0) => ahead.gone = true,
+                Ok(size) if ahead.overrun || ahead.bytes.len() + size > HEAD_LIMIT => {
+                    (ahead.overrun, ahead.bytes) = (true, BytesMut::new());
+                    self.client.end_with_answer();
+                }
+                Ok(size) => ahead.bytes.extend_from_slice(&piece[..size]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => ahead.gone = true,
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// The stream itself, once nobody else uses it.
+    pub(super) fn into_stream(self) -> Option<TcpStream> {
+        Arc::into_inner(self.stream)
+    }
+
+    /// Writes as much as finds room at once.
+    pub(super) fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.try_write(bytes)
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.ahead();
+        let before = buf.filled().len();
+        let size = ahead.bytes.len().min(buf.remaining());
+        buf.put_slice(&ahead.bytes[..size]);
+        ahead.bytes.advance(size);
+        while buf.filled().len() == before && !ahead.gone {
+            if ahead.overrun {
+                // The connection ends with the answer at hand, which has to come yet.
+                return Poll::Pending;
+            }
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(0) => break,
+                Ok(size) => buf.advance(size),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+        if buf.filled().len() > before {
+            self.client.heard(&buf.filled()[before..]);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    /// Whoever serves the connection shuts it.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/wires/src/node/mod.rs
+++ b/crates/wires/src/node/mod.rs
@@ -31,6 +31,11 @@
 /// Idle connections are dropped this long before the far machine would, so that none breaks under a request.
 const IDLE_LEAD: Duration = Duration::from_millis(2500);
 
+/// "A second answer may come some milliseconds later" (STANDING.md). So long a connection rests after an
+/// answer before it carries another attempt: in use again by then, it would have that answer taken for the
+/// next one.
+const SECOND_ANSWER: Duration = Duration::from_millis(5);
+
 /// A connection to a node that can carry another attempt.
 pub trait Connection: Send + 'static {
     /// Descriptors that one holds.
@@ -100,9 +105,18 @@
 struct Idle<C> {
     link: C,
     place: Parked,
+    /// Since when.
+    since: Instant,
     until: Instant,
 }
 
+impl<C> Idle<C> {
+    /// It is used again, if it has not had to make way.
+    fn take(self) -> Option<(C, Permit)> {
+        Some((self.link, self.place.take()?))
+    }
+}
+
 /// Starts a node's actor over a link: a tower service that carries one attempt on one connection.
 pub fn spawn<L, C>(link: L, pool: Pool, core: mpsc::Sender<Message>) -> mpsc::Sender<Attempt>
 where
@@ -128,7 +142,7 @@
     link: L,
     pool: Pool,
     core: mpsc::Sender<Message>,
-    /// The newest last: it is used first, so that the others grow old.
+    /// The newest last.
     idle: VecDeque<Idle<C>>,
     running: FuturesUnordered<BoxFuture<'static, Finished<C>>>,
     /// Told when an idle connection has to make way.
@@ -167,9 +181,7 @@
     }
 
     fn begin(&mut self, attempt: Attempt) {
-        let mut standing = std::iter::from_fn(|| self.idle.pop_back());
-        let standing = standing.find_map(|idle| Some((idle.link, idle.place.take()?)));
-        let (idle, permit) = match standing {
+        let (idle, permit) = match self.rested(Instant::now()) {
             Some((link, permit)) => (Some(link), Some(permit)),
             None => (None, self.pool.permit(C::SOCKETS)),
         };
@@ -194,6 +206,16 @@
         }));
     }
 
+    /// Of the idle connections that have rested the one that was used last, so that the others grow old.
+    fn rested(&mut self, now: Instant) -> Option<(C, Permit)> {
+        while let Some(at) = self.idle.iter().rposition(|idle| idle.since + SECOND_ANSWER <= now) {
+            if let Some(standing) = self.idle.remove(at).and_then(Idle::take) {
+                return Some(standing);
+            }
+        }
+        None
+    }
+
     async fn finish(&mut self, finished: Finished<C>, listed: bool) {
         let (attempt, done, permit) = match finished {
             Finished::Rest(link, permit) => return self.keep(link, permit, listed),
@@ -213,7 +235,8 @@
         if let (Some(link), true) = (link, listed) {
             let Figures { idle, most_idle, .. } = self.pool.figures();
             let place = self.pool.park(permit, &self.evicted);
-            self.idle.push_back(Idle { link, place, until: Instant::now() + idle });
+            let since = Instant::now();
+            self.idle.push_back(Idle { link, place, since, until: since + idle });
             if self.idle.len() > most_idle {
                 self.idle.pop_front();
             }
--- a/crates/wires/src/node/wire.rs
+++ b/crates/wires/src/node/wire.rs
@@ -74,8 +74,8 @@
         self.withheld.load(Ordering::Relaxed)
     }
 
-    /// Its first byte was due on a connection that the far side had ended, or on which something had come that
-    /// nobody asked for: nothing of it has been or will be written there.
+    /// Its first byte was due on a connection that the far side had ended, or on which something had come
+    /// that nobody asked for: nothing of it has been or will be written there.
     pub fn stale(&self) -> bool {
         self.stale.load(Ordering::Relaxed)
     }
@@ -127,8 +127,8 @@
     }
 }
 
-/// Nothing has come that is unread, and the far side has not closed. Asks the system: what has come in this very
-/// moment is not known to the runtime yet, and would be taken for the next answer.
+/// Nothing has come that is unread, and the far side has not closed. Asks the system: what has come in this
+/// very moment is not known to the runtime yet, and would be taken for the next answer.
 fn quiet(stream: &TcpStream) -> bool {
     let unread = recv(stream, &mut [0], RecvFlags::PEEK | RecvFlags::DONTWAIT);
     unread.is_err_and(|error| error == rustix::io::Errno::AGAIN)
