Lists over several lines are read; a silent watch is believed after a second call

And a watch that is broken from its beginning was taken for an agent that has nothing to tell, which extends the list by 6 s, while what it misses counts as told 6 s after it fell silent.

Changed: what a watch brings is cut into objects and lines (discovery/lines.rs, no I/O), whatever lines and pieces they come in; a broken one takes nothing with it. Where lists are pushed and a call that was taken says nothing for 250 ms, the whole list is asked for; if that is answered, it is news; if it is silent too, the agent has nothing to tell, as before. TCP_NODELAY also on calls to discovery.

Tests: twelve cases in pieces of four sizes, and a real agent whose watches never say anything.

--- a/crates/scheduler/tests/net/http.rs
+++ b/crates/scheduler/tests/net/http.rs
@@ -613,6 +613,37 @@
     drop(listener);
 }
 
+/// Watches that are broken from their beginning: the agent has news, and answers any other call. Guards
+/// against taking it for one that has nothing to tell. Its list comes indented, on many lines.
+#[tokio::test]
+async fn a_watch_that_never_says_anything_is_not_believed() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
+    assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
+    let (listener, address) = listen().await;
+    let _keep = follow(&rig, address, ListMode::Pushed);
+    let entry = member("s0", node, 0, "terminating", 0).replace(',', ",\n    ");
+    let list =
+        format!("{{\n  \"revision\": 9,\n  \"complete\": true,\n  \"members\": [\n    {entry}\n  ]\n}}\n");
+    let mut silent = Vec::new();
+    let mut calls = Vec::new();
+    while rig.counters().await.lists < 2 {
+        let (mut stream, _) = timeout(PATIENCE, listener.accept()).await.expect("a call").unwrap();
+        let (head, ..) = read_message(&mut stream).await.unwrap();
+        calls.push(head.lines().next().unwrap().to_owned());
+        if head.starts_with("get /v1/servers http") {
+            let length = list.len();
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{list}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            rig.until(|c| c.lists == 2).await;
+        }
+        silent.push(stream);
+    }
+    assert_eq!(calls, ["get /v1/servers?watch=1&after=7 http/1.1", "get /v1/servers http/1.1"]);
+    assert_eq!(rig.ask(&request("consulta", 2, 0, 900, "")).await.0, 503);
+}
+
 /// Discovery is down for a while: the watch falls silent. Guards against a host of a large fleet that then
 /// listens to nobody for half a minute, while its agent has news, which count as told.
 #[tokio::test]
--- a/crates/scheduler/tests/net/parsers.rs
+++ b/crates/scheduler/tests/net/parsers.rs
@@ -323,3 +323,34 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Whatever pieces it comes in: objects, on one line or over several, and the lines between them; broken ones
+/// do not take with them what follows.
+#[rstest]
+#[case::one_a_line("{\"a\":1}\n\n{\"b\":{\"c\":2}}\n", &["{\"a\":1}", "", "{\"b\":{\"c\":2}}"])]
+#[case::no_end_of_line("{\"a\":1}", &["{\"a\":1}"])]
+#[case::carriage_returns("{\"a\":1}\r\n\r\n", &["{\"a\":1}", ""])]
+#[case::indented("{\n  \"a\": [\n    {\n      \"b\": 1\n    }\n  ]\n}\n\n", &["{\"a\":[{\"b\":1}]}", ""])]
+#[case::over_lines("{\n\"a\":[\n{\"b\":1},\n{}]\n}\n", &["{\"a\":[{\"b\":1},{}]}"])]
+#[case::indented_by_all("  {\"a\":1}\n\t{\n\t\"b\":2}  \n", &["{\"a\":1}", "{\"b\":2}"])]
+#[case::two_on_a_line("{\"a\":1}{\"b\":2}\n", &["{\"a\":1}", "{\"b\":2}"])]
+#[case::signs_in_text("{\"}\\\"{\":\"\\\\\"}\n\n", &["{\"}\\\"{\":\"\\\\\"}", ""])]
+#[case::noise("nothing\n{\"a\":1}\n", &["nothing", "{\"a\":1}"])]
+#[case::broken_off("{\"a\":[{\"b\n{\"a\":1}\n", &["{\"a\":[{\"b", "{\"a\":1}"])]
+#[case::broken_off_then_silence("{\"a\":[{\n\n{\"a\":1}\n", &["{\"a\":[{", "", "{\"a\":1}"])]
+#[case::closed_too_often("{\"a\":1}}\n{\"b\":2}\n", &["{\"a\":1}", "}", "{\"b\":2}"])]
+fn a_watch_is_cut_into_lists_and_lines(
+    #[case] text: &str,
+    #[case] cut: &[&str],
+    #[values(1, 2, 3, 1000)] piece: usize,
+) {
+    let mut lines = discovery::Lines::default();
+    let mut came = Vec::new();
+    for part in text.as_bytes().chunks(piece) {
+        lines.extend(part);
+        came.extend(std::iter::from_fn(|| lines.cut()));
+    }
+    let told = |line: Vec<u8>| String::from_utf8(line).unwrap().split_whitespace().collect::<String>();
+    assert_eq!(came.into_iter().map(told).collect::<Vec<_>>(), cut);
+    assert_eq!(lines.held(), 0);
+}
--- a/crates/wires/src/discovery.rs
+++ b/crates/wires/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Follows discovery: an actor that watches the list, a parser for its lines.
 
+mod lines;
+
 use std::convert::Infallible;
 use std::future::{pending, Future};
 use std::net::SocketAddr;
@@ -27,6 +29,8 @@
 
 use crate::backoff::{Ended, Pace};
 
+pub use lines::Lines;
+
 /// An empty line comes every 2 s: a watch without one for this long is broken.
 const SILENCE: Duration = Duration::from_millis(2750);
 /// An agent that has something to tell has told it by then: it replies at once.
@@ -37,7 +41,7 @@
 const TURNS: u32 = 8;
 /// The watch at a former address counts for so long at most.
 const OVERLAP: Duration = Duration::from_secs(5);
-/// No line is longer; a watch that brings one is broken.
+/// No list is longer, on one line or on several; a watch that brings one is broken.
 const LINE_LIMIT: usize = 4 << 20;
 
 /// A list on the wire.
@@ -148,7 +152,8 @@
 /// Watches the list at one address, again and again, until it is no longer the current one. The first watch
 /// that has fallen silent is kept until another one brings a line: an agent is silent while discovery is
 /// down, what it then has counts as told, whoever else it answers, and a call that has waited has its turn
-/// first. Those that are tried beside it make way for one another.
+/// first. Those that are tried beside it make way for one another. Where lists are pushed, a watch that was
+/// taken and says nothing is believed only once a call for the whole list has said nothing either.
 async fn stay(
     address: SocketAddr,
     heard: Arc<AtomicU64>,
@@ -165,6 +170,8 @@
     let mut first = true;
     // The watch that was opened last, and one before it that is silent.
     let (mut newer, mut older): (Option<Watch>, Option<Watch>) = (None, None);
+    // A call for the whole list beside a watch that says nothing.
+    let mut check: Option<Watch> = None;
     // When the newer one counts as silent, or else the next is opened. It is drawn: guards against a fleet
     // whose watches all broke at once, and that comes back as one time after time.
     let mut next = Instant::now() + pace.first();
@@ -182,7 +189,9 @@
                 continue;
             }
             line = line(&mut newer) => {
+                check = None;
                 if line.is_some() {
+                    next = Instant::now() + SILENCE;
                     older = None;
                 } else if let Some(ended) = newer.take() {
                     next = Instant::now() + pace.next(ended.ended(revision));
@@ -193,31 +202,57 @@
                 }
                 line
             }
+            line = line(&mut check) => {
+                check = None;
+                if line.is_none() {
+                    // It gives no list, and stands by none.
+                    reply = None;
+                    if std::mem::take(&mut first) {
+                        let _ = core.send(Message::Silent(Instant::now())).await;
+                    }
+                }
+                line
+            }
             () = sleep_until(reply.unwrap_or(next)), if reply.is_some() => {
                 reply = None;
                 // What came while this program was slow has been read by now, and is taken first.
                 for _ in 0..TURNS {
                     tokio::task::yield_now().await;
                 }
-                if newer.as_ref().is_some_and(|watch| !watch.lines.is_empty()) {
+                if [&newer, &check].into_iter().flatten().any(|call| !call.lines.is_empty()) {
                     continue;
                 }
                 let now = Instant::now();
+                let watch = newer.as_ref().filter(|_| pushed && last.is_none()).map(Watch::silent_since);
+                match (watch, check.as_ref().map(Watch::silent_since)) {
+                    (Some(Some(taken)), None) if taken + REPLY <= now => {
+                        // A watch that is broken from its beginning would say no more than this one.
+                        check = Some(Watch::open(address, "/v1/servers".to_owned(), revision));
+                        reply = Some(now + REPLY);
+                        continue;
+                    }
+                    (Some(Some(taken)), Some(Some(asked))) if asked + REPLY <= now => {
+                        check = None;
+                        let _ = core.send(Message::Heard(taken)).await;
+                    }
+                    (Some(Some(_)), Some(asked)) => {
+                        reply = Some(asked.unwrap_or(now) + REPLY);
+                        continue;
+                    }
+                    (Some(taken), None) => reply = Some(taken.unwrap_or(now) + REPLY),
+                    _ => {}
+                }
                 if std::mem::take(&mut first) {
                     let _ = core.send(Message::Silent(now)).await;
                 }
-                match newer.as_ref().filter(|_| pushed && last.is_none()).map(|watch| watch.taken.get()) {
-                    Some(Some(taken)) if *taken + REPLY <= now => {
-                        let _ = core.send(Message::Heard(*taken)).await;
-                    }
-                    Some(taken) => reply = Some(taken.map_or(now, |taken| *taken) + REPLY),
-                    None => {}
-                }
                 continue;
             }
             line = line(&mut older) => {
                 let kept = older.take().filter(|_| line.is_some());
-                newer = kept.or(newer);
+                if kept.is_some() {
+                    next = Instant::now() + SILENCE;
+                    newer = kept;
+                }
                 line
             }
             () = sleep_until(last.unwrap_or(next)) => {
@@ -228,7 +263,9 @@
                         older = older.or(Some(silent));
                     }
                     None => {
-                        newer = Some(Watch::open(address, revision));
+                        check = None;
+                        let watch = format!("/v1/servers?watch=1&after={revision}");
+                        newer = Some(Watch::open(address, watch, revision));
                         next = Instant::now() + SILENCE;
                         reply = (first || pushed).then(|| Instant::now() + REPLY);
                     }
@@ -239,7 +276,6 @@
         let Some(line) = line else { continue };
         (reply, first) = (None, false);
         let now = Instant::now();
-        next = now + SILENCE;
         let read = read(&line);
         let understood = read.is_ok();
         // Without a core the list is no longer followed.
@@ -272,13 +308,19 @@
 }
 
 impl Watch {
-    fn open(address: SocketAddr, after: u64) -> Self {
+    /// Calls for that; `after` is the version that is known.
+    fn open(address: SocketAddr, what: String, after: u64) -> Self {
         let (tell, lines) = mpsc::channel(1);
         let (taken, head) = (Arc::default(), Arc::default());
-        let task = tokio::spawn(listen_to(address, after, Arc::clone(&taken), Arc::clone(&head), tell));
+        let task = tokio::spawn(listen_to(address, what, Arc::clone(&taken), Arc::clone(&head), tell));
         Self { lines, task: task.abort_handle(), opened: Instant::now(), taken, head, after }
     }
 
+    /// Since when the agent has taken the call, and said nothing; `None` before.
+    fn silent_since(&self) -> Option<Instant> {
+        self.taken.get().copied()
+    }
+
     /// How it counts now that another is to follow.
     fn ended(&self, revision: u64) -> Ended {
         let since = self.opened.elapsed();
@@ -312,22 +354,22 @@
 /// Reads a watch, from its connection to its end.
 async fn listen_to(
     address: SocketAddr,
-    after: u64,
+    what: String,
     taken: Arc<OnceLock<Instant>>,
     head: Arc<Head>,
     tell: mpsc::Sender<Vec<u8>>,
 ) {
-    let Some((mut body, driver)) = open(address, after, &taken, &head).await else { return };
+    let Some((mut body, driver)) = open(address, what, &taken, &head).await else { return };
     let reading = async {
-        let mut text = Vec::new();
+        let mut lines = Lines::default();
         while let Some(Ok(frame)) = body.frame().await {
-            text.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
-            while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
-                if tell.send(text.drain(..=end).collect()).await.is_err() {
+            lines.extend(frame.data_ref().unwrap_or(&Bytes::new()));
+            while let Some(line) = lines.cut() {
+                if tell.send(line).await.is_err() {
                     return;
                 }
             }
-            if text.len() > LINE_LIMIT {
+            if lines.held() > LINE_LIMIT {
                 tracing::warn!("discovery: watch dropped: a line of over {LINE_LIMIT} bytes");
                 return;
             }
@@ -356,15 +398,15 @@
 
 async fn open(
     address: SocketAddr,
-    after: u64,
+    what: String,
     taken: &OnceLock<Instant>,
     head: &Head,
 ) -> Opened<impl Future<Output = Result<(), Infallible>> + Send + 'static> {
     let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let mut connection = Box::pin(connection);
-    let uri = format!("/v1/servers?watch=1&after={after}");
-    let request = Request::get(uri).header(HOST, address.to_string()).body(Empty::<Bytes>::new()).ok()?;
+    let request = Request::get(what).header(HOST, address.to_string()).body(Empty::<Bytes>::new()).ok()?;
     let sending = sender.send_request(request);
     // A call's head goes out with the first turn of its connection.
     let _ = taken.set(Instant::now());
