--- /dev/null
+++ b/crates/logs/src/tests.rs
@@ -0,0 +1,90 @@
+
+use std::io;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::*;
+
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Says that it is asked to write, and does so once it is let.
+struct Stuck(Sender<()>, Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.send(());
+        let _ = self.1.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[rstest]
+#[case("info", true)]
+#[case("warn,heathward_core=debug", true)]
+#[case("off", true)]
+#[case("", false)]
+#[case("loud", false)]
+#[case("heathward_core=loud", false)]
+#[case("info,", false)]
+fn a_filter_is_a_level_or_targets_with_levels(#[case] text: &str, #[case] sound: bool) {
+    assert_eq!(text.parse::<Filter>().is_ok(), sound);
+}
+
+#[test]
+fn lines_are_written_as_the_settings_say_also_when_they_change() {
+    let kept = Kept::default();
+    let (logs, subscriber) = set_up(Format::Text, "info,quiet=warn".parse().unwrap(), kept.clone());
+    tracing::subscriber::with_default(subscriber, || {
+        tracing::info!(node = "s-1", "first");
+        tracing::info!(target: "quiet", "never");
+        tracing::debug!("never");
+        logs.change(Format::Json, "debug".parse().unwrap());
+        tracing::debug!(node = "s-2", "second");
+        tracing::info!(target: "quiet", "third");
+    });
+    drop(logs);
+    let text = String::from_utf8(kept.0.lock().unwrap().clone()).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains(" INFO ") && lines[0].ends_with("first node=\"s-1\""), "{text}");
+    assert!(lines[1].starts_with('{') && lines[1].contains(r#""message":"second","node":"s-2""#), "{text}");
+    assert!(lines[2].contains(r#""message":"third""#), "{text}");
+}
+
+/// Nobody waits, whatever standard error does, and each line that is lost is counted.
+#[test]
+fn a_stuck_reader_holds_up_nobody() {
+    let ((begun, beginning), (release, released)) = (channel(), channel());
+    let (logs, subscriber) = set_up(Format::Text, Filter::default(), Stuck(begun, released));
+    let more = 500;
+    let took = tracing::subscriber::with_default(subscriber, || {
+        tracing::info!("stuck");
+        beginning.recv().unwrap();
+        let start = Instant::now();
+        (0..WAITING + more).for_each(|at| tracing::info!(at, "line"));
+        start.elapsed()
+    });
+    assert_eq!(logs.dropped(), more);
+    // An hour where it waited; the bound is for a loaded machine.
+    assert!(took < Duration::from_secs(5), "{took:?}");
+    drop(release);
+}
--- a/crates/scheduler/tests/net/leaving.rs
+++ b/crates/scheduler/tests/net/leaving.rs
@@ -60,9 +60,9 @@
 const LEAVING: usize = 12;
 const STAYING: usize = 6;
 
-/// Dials that come up late, one at each node, and clients most of which leave meanwhile: of what waits for its
-/// first attempt then the share that is sent on is 0. The stayers are served on connections that were asked for
-/// after the leavers', so that those would have come up before.
+/// Dials that come up late, one at each node, and clients most of which leave meanwhile: of what waits for
+/// its first attempt then the share that is sent on is 0. The stayers are served on connections that were
+/// asked for after the leavers', so that those would have come up before.
 #[tokio::test]
 async fn of_requests_whose_clients_left_while_connections_came_up_none_is_sent() {
     let mut nodes = Vec::new();
