--- a/crates/config/src/jsonnet/tests.rs
+++ b/crates/config/src/jsonnet/tests.rs
@@ -1,4 +1,3 @@
-
 use rstest::rstest;
 
 use super::*;
--- a/crates/core/src/freshness/tests.rs
+++ b/crates/core/src/freshness/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/core/src/stalls/tests.rs
+++ b/crates/core/src/stalls/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 #[tokio::test(start_paused = true)]
--- a/crates/ctl/src/report/tests.rs
+++ b/crates/ctl/src/report/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 #[test]
--- a/crates/incident/src/clocks/tests.rs
+++ b/crates/incident/src/clocks/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn values(solution: &Solution) -> Vec<i64> {
--- a/crates/logs/src/tests.rs
+++ b/crates/logs/src/tests.rs
@@ -1,4 +1,3 @@
-
 use std::io;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
--- a/crates/rig/src/service/tests.rs
+++ b/crates/rig/src/service/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/wires/src/backoff/tests.rs
+++ b/crates/wires/src/backoff/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 /// Guards against a host of a large fleet that leaves its own agent alone for half a minute while what
--- a/crates/wires/src/node/pool/tests.rs
+++ b/crates/wires/src/node/pool/tests.rs
@@ -1,4 +1,3 @@
-
 use std::time::Duration;
 
 use rstest::rstest;
