A node that stops taking a long body is given up; its client is answered

Seen on reading, shown by a test: while a piece of a long body waits for a node that takes nothing, neither the node's silence nor its client's departure ends it; the test got no answer within 20 s (the call's own deadline is an hour while its body moves). Changed: a piece is taken within the time of a connection (connectTimeoutMs) and what the client would wait after its last byte (X-Budget-Ms), or the attempt ends, as never sent whole, and the client is answered 503.

--- a/crates/core/src/body.rs
+++ b/crates/core/src/body.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
+use tokio_util::sync::CancellationToken;
 
 /// Pieces between the two ends: one waits while the next is made.
 const WAITING: usize = 1;
@@ -107,6 +108,8 @@
     budget: Duration,
     pieces: Mutex<Option<Pieces>>,
     ended: watch::Sender<Option<Instant>>,
+    /// Nobody waits any longer for the node to take more of it.
+    abandoned: CancellationToken,
 }
 
 impl Upload {
@@ -114,7 +117,8 @@
     /// last.
     pub fn new(length: Option<u64>, budget: Duration, pieces: Pieces) -> Self {
         let (pieces, ended) = (Mutex::new(Some(pieces)), watch::channel(None).0);
-        Self(Arc::new(Coming { length, budget, pieces, ended }))
+        let abandoned = CancellationToken::new();
+        Self(Arc::new(Coming { length, budget, pieces, ended, abandoned }))
     }
 
     /// Length of the whole body, where it is told.
@@ -137,11 +141,19 @@
         *self.0.ended.borrow()
     }
 
-    /// Returns once its client has waited as long as it will.
+    /// The node has not taken a piece in time: its attempt ends.
+    pub fn abandon(&self) {
+        self.0.abandoned.cancel();
+    }
+
+    /// Returns once its client has waited as long as it will, or the node has let it wait for too long.
     pub async fn expired(&self) {
         let mut ended = self.0.ended.subscribe();
         // This holds the sender itself.
-        let at = ended.wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        let at = tokio::select! {
+            at = ended.wait_for(Option::is_some) => at.ok().and_then(|at| *at),
+            () = self.0.abandoned.cancelled() => return,
+        };
         sleep_until(at.unwrap_or_else(Instant::now) + self.0.budget).await;
     }
 
--- a/crates/scheduler/tests/net/size.rs
+++ b/crates/scheduler/tests/net/size.rs
@@ -128,3 +128,31 @@
     rig.until(|c| c.gone == 1).await;
     assert_eq!(rig.core.figures().await.unwrap().active, 0);
 }
+
+/// A node that takes the connection and nothing of a long body: its client is answered within what it would
+/// wait, and a connection. Guards against an upload that is held for as long as the node hangs, and its
+/// client with it.
+#[tokio::test]
+async fn a_node_that_takes_nothing_of_a_long_body_is_given_up() {
+    let (listener, address) = listen().await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let text = request("pedido", 1, 0, 300, &"x".repeat(30 << 20));
+    let mut stream = TcpStream::connect(rig.front).await.unwrap();
+    let (mut read, mut write) = stream.split();
+    let writing = async {
+        // Ends once nobody takes more.
+        let _ = write.write_all(text.as_bytes()).await;
+        std::future::pending::<()>().await;
+    };
+    let mut told = [0; 12];
+    tokio::select! {
+        read = timeout(PATIENCE, read.read_exact(&mut told)) => {
+            assert_eq!(read.expect("an answer").unwrap(), told.len());
+        }
+        () = writing => {}
+    }
+    assert_eq!(&told, b"HTTP/1.1 503", "its last byte was never written");
+    rig.until(|c| c.ends.iter().sum::<u64>() == 1).await;
+    assert_eq!(rig.core.figures().await.unwrap().active, 0);
+    drop(listener);
+}
--- a/crates/wires/src/http/front.rs
+++ b/crates/wires/src/http/front.rs
@@ -111,7 +111,10 @@
             Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
         };
         let upload = call.work.rest.clone();
-        let passing = pass(coming, feed, upload.as_ref());
+        // A connection may take its time, and a node no more than the client would wait at the end.
+        let connect = Duration::from_micros(self.core.deployment().connect);
+        let within = connect + upload.as_ref().map_or(Duration::ZERO, Upload::budget);
+        let passing = pass(coming, feed, upload.as_ref(), within);
         let mut asked = pin!(self.clone().ask(call));
         let answer = tokio::select! {
             biased;
@@ -180,14 +183,21 @@
     }
 }
 
-/// Passes on what is still to come of a body. What the node does not take in time is not its client's fault.
-async fn pass(mut coming: Coming, feed: Feed, upload: Option<&Upload>) -> Result<(), StatusCode> {
+/// Passes on what is still to come of a body, each piece within that time. What the node does not take then
+/// is not its client's fault.
+async fn pass(
+    mut coming: Coming,
+    feed: Feed,
+    upload: Option<&Upload>,
+    within: Duration,
+) -> Result<(), StatusCode> {
     while let Some(piece) = coming.next().await? {
         coming.client.enter(Phase::Handing);
         let handed = Instant::now();
-        if !feed.more(piece).await {
+        if !timeout_at(handed + within, feed.more(piece)).await.unwrap_or(false) {
             // The answer tells why nobody takes it.
-            pending::<()>().await;
+            upload.into_iter().for_each(Upload::abandon);
+            return pending().await;
         }
         coming.since += handed.elapsed();
     }
--- a/crates/wires/src/node/http.rs
+++ b/crates/wires/src/node/http.rs
@@ -293,6 +293,10 @@
             // The node is there and has said something that makes no sense. Guards against taking it for one
             // that went down and is cold now: it may have run the request, and that is all.
             Ok(_) => return Done::lost(End::Error),
+            // A node that has stopped taking a long body has not had it.
+            Err(()) if attempt.work.rest.is_some() && !written.whole() => {
+                return Done::lost(End::NotConnected);
+            }
             Err(()) => return Done::lost(End::TimedOut),
         }
     }
