--- a/crates/rig/src/lists.rs
+++ b/crates/rig/src/lists.rs
@@ -228,17 +228,25 @@
         broken.mark_unchanged();
         let (head, ..) = read_message(&mut stream).await?;
         let at = self.play.now();
-        self.silent()[host] = None;
+        let after_version = match head.split("after=").nth(1) {
+            Some(after) => Some(after.split_whitespace().next()?.parse().ok()?),
+            None => None,
+        };
+        if after_version.is_some() {
+            self.silent()[host] = None;
+        }
         self.count(|(calls, times)| {
             calls.made += 1;
             times.push(at);
         });
-        let after_version = head.split("after=").nth(1)?.split_whitespace().next()?.parse().ok()?;
         let since = link.state().resets;
         let telling = async {
             link.pass_there().await.ok()?;
             self.turn(&mut stream).await?;
-            self.tell(host, &mut stream, after_version, &link).await
+            match after_version {
+                Some(after) => self.tell(host, &mut stream, after, &link).await,
+                None => self.tell_whole(host, &mut stream, &link).await,
+            }
         };
         tokio::select! {
             _ = telling => {}
@@ -272,6 +280,18 @@
         None
     }
 
+    /// The whole list, at once; while discovery is down there is silence until it is back.
+    async fn tell_whole(&self, host: usize, stream: &mut TcpStream, link: &Link) -> Option<()> {
+        self.truth.subscribe().wait_for(|truth| truth.down.is_none()).await.ok()?;
+        link.pass_back().await.ok()?;
+        let (list, revision) = self.line(host, 0);
+        self.count(|(calls, _)| calls.bytes += list.len() as u64);
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
+        stream.write_all(answer.as_bytes()).await.ok()?;
+        self.note_told(host, 0, revision);
+        Some(())
+    }
+
     async fn tell(&self, host: usize, stream: &mut TcpStream, mut version: u64, link: &Link) -> Option<()> {
         let mut truth = self.truth.subscribe();
         let mut beat = after(Duration::ZERO);
