Names: drain gate, node limits, check; nothing else

Need: what is touched takes the field's terms. Gate of the core is DrainGate, Figures of node connections Limits, look_at and its kin check_node, check_nodes, check_list.

--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -19,8 +19,8 @@
 use super::observe::{self, Note, Observer, Treated, Why};
 use super::stalls::{news_that_waits, Stalls};
 use super::{
-    Answer, Attempt, Call, Clock, Counters, Draining, Ended, Figures, Forwarded, Gate, Member, News, NotDone,
-    Order, Passing, Reply, State, Tries, Upload,
+    Answer, Attempt, Call, Clock, Counters, DrainGate, Draining, Ended, Figures, Forwarded, Member, News,
+    NotDone, Order, Passing, Reply, State, Tries, Upload,
 };
 use heathward_module::settings::{ConfigError, Deployment};
 use heathward_module::{
@@ -348,7 +348,7 @@
     member: Member,
     /// When staff said that it is back.
     restored: Option<Micros>,
-    gate: Gate,
+    gate: DrainGate,
     /// `None` once the list has dropped the node.
     mailbox: Option<mpsc::Sender<Attempt>>,
     /// When it was last listed.
@@ -431,13 +431,13 @@
             }
             if stalls.stood(Instant::now()) {
                 news_that_waits(&mut news).await.into_iter().for_each(|news| self.take(news));
-                self.look_at_list(Instant::now());
+                self.check_list(Instant::now());
             }
             // First of all who has left: nothing is decided for them.
             self.departures.take().into_iter().for_each(|id| self.depart(id));
             urgent.into_iter().for_each(|order| self.urgent(order));
             message.into_iter().for_each(|message| self.take(message));
-            self.look_at_list(Instant::now());
+            self.check_list(Instant::now());
             let now = self.ring();
             self.pass_time(now);
             let open = self.limits.len();
@@ -599,7 +599,7 @@
     fn relist(&mut self, id: NodeId, why: Why) {
         let Some(entry) = self.listed_entry(id) else { return };
         self.feed(Event::List { kind: ListKind::Changes, entries: vec![entry] });
-        self.look_at(id, Instant::now(), why);
+        self.check_node(id, Instant::now(), why);
     }
 
     /// A node's entry for the module: it drains if either its list or staff say so.
@@ -632,18 +632,18 @@
         // Not news: others have seen it at another time.
         self.note(Note::Listed { revision, kind: ListKind::Saved, members: &members });
         self.nodes.values_mut().for_each(|node| node.treated = None);
-        self.look_at_all(Why::List(revision));
+        self.check_nodes(Why::List(revision));
     }
 
-    fn look_at_all(&mut self, why: Why) {
+    fn check_nodes(&mut self, why: Why) {
         if self.observer.is_some() {
             let (now, ids) = (Instant::now(), self.nodes.keys().copied().collect::<Vec<_>>());
-            ids.into_iter().for_each(|id| self.look_at(id, now, why));
+            ids.into_iter().for_each(|id| self.check_node(id, now, why));
         }
     }
 
     /// Tells the observer of a node that is treated otherwise than it was told last.
-    fn look_at(&mut self, id: NodeId, at: Instant, why: Why) {
+    fn check_node(&mut self, id: NodeId, at: Instant, why: Why) {
         let (Some(observer), Some(node)) = (&mut self.observer, self.nodes.get_mut(&id)) else { return };
         let out = self.suspended.contains(&node.member.id);
         let now = self.clock.at(at);
@@ -659,7 +659,7 @@
     fn pass_time(&mut self, now: Instant) {
         if self.observer.is_some() && now >= self.tick {
             self.tick = now + TICK;
-            self.look_at_all(Why::Time);
+            self.check_nodes(Why::Time);
             self.note(Note::Tick);
         }
     }
@@ -762,7 +762,7 @@
                 self.act(action);
             }
             if let Some((node, end)) = ended {
-                self.look_at(node, at, Why::Attempt(end));
+                self.check_node(node, at, Why::Attempt(end));
             }
         }
     }
@@ -968,7 +968,7 @@
     }
 
     /// Nothing goes out by a list that may not be gone by; all goes on once it may.
-    fn look_at_list(&mut self, now: Instant) {
+    fn check_list(&mut self, now: Instant) {
         self.end.set(self.fresh.end());
         let stale = !self.fresh.holds(now);
         if stale != self.stale {
@@ -985,7 +985,7 @@
             let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
             let entries = ids.into_iter().filter_map(|id| self.listed_entry(id)).collect();
             self.feed(Event::List { kind: ListKind::Changes, entries });
-            self.look_at_all(Why::List(self.revision));
+            self.check_nodes(Why::List(self.revision));
         }
         let ready = !stale && self.nodes.values().any(|n| n.mailbox.is_some());
         let stale = stale.then(|| self.fresh.last_word());
@@ -1031,7 +1031,7 @@
             }
         }
         self.feed(Event::List { kind: news.kind, entries });
-        self.look_at_all(Why::List(revision));
+        self.check_nodes(Why::List(revision));
         let now = Instant::now();
         self.nodes.retain(|_, node| {
             node.listed = if node.mailbox.is_some() { now } else { node.listed };
@@ -1052,7 +1052,7 @@
         let fresh = || Node {
             member: member.clone(),
             restored: None,
-            gate: Gate::new(self.end.clone()),
+            gate: DrainGate::new(self.end.clone()),
             mailbox: None,
             listed: Instant::now(),
             revision,
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -101,7 +101,7 @@
     /// What to do.
     pub work: Arc<Work>,
     /// Once this is shut, it is not to be begun any more.
-    pub gate: Gate,
+    pub gate: DrainGate,
     /// Once this is cancelled, its client has left or has its answer: nothing of it is to be written any
     /// more.
     pub cancel: CancellationToken,
@@ -122,12 +122,12 @@
 /// byte. Guards against an attempt that was on its way, for want of a connection, when its node was taken out
 /// or the list could no longer be gone by.
 #[derive(Clone, Debug)]
-pub struct Gate {
+pub struct DrainGate {
     shut: Arc<AtomicBool>,
     end: freshness::End,
 }
 
-impl Gate {
+impl DrainGate {
     /// An open one, for as long as the list may be gone by.
     pub fn new(end: freshness::End) -> Self {
         Self { shut: Arc::default(), end }
@@ -144,7 +144,7 @@
     }
 }
 
-impl Default for Gate {
+impl Default for DrainGate {
     fn default() -> Self {
         Self::new(freshness::End::new(Instant::now()))
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,8 +17,8 @@
 pub use actor::{report, start, Core, Dial, Gone, Message, Status};
 pub use body::{stream, BrokenOff, Feed, Passing, Pieces, Reply, Upload};
 pub use call::{
-    Answer, Attempt, Call, Draining, Ended, Figures, Forwarded, Gate, Member, News, NotDone, Order, State,
-    Work,
+    Answer, Attempt, Call, DrainGate, Draining, Ended, Figures, Forwarded, Member, News, NotDone, Order,
+    State, Work,
 };
 pub use clock::Clock;
 pub use counters::{Answers, Counters, Tries};
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -13,7 +13,7 @@
 use heathward_startup::Place;
 use heathward_wires::backoff::Pace;
 use heathward_wires::http::{self, ConnectionTable, Front};
-use heathward_wires::node::{Figures, Pool};
+use heathward_wires::node::{Limits, Pool};
 use heathward_wires::nvme::{self, Subsystem};
 use heathward_wires::{discovery, ops};
 use tokio::net::TcpListener;
@@ -33,7 +33,7 @@
 pub struct Service {
     core: Core,
     connections: ConnectionTable,
-    figures: watch::Sender<Figures>,
+    limits: watch::Sender<Limits>,
     discovery: watch::Sender<SocketAddr>,
     stopping: watch::Receiver<bool>,
     sockets: usize,
@@ -86,8 +86,8 @@
     /// From now on descriptors are shared with another process, or no longer.
     pub fn share(&mut self, joint: bool) {
         self.joint = joint;
-        self.figures.send_replace(start::node_figures(&self.core.deployment(), self.sockets, joint));
-        let (most, cap) = start::client_figures(self.sockets, joint);
+        self.limits.send_replace(start::node_limits(&self.core.deployment(), self.sockets, joint));
+        let (most, cap) = start::client_limits(self.sockets, joint);
         self.connections.resize(most, cap);
     }
 
@@ -169,7 +169,7 @@
     let mut listening = vec![start::listen_on(&mut handed, listen)?];
     let address = start::listener(&listening[0])?.local_addr()?;
     let (deployment, joint) = (Arc::new(deployment), taken.is_some());
-    let (figures, drawn) = watch::channel(start::node_figures(&deployment, sockets, joint));
+    let (limits, drawn) = watch::channel(start::node_limits(&deployment, sockets, joint));
     let nvme = nvme.map(Arc::new);
     let core = start::core(deployment, seed, Pool::new(drawn), nvme.clone())?;
     let revision = taken.as_ref().map_or(0, |taken| taken.state.list.revision).max(known.revision);
@@ -185,13 +185,13 @@
             Some(Subsystem::new(map, core.clone(), seed))
         }
     };
-    let (most, cap) = start::client_figures(sockets, joint);
+    let (most, cap) = start::client_limits(sockets, joint);
     let connections = ConnectionTable::new(most);
     connections.resize(most, cap);
     let mut service = Service {
         core: core.clone(),
         connections,
-        figures,
+        limits,
         discovery,
         stopping,
         sockets,
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -8,7 +8,7 @@
 use heathward_core::{self as core, Core, Member, Message};
 use heathward_module::settings::Deployment;
 use heathward_wires::http::closing_places;
-use heathward_wires::node::{self, Figures, HttpLink, Pool};
+use heathward_wires::node::{self, HttpLink, Limits, Pool};
 use heathward_wires::nvme::{Map, NvmeLink, Target};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
@@ -18,14 +18,14 @@
 
 /// An eighth of the descriptors is spare. Three are for connections to nodes, of which what each node keeps
 /// idle leaves room for the others.
-pub fn node_figures(deployment: &Deployment, sockets: usize, joint: bool) -> Figures {
+pub fn node_limits(deployment: &Deployment, sockets: usize, joint: bool) -> Limits {
     let open = if joint { sockets * 5 / 32 } else { sockets * 3 / 8 };
-    Figures::new(deployment, open, (sockets / 48).max(2))
+    Limits::new(deployment, open, (sockets / 48).max(2))
 }
 
 /// The other half is for clients, those that are being closed among them. While there are two processes, each
 /// has less: clients hold a third at most, and leave the one for the other.
-pub fn client_figures(sockets: usize, joint: bool) -> (usize, usize) {
+pub fn client_limits(sockets: usize, joint: bool) -> (usize, usize) {
     let places = |share: usize| share - closing_places(share).min(share / 2);
     (places(sockets / 2), places(if joint { sockets * 3 / 8 } else { sockets / 2 }))
 }
--- a/crates/scheduler/tests/net/leaving.rs
+++ b/crates/scheduler/tests/net/leaving.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use heathward_core::Gate;
+use heathward_core::DrainGate;
 use heathward_module::End;
 use heathward_wires::node::{HttpLink, Job};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,7 +33,7 @@
 async fn a_dial_ends_as_soon_as_its_client_has_left() {
     let (_listener, address, _filling) = full_node().await;
     let by = Instant::now() + PATIENCE * 10;
-    let attempt = attempt(Gate::default(), by);
+    let attempt = attempt(DrainGate::default(), by);
     let cancel = attempt.cancel.clone();
     let dialling = tokio::spawn(HttpLink::new(address).call(Job { attempt, idle: None, connect_by: by }));
     tokio::task::yield_now().await;
--- a/crates/scheduler/tests/net/ops.rs
+++ b/crates/scheduler/tests/net/ops.rs
@@ -1,6 +1,6 @@
 //! The second address: one test with real sockets for each rule.
 
-use heathward_core::{Gate, Message};
+use heathward_core::{DrainGate, Message};
 use heathward_module::End;
 use heathward_wires::node::{HttpLink, Job};
 use heathward_wires::{discovery, ops};
@@ -144,7 +144,7 @@
 ) {
     let log = Log::default();
     let node = http_node(0, &[Does::Serve], &log).await;
-    let (by, gate) = (Instant::now() + PATIENCE, Gate::default());
+    let (by, gate) = (Instant::now() + PATIENCE, DrainGate::default());
     gate.set(out);
     let attempt = attempt(gate, by);
     let tries = attempt.tries.clone();
--- a/crates/scheduler/tests/net/parsers.rs
+++ b/crates/scheduler/tests/net/parsers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use heathward_core::Gate;
+use heathward_core::DrainGate;
 use heathward_load::{access_log, har, Recorded, Rules};
 use heathward_module::settings::Deployment;
 use heathward_module::{KeyId, ListKind, NodeState, ShardId, VolumeId};
@@ -31,7 +31,7 @@
     #[case] whole: bool,
     #[values(1, 3, 1000)] piece: usize,
 ) {
-    let (written, attempt) = (Written::default(), attempt(Gate::default(), Instant::now()));
+    let (written, attempt) = (Written::default(), attempt(DrainGate::default(), Instant::now()));
     let tries = attempt.tries.clone();
     for _ in 0..2 {
         written.begin(body, attempt.clone());
--- a/crates/scheduler/tests/net/writer.rs
+++ b/crates/scheduler/tests/net/writer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use heathward_core::{freshness, Gate};
+use heathward_core::{freshness, DrainGate};
 use heathward_standin::{attempt, listen, PATIENCE};
 use heathward_wires::node::{Counted, Written};
 use rstest::rstest;
@@ -43,7 +43,7 @@
 ) {
     let (mut near, written, mut far) = pair().await;
     let (end, moment) = (freshness::End::new(Instant::now()), Instant::now() + Duration::from_millis(20));
-    let gate = Gate::new(end.clone());
+    let gate = DrainGate::new(end.clone());
     let until = if shuts == Shuts::Time { moment } else { moment + PATIENCE };
     let attempt = attempt(gate.clone(), until);
     written.begin(0, attempt.clone());
@@ -89,7 +89,7 @@
     #[values(Crosses::Nothing, Crosses::SecondAnswer, Crosses::HalfALine, Crosses::Close)] crosses: Crosses,
 ) {
     let (mut near, written, mut far) = pair().await;
-    let attempt = attempt(Gate::default(), Instant::now() + PATIENCE);
+    let attempt = attempt(DrainGate::default(), Instant::now() + PATIENCE);
     written.begin(0, attempt.clone());
     near.write_all(HEAD).await.unwrap();
     far.write_all(b"first").await.unwrap();
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use heathward_core::{Attempt, Gate, Tries, Work};
+use heathward_core::{Attempt, DrainGate, Tries, Work};
 use heathward_module::{KeyId, NodeId, RequestId, VolumeId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -43,7 +43,7 @@
 }
 
 /// An attempt of a read that nobody has decided on, given up then: for tests of what writes and what dials.
-pub fn attempt(gate: Gate, until: Instant) -> Attempt {
+pub fn attempt(gate: DrainGate, until: Instant) -> Attempt {
     let work = Work {
         call: "0000000000000001".into(),
         class: "consulta".into(),
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -7,7 +7,7 @@
 use heathward_config::{self as config, Config};
 use heathward_core::{self as core, Core, Counters, Member, Message};
 use heathward_wires::http::{self, ConnectionTable, Front};
-use heathward_wires::node::{self, Figures, HttpLink, Pool};
+use heathward_wires::node::{self, HttpLink, Limits, Pool};
 use heathward_wires::nvme::{Map, NvmeLink};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -71,8 +71,8 @@
 pub async fn rig_of(text: &str, nvme: Option<Arc<Map>>) -> Rig {
     let Config { seed, known, deployment, .. } = config::parse(text).unwrap();
     let deployment = Arc::new(deployment);
-    let (_, figures) = watch::channel(Figures::new(&deployment, NODE_SOCKETS, 4));
-    let pool = Pool::new(figures);
+    let (_, limits) = watch::channel(Limits::new(&deployment, NODE_SOCKETS, 4));
+    let pool = Pool::new(limits);
     let dial = move |member: &Member, core: mpsc::Sender<Message>| {
         if let Some(map) = &nvme {
             if let Some(target) = map.targets.iter().find(|t| *t.node == *member.id) {
--- a/crates/wires/src/node/mod.rs
+++ b/crates/wires/src/node/mod.rs
@@ -79,9 +79,9 @@
     }
 }
 
-/// The figures for connections to nodes.
+/// The limits of connections to nodes.
 #[derive(Clone, Copy, Debug)]
-pub struct Figures {
+pub struct Limits {
     /// A connection that takes longer to make never will be.
     connect: Duration,
     /// Idle connections are kept that long.
@@ -92,7 +92,7 @@
     most_idle: usize,
 }
 
-impl Figures {
+impl Limits {
     /// Those of a deployment: `open` descriptors in all, `most_idle` idle connections for each node.
     pub fn new(deployment: &Deployment, open: usize, most_idle: usize) -> Self {
         let idle = Duration::from_micros(deployment.idle);
@@ -194,7 +194,7 @@
         let trying = self.link.call(Job {
             attempt: attempt.clone(),
             idle,
-            connect_by: Instant::now() + self.pool.figures().connect,
+            connect_by: Instant::now() + self.pool.limits().connect,
         });
         self.running.push(Box::pin(async move {
             if fresh {
@@ -233,7 +233,7 @@
     /// Keeps a connection for another attempt.
     fn keep(&mut self, link: Option<C>, permit: Permit, listed: bool) {
         if let (Some(link), true) = (link, listed) {
-            let Figures { idle, most_idle, .. } = self.pool.figures();
+            let Limits { idle, most_idle, .. } = self.pool.limits();
             let place = self.pool.park(permit, &self.evicted);
             let since = Instant::now();
             self.idle.push_back(Idle { link, place, since, until: since + idle });
--- a/crates/wires/src/node/pool.rs
+++ b/crates/wires/src/node/pool.rs
@@ -8,12 +8,12 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
 
-use super::Figures;
+use super::Limits;
 
-/// What all nodes' actors share: the figures as they are now, the descriptors in use, and what stands idle.
+/// What all nodes' actors share: the limits as they are now, the descriptors in use, and what stands idle.
 #[derive(Clone, Debug)]
 pub struct Pool {
-    figures: watch::Receiver<Figures>,
+    limits: watch::Receiver<Limits>,
     open: Arc<AtomicUsize>,
     next: Arc<AtomicU64>,
     idle: Arc<Mutex<BTreeMap<Place, Arc<Slot>>>>,
@@ -37,13 +37,13 @@
 
 impl Pool {
     /// A pool with none open.
-    pub fn new(figures: watch::Receiver<Figures>) -> Self {
-        Self { figures, open: Arc::default(), next: Arc::default(), idle: Arc::default() }
+    pub fn new(limits: watch::Receiver<Limits>) -> Self {
+        Self { limits, open: Arc::default(), next: Arc::default(), idle: Arc::default() }
     }
 
-    /// The figures now.
-    pub(super) fn figures(&self) -> Figures {
-        *self.figures.borrow()
+    /// The limits now.
+    pub(super) fn limits(&self) -> Limits {
+        *self.limits.borrow()
     }
 
     /// Room for a connection of so many descriptors. The connections that have been idle the longest, at any
@@ -51,7 +51,7 @@
     pub(super) fn permit(&self, sockets: usize) -> Option<Permit> {
         loop {
             let open = self.open.load(Ordering::Relaxed) + sockets;
-            if open <= self.figures().open {
+            if open <= self.limits().open {
                 self.open.store(open, Ordering::Relaxed);
                 return Some(Permit { sockets, open: self.open.clone() });
             }
--- a/crates/wires/src/node/pool/tests.rs
+++ b/crates/wires/src/node/pool/tests.rs
@@ -5,8 +5,8 @@
 use super::*;
 
 fn pool(open: usize) -> Pool {
-    let figures = Figures { connect: Duration::ZERO, idle: Duration::ZERO, open, most_idle: 2 };
-    Pool::new(watch::channel(figures).1)
+    let limits = Limits { connect: Duration::ZERO, idle: Duration::ZERO, open, most_idle: 2 };
+    Pool::new(watch::channel(limits).1)
 }
 
 /// Connections of one and of two descriptors, in use and idle.
