Tests of the shutdown: whatever crosses it is answered or never read

Need: from SIGTERM to exit nothing may be owed. A process that is held by SIGSTOP meets SIGTERM, once or twice, whole and half requests at once; clients come again until it closes; nodes hang with budgets of 0.1 and 10 s. Each request written whole has one whole answer, or its connection ends in order and no node has seen it.

--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -10,5 +10,6 @@
 mod ops;
 mod parsers;
 mod process;
+mod shutdown;
 mod size;
 mod writer;
--- a/crates/scheduler/tests/net/process.rs
+++ b/crates/scheduler/tests/net/process.rs
@@ -14,20 +14,20 @@
 
 use heathward_standin::*;
 
-fn file(name: &str, text: &str) -> PathBuf {
+pub fn file(name: &str, text: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.json", std::process::id()));
     std::fs::write(&path, text).unwrap();
     path
 }
 
-fn start(config: &PathBuf, arguments: &[&str]) -> Child {
+pub fn start(config: &PathBuf, arguments: &[&str]) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
     command.env("GW_CONFIG", config).args(arguments).stderr(Stdio::piped()).stdout(Stdio::null());
     command.spawn().unwrap()
 }
 
 /// Waits for the line that says where it listens.
-fn listening(mut child: Child) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+pub fn listening(mut child: Child) -> (Child, BufReader<ChildStderr>, SocketAddr) {
     let mut lines = BufReader::new(child.stderr.take().unwrap());
     let address = told(&mut lines, " listening on ");
     (child, lines, address)
@@ -147,7 +147,7 @@
     assert!(child.wait().unwrap().success());
 }
 
-fn signal(child: &Child, name: &str) {
+pub fn signal(child: &Child, name: &str) {
     let status = Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
     assert!(status.success());
 }
--- /dev/null
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -0,0 +1,157 @@
+//! Graceful shutdown: what is owed then, crossed by what still comes.
+
+use std::net::SocketAddr;
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{timeout, Duration, Instant};
+
+use super::process::{file, listening, signal, start};
+use heathward_standin::*;
+
+/// What came of a request that was written whole.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Came {
+    /// A whole answer.
+    Answer(u16),
+    /// The connection was closed before anything came.
+    Nothing,
+    /// Anything else: a reset, or a part of an answer.
+    Broken,
+}
+
+async fn came(stream: &mut TcpStream) -> Came {
+    let mut first = [0];
+    match timeout(PATIENCE, stream.peek(&mut first)).await.expect("an answer or an end") {
+        Ok(0) => Came::Nothing,
+        Ok(_) => match timeout(PATIENCE, read_message(stream)).await.expect("all of it") {
+            Some((head, ..)) => Came::Answer(head[9..12].parse().unwrap()),
+            None => Came::Broken,
+        },
+        Err(_) => Came::Broken,
+    }
+}
+
+/// Asks and asks again, on one connection, until that ends.
+async fn insist(mut stream: TcpStream, first: u32) -> Vec<(u32, Came)> {
+    let mut asked = Vec::new();
+    for call in first.. {
+        // What can't be written any more was never taken.
+        if stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.is_err() {
+            break;
+        }
+        let came = came(&mut stream).await;
+        asked.push((call, came));
+        if !matches!(came, Came::Answer(_)) {
+            break;
+        }
+    }
+    asked
+}
+
+/// A connection that has carried a request.
+async fn rested(address: SocketAddr, call: u32) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.unwrap();
+    assert_eq!(answer(&mut stream).await.0, 200);
+    stream
+}
+
+const CLIENTS: u32 = 10;
+/// Ids of one client.
+const SPACE: u32 = 1 << 20;
+
+/// The process stands still while SIGTERM, once or twice, whole requests and half ones come: it meets all of
+/// it at once. Then clients come again as soon as they are answered, until it closes their connections.
+/// Guards against a request that is read and not answered, one that is sent on and not answered, an answer in
+/// part, and an end that waits for nobody or for ever.
+#[rstest]
+#[tokio::test]
+async fn whatever_crosses_the_shutdown_is_answered_or_never_read(#[values(1, 2)] times: usize) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let members = member("s0", node, 0, "in_service", 0);
+    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members);
+    let (mut child, _lines, address) = listening(start(&file(&format!("storm{times}"), &text), &[]));
+    let mut clients = Vec::new();
+    for client in 0..CLIENTS {
+        clients.push(rested(address, client * SPACE + SPACE / 2).await);
+    }
+    let mut halves = Vec::new();
+    for client in CLIENTS..CLIENTS + 3 {
+        halves.push(rested(address, client * SPACE + SPACE / 2).await);
+    }
+    let mut resting = rested(address, (CLIENTS + 3) * SPACE).await;
+    signal(&child, "-STOP");
+    let mut insisting = JoinSet::new();
+    for (client, stream) in (0..).zip(clients) {
+        insisting.spawn(insist(stream, client * SPACE));
+    }
+    for stream in &mut halves {
+        stream.write_all(b"GET /consulta/0000").await.unwrap();
+    }
+    for _ in 0..times {
+        signal(&child, "-TERM");
+    }
+    signal(&child, "-CONT");
+    let ended = Instant::now();
+    let mut asked = insisting.join_all().await.concat();
+    asked.sort_by_key(|(call, _)| *call);
+    // A close crosses a half request, which can then be sent again; one that was read is told why it ends.
+    for stream in &mut halves {
+        assert!(matches!(came(stream).await, Came::Nothing | Came::Answer(408)));
+    }
+    assert_eq!(came(&mut resting).await, Came::Nothing, "whoever rests is closed in order");
+    let status = tokio::task::spawn_blocking(move || child.wait().unwrap()).await.unwrap();
+    assert!(status.success());
+    assert!(ended.elapsed() < Duration::from_secs(10), "{:?}", ended.elapsed());
+    let seen: Vec<u32> = log.all().iter().map(|seen| u32::from_str_radix(&seen.call, 16).unwrap()).collect();
+    for (call, came) in &asked {
+        let sent = seen.iter().filter(|id| *id == call).count();
+        let kept = match came {
+            Came::Answer(200) => sent == 1,
+            Came::Answer(503) => sent == 0,
+            Came::Nothing => sent == 0,
+            _ => false,
+        };
+        assert!(kept, "{call:#x}: {came:?}, sent on {sent} times");
+    }
+    assert!(asked.iter().filter(|(_, came)| *came == Came::Answer(200)).count() > CLIENTS as usize);
+}
+
+/// Nodes hang just then, and clients would wait for longer than the platform lets the program run, or for
+/// less than a moment: all are answered before it ends.
+#[rstest]
+#[case::short(100)]
+#[case::long(10_000)]
+#[tokio::test]
+async fn what_hangs_at_a_node_is_answered_before_the_end(#[case] budget: u32) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let members = member("s0", node, 0, "in_service", 0);
+    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members)
+        .replace("\"aimMs\":150,\"deadlineMs\":1000", "\"aimMs\":9000,\"deadlineMs\":10000");
+    let (mut child, _lines, address) = listening(start(&file(&format!("hangs{budget}"), &text), &[]));
+    let mut open = Vec::new();
+    for call in 0..8 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(request("consulta", call, 0, budget, "").as_bytes()).await.unwrap();
+        open.push(stream);
+    }
+    // The first is at the node: the others are there, or wait behind it.
+    let by = Instant::now() + PATIENCE;
+    while log.all().is_empty() {
+        assert!(Instant::now() < by, "it never sends");
+        tokio::task::yield_now().await;
+    }
+    signal(&child, "-TERM");
+    for stream in &mut open {
+        assert!(matches!(came(stream).await, Came::Answer(503 | 504)));
+        let mut rest = Vec::new();
+        assert!(timeout(PATIENCE, stream.read_to_end(&mut rest)).await.expect("an end").is_ok());
+    }
+    let status = tokio::task::spawn_blocking(move || child.wait().unwrap()).await.unwrap();
+    assert!(status.success());
+}
