Tests of the rest after an answer, and of starts while discovery is down or silent

Need: two paths had no test that forces them. A node's actor before a stand-in link, in paused time: attempts 0 to 4 ms after an answer come on a new connection, then on one that has rested.

--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -155,3 +155,51 @@
     let status = tokio::task::spawn_blocking(move || child.wait().unwrap()).await.unwrap();
     assert!(status.success());
 }
+
+/// What a program that starts finds of discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Agent {
+    /// Nobody takes a call.
+    Down,
+    /// Calls are taken, and nothing is said.
+    Silent,
+}
+
+/// Ready within 10 s whatever discovery does, by its saved list, which nothing tells it to distrust; and told
+/// to end before it is ready, it ends.
+#[rstest]
+#[tokio::test]
+async fn a_start_needs_no_discovery_to_be_ready_in_time_or_to_end(
+    #[values(Agent::Down, Agent::Silent)] agent: Agent,
+    #[values(false, true)] ends_at_once: bool,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let members = member("s0", node, 0, "in_service", 0);
+    let (_kept, nobody) = nobody();
+    let (listener, silent) = listen().await;
+    let discovery = if agent == Agent::Down { nobody } else { silent };
+    let text = config_text("127.0.0.1:0", &discovery.to_string(), &members).replacen(
+        r#""safety":{"#,
+        r#""safety":{"stopSendingWithinMs":250,"#,
+        1,
+    );
+    let (begun, name) = (Instant::now(), format!("start{agent:?}{ends_at_once}"));
+    let (mut child, _lines, address) = listening(start(&file(&name, &text), &[]));
+    if !ends_at_once {
+        let health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        loop {
+            stream.write_all(health.as_bytes()).await.unwrap();
+            if answer(&mut stream).await.0 == 200 {
+                break;
+            }
+            assert!(begun.elapsed() < Duration::from_secs(10), "not ready in time");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    signal(&child, "-TERM");
+    let status = tokio::task::spawn_blocking(move || child.wait().unwrap()).await.unwrap();
+    assert!(status.success());
+    drop(listener);
+}
--- a/crates/scheduler/tests/net/writer.rs
+++ b/crates/scheduler/tests/net/writer.rs
@@ -1,13 +1,19 @@
 //! The one place from which a request's first byte goes out, on a real socket.
 
+use std::convert::Infallible;
+use std::future::{ready, Ready};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
-use heathward_core::{freshness, DrainGate};
-use heathward_standin::{attempt, listen, PATIENCE};
-use heathward_wires::node::{Counted, Written};
+use bytes::Bytes;
+use heathward_core::{freshness, DrainGate, Message};
+use heathward_module::End;
+use heathward_standin::{attempt, config_text, listen, PATIENCE};
+use heathward_wires::node::{self, Connection, Counted, Done, Job, Limits, Pool, Written};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Duration, Instant};
 
 const HEAD: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
@@ -110,3 +116,52 @@
     assert_eq!(near.write_all(HEAD).await.is_ok(), sound);
     assert_eq!((written.stale(), written.withheld(), written.whole()), (!sound, false, sound));
 }
+
+/// A connection that is never closed.
+struct Kept;
+
+impl Connection for Kept {
+    const SOCKETS: usize = 1;
+
+    fn poll_closed(&mut self, _: &mut Context<'_>) -> Poll<()> {
+        Poll::Pending
+    }
+}
+
+/// Serves at once, and tells of each attempt whether it came on a kept connection.
+struct AtOnce(mpsc::UnboundedSender<bool>);
+
+impl tower::Service<Job<Kept>> for AtOnce {
+    type Response = Done<Kept>;
+    type Error = Infallible;
+    type Future = Ready<Result<Done<Kept>, Infallible>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, job: Job<Kept>) -> Self::Future {
+        self.0.send(job.idle.is_some()).unwrap();
+        ready(Ok(Done::back(End::Served, Bytes::new(), job.idle.unwrap_or(Kept))))
+    }
+}
+
+/// "A second answer may come some milliseconds later": guards against a connection that is in use again by
+/// then. Of those that have rested one is used, and none is opened.
+#[tokio::test(start_paused = true)]
+async fn a_connection_rests_after_an_answer_before_it_carries_another_attempt() {
+    let config = config_text("127.0.0.1:1", "127.0.0.1:1", "");
+    let deployment = heathward_config::parse(&config).unwrap().deployment;
+    let (_keep, limits) = watch::channel(Limits::new(&deployment, 16, 8));
+    let (tell, mut kept) = mpsc::unbounded_channel();
+    let (core, mut ended) = mpsc::channel(16);
+    let node = node::spawn(AtOnce(tell), Pool::new(limits), core);
+    for (pause, reused) in
+        [(0, false), (0, false), (4, false), (1, true), (5, true), (1, true), (1, true), (1, false)]
+    {
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        node.send(attempt(DrainGate::default(), Instant::now() + PATIENCE)).await.unwrap();
+        assert!(matches!(ended.recv().await, Some(Message::Ended(ended)) if ended.end == End::Served));
+        assert_eq!(kept.recv().await, Some(reused), "after {pause} ms");
+    }
+}
