--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,23 @@
+//! A deployment of one class and one plan that bounds nothing.
+
+use heathward_module::settings::Deployment;
+use heathward_module::{ClassSettings, Micros, PlanSettings, Settings};
+
+/// With so many hosts; answers within `aim` earn the full worth, clients wait for 1 s, and settings have that
+/// grace after a drain, if any.
+pub fn deployment(hosts: u32, aim: Micros, grace: Option<Micros>) -> Deployment {
+    let class = ClassSettings { aim, deadline: 1_000_000, worth: 1.0, ..ClassSettings::default() };
+    let plan = PlanSettings { rate: 1e6, reserve: 1e6, weight: 1.0, price: 1.0, ..PlanSettings::default() };
+    let settings = Settings {
+        hosts,
+        classes: vec![class],
+        plans: vec![plan],
+        mean_units: 2.0,
+        most_units: 8,
+        max_attempts: 3,
+        tick: 2_000,
+        ..Settings::default()
+    };
+    let (classes, plans) = (vec!["read".to_owned()], vec!["one".to_owned()]);
+    Deployment { settings, classes, plans, writes: vec![false], connect: 250_000, idle: 15_000_000, grace }
+}
--- a/crates/core/tests/drains.rs
+++ b/crates/core/tests/drains.rs
@@ -7,13 +7,16 @@
 use bytes::Bytes;
 use fastrand::Rng;
 use heathward_core::{report, start, Answer, Attempt, Call, Core, Member, Message, News, Reply, Work};
-use heathward_module::settings::Deployment;
 use heathward_module::*;
 use rstest::rstest;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Instant};
 use tower::Service;
 
+mod common;
+
+use common::deployment;
+
 const HOSTS: u32 = 350;
 const NODES: u32 = 600;
 /// So many nodes drain at a time, and so often.
@@ -24,24 +27,6 @@
 /// A line is read so late at most, and another behind it twice that: less than the grace.
 const READ: Duration = Duration::from_millis(100);
 
-fn deployment() -> Deployment {
-    let class = ClassSettings { aim: 150_000, deadline: 1_000_000, worth: 1.0, ..ClassSettings::default() };
-    let plan = PlanSettings { rate: 1e6, reserve: 1e6, weight: 1.0, price: 1.0, ..PlanSettings::default() };
-    let settings = Settings {
-        hosts: HOSTS,
-        classes: vec![class],
-        plans: vec![plan],
-        mean_units: 2.0,
-        most_units: 8,
-        max_attempts: 3,
-        tick: 2_000,
-        ..Settings::default()
-    };
-    let (classes, plans) = (vec!["read".to_owned()], vec!["one".to_owned()]);
-    let grace = Some(GRACE.as_micros() as Micros);
-    Deployment { settings, classes, plans, writes: vec![false], connect: 250_000, idle: 15_000_000, grace }
-}
-
 /// When each batch drains; revision 1 has none, and each batch makes one more.
 struct Truth {
     zero: Instant,
@@ -264,7 +249,12 @@
                 }
                 mailbox.clone()
             };
-            let core = start(Arc::new(deployment()), host as u64, Box::new(dial)).unwrap();
+            let core = start(
+                Arc::new(deployment(HOSTS, 150_000, Some(GRACE.as_micros() as Micros))),
+                host as u64,
+                Box::new(dial),
+            )
+            .unwrap();
             tokio::spawn(discover(core.clone(), truth, fate.clone(), believed, rng.fork()));
             for number in 0.. {
                 sleep(Duration::from_millis(rng.u64(0..700))).await;
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -8,39 +8,15 @@
 
 use bytes::Bytes;
 use heathward_core::{start, Answer, Attempt, Call, Core, Gone, Member, Message, News, Work};
-use heathward_module::settings::Deployment;
 use heathward_module::*;
 use tokio::sync::mpsc;
 use tokio::task::unconstrained;
 use tokio::time::{sleep, Instant};
 use tower::Service;
 
-const SECOND: Micros = 1_000_000;
+mod common;
 
-fn deployment() -> Deployment {
-    let class = ClassSettings { aim: SECOND, deadline: SECOND, worth: 1.0, ..ClassSettings::default() };
-    let plan = PlanSettings { rate: 1e6, reserve: 1e6, weight: 1.0, price: 1.0, ..PlanSettings::default() };
-    let settings = Settings {
-        hosts: 1,
-        classes: vec![class],
-        plans: vec![plan],
-        mean_units: 2.0,
-        most_units: 8,
-        max_attempts: 3,
-        tick: 2_000,
-        ..Settings::default()
-    };
-    let (classes, plans) = (vec!["read".to_owned()], vec!["one".to_owned()]);
-    Deployment {
-        settings,
-        classes,
-        plans,
-        writes: vec![false],
-        connect: 250_000,
-        idle: 15_000_000,
-        grace: None,
-    }
-}
+use common::deployment;
 
 fn call(number: usize) -> Call {
     let work = Work {
@@ -71,7 +47,8 @@
 /// The core before one node, and the attempts that go there.
 async fn core() -> (Core, mpsc::Receiver<Attempt>) {
     let (mailbox, attempts) = mpsc::channel(64);
-    let core = start(Arc::new(deployment()), 1, Box::new(move |_, _| mailbox.clone())).unwrap();
+    let core =
+        start(Arc::new(deployment(1, 1_000_000, None)), 1, Box::new(move |_, _| mailbox.clone())).unwrap();
     let member = Member {
         id: "s-0".into(),
         address: ([127, 0, 0, 1], 1).into(),
