Records: wall and monotonic time of one moment, however late an event is noted

The wall clock was read when an event was noted, its monotonic time was that of the event; what lay between, and being held up between two looks, went into the step. Ruled out: rounding (it is to the nearest). Changed: the wall time is put back by the event's age, and both clocks are looked at again where a look was held up for 100 us, four times at most. The assertion stands.

--- a/crates/recorder/src/lib.rs
+++ b/crates/recorder/src/lib.rs
@@ -35,6 +35,10 @@
     pub clock: Clock,
 }
 
+/// Looks at both clocks at most, and how long one takes that is not held up: reports tell whole milliseconds.
+const LOOKS: usize = 4;
+const HELD_UP: Duration = Duration::from_micros(100);
+
 /// The clock by which records are told, as far as it differs from the machine's. All zero in service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Clock {
@@ -47,13 +51,31 @@
 }
 
 impl Clock {
-    fn wall(self, mono: Micros) -> Micros {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
+    /// The wall clock's time at a moment, so long after the start; that may be a while ago.
+    fn wall(self, start: Instant, mono: Micros) -> Micros {
+        let at = start + Duration::from_micros(mono);
+        let (wall, now) = both_clocks();
+        let age = now.saturating_duration_since(at).as_micros() as i64;
+        let unix = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64 - age;
         let stepped = if mono >= self.step_after_ms * 1000 { self.step_ms } else { 0 };
         u64::try_from(unix + (self.offset_ms + stepped) * 1000).unwrap_or(0)
     }
 }
 
+/// The wall clock and the monotonic one in the same moment: of some looks the first that was not held up
+/// between the two, or the last.
+fn both_clocks() -> (SystemTime, Instant) {
+    let mut look = (SystemTime::now(), Instant::now());
+    for _ in 0..LOOKS {
+        let before = Instant::now();
+        look = (SystemTime::now(), before);
+        if before.elapsed() < HELD_UP {
+            break;
+        }
+    }
+    look
+}
+
 /// Keeps records while it lives; its last are written as it is dropped.
 pub struct Recorder {
     sender: Sender,
@@ -95,7 +117,7 @@
     }
 
     fn put(&mut self, mono: Micros, event: Event) {
-        let wall = self.clock.wall(mono);
+        let wall = self.clock.wall(self.start, mono);
         self.sender.put(Stamp { wall, mono }, event);
     }
 
@@ -116,7 +138,7 @@
         if followed.len() < FOLLOWED {
             followed.insert(request, begun());
         } else {
-            let wall = self.clock.wall(mono);
+            let wall = self.clock.wall(self.start, mono);
             self.sender.lose(Stamp { wall, mono });
         }
     }
