Records: the clocks are looked at no more often than needed

Seen on reading the change again: each event looked at both clocks twice, as the first look was thrown away. Changed: a look is used where it was not held up, four at most, as before.

--- a/crates/recorder/src/lib.rs
+++ b/crates/recorder/src/lib.rs
@@ -65,15 +65,12 @@
 /// The wall clock and the monotonic one in the same moment: of some looks the first that was not held up
 /// between the two, or the last.
 fn both_clocks() -> (SystemTime, Instant) {
-    let mut look = (SystemTime::now(), Instant::now());
-    for _ in 0..LOOKS {
+    let look = || {
         let before = Instant::now();
-        look = (SystemTime::now(), before);
-        if before.elapsed() < HELD_UP {
-            break;
-        }
-    }
-    look
+        (SystemTime::now(), before)
+    };
+    let sound = |(_, before): &(SystemTime, Instant)| before.elapsed() < HELD_UP;
+    (1..LOOKS).map(|_| look()).find(sound).unwrap_or_else(look)
 }
 
 /// Keeps records while it lives; its last are written as it is dropped.
