--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,10 @@
 # Scores by version: docs/journal.csv and docs/journal.svg, and which falls are larger than chance.
 journal: build
 	target/release/heathward-measure journal
+
+# Two more customers' sites, with what the operators' kit wants beside them; git ignores that part.
+.PHONY: sites
+sites:
+	cp -f ../given/kit/sites/wire.json ../given/kit/sites/real.json ../given/kit/sites/unlock.txt deploy/sites/
+	cat ../given/kit/users/unlock.txt >> deploy/sites/unlock.txt
+	chmod u+w deploy/sites/*.json deploy/sites/unlock.txt
