--- a/crates/regression/src/owed.rs
+++ b/crates/regression/src/owed.rs
@@ -18,6 +18,8 @@
     command: &'static str,
     /// What its panel's name holds, for which the full panel serves as well as the quick one, and not.
     days: &'static str,
+    /// What its panel's name does not hold.
+    without: &'static str,
     /// The full panel alone serves.
     full: bool,
     /// Only the decision module counts.
@@ -27,6 +29,9 @@
 const SITE: &str = "sites/predio-norte.toml";
 const SECOND: &str = "users/granite-shelf-main.toml";
 
+/// The days of few schedulers and narrow moments, whose names hold those of other days.
+const BRINK: &str = "+brink";
+
 const NONE: Run = Run {
     name: "",
     program: "",
@@ -34,6 +39,7 @@
     site: "predio-norte",
     command: "real-score",
     days: "",
+    without: BRINK,
     full: false,
     module: false,
 };
@@ -47,6 +53,14 @@
         days: "+mass",
         ..NONE
     },
+    Run {
+        name: "brink",
+        program: "more/mass/bin/lbreal",
+        arguments: &["score", SITE, "--panel", "brink"],
+        days: BRINK,
+        without: "+vast",
+        ..NONE
+    },
     Run {
         name: "module-quick",
         program: "bin/lbsim",
@@ -110,6 +124,7 @@
         entry.command == self.command
             && entry.site == self.site
             && panel.contains(self.days)
+            && !panel.contains(self.without)
             && !(self.full && panel.ends_with(":quick"))
     }
 
--- a/crates/regression/tests/regression.rs
+++ b/crates/regression/tests/regression.rs
@@ -44,6 +44,7 @@
         ("score", "granite-shelf-main", "x"),
         ("real-score", "predio-norte", "real:soak,calm+mass"),
         ("real-score", "granite-shelf-main", "real:upgrade,herd"),
+        ("real-score", "predio-norte", "real:9:roll+brink+mass-1,calm+brink+mass-2"),
     ];
     let entry = |(number, (command, site, panel)): (usize, &(&str, &str, &str))| {
         Entry::parse("j", &text(number, command, site, panel, module, 0.5, KEPT)).unwrap()
@@ -69,6 +70,9 @@
     // The quick days are part of all days, not the other way round.
     assert!(!due(&all("1")[6..]).contains(&"fleet-quick"));
     assert!(due(&all("1")[..1]).contains(&"fleet-full"));
+    // Nor do days of few schedulers stand for those of many.
+    let left = due(&all("1")[8..]);
+    assert!(left.contains(&"fleet-full") && left.contains(&"fleet-quick") && !left.contains(&"brink"));
 }
 
 #[rstest]
