Core: a shutdown takes no priority from the requests that it still serves

Callers saw 503 in place of 200 from 0.55 s after SIGTERM on (deadline 1 s, objective 0.15 s), with longer deadlines from SIGTERM on, at nodes with capacity.

Cause: receive_request cut the deadline to that of the shutdown before the policy saw it. The policy takes the missing time for time that the client has waited, so each request counted as a retry past its objective: lowest quota tier and priority.

The policy now gets the client's own time; the core alone keeps to the shutdown's deadline, as it did for requests that were open when the shutdown began.

The new test failed before (1 of 4 requests forwarded) and passes. Tests of heathward, -core, -transport: none failed.

--- a/crates/core/src/actor/requests.rs
+++ b/crates/core/src/actor/requests.rs
@@ -18,7 +18,6 @@
         reply: oneshot::Sender<Answer>,
         cancel: CancellationToken,
     ) {
-        request.deadline = self.requests.limit_deadline(request.deadline);
         let Some(id_guard) = self.requests.reserve_client_id(&request.node_request.client_request_id) else {
             self.counters.malformed_requests += 1;
             // A front end that has left meanwhile needs no answer.
@@ -27,7 +26,10 @@
         };
         self.counters.requests_received += 1;
         let now = Instant::now();
+        // The policy tells from the client's time how long that has waited already. What a shutdown takes of
+        // that time is no waiting: this core alone keeps to it.
         let policy_request = policy_request(id, &request, now);
+        request.deadline = self.requests.limit_deadline(request.deadline);
         let Request { class, plan, volume, units, .. } = policy_request;
         let received = Observation::RequestReceived { request: id, class, plan, volume, units };
         self.observer.observe_at(now, received);
--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -60,6 +60,8 @@
 }
 
 const CLIENTS: u32 = 10;
+/// Requests that a node that nothing is known of gets at a time.
+const NODE_BUDGET_REQUESTS: u32 = 4;
 /// Ids of one client.
 const SPACE: u32 = 1 << 20;
 
@@ -208,6 +210,29 @@
     assert!(status.success());
 }
 
+/// Guards against requests that are demoted and shed for the time that a shutdown takes from them, as though
+/// their clients had waited for that time before.
+#[tokio::test]
+async fn requests_during_a_shutdown_keep_their_priority() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0))
+        .replace("\"deadlineMs\":1000", "\"deadlineMs\":10000");
+    let rig = rig_of(&text, None).await;
+    rig.core.set_shutdown_deadline(Instant::now() + Duration::from_secs(3)).await;
+    let mut clients = Vec::new();
+    for call in 0..NODE_BUDGET_REQUESTS {
+        let mut stream = TcpStream::connect(rig.front).await.unwrap();
+        stream.write_all(request("consulta", call, 0, 10_000, "").as_bytes()).await.unwrap();
+        clients.push(stream);
+    }
+    let mut statuses = Vec::new();
+    for stream in &mut clients {
+        statuses.push(answer(stream).await.0);
+    }
+    assert_eq!(log.all().len(), NODE_BUDGET_REQUESTS as usize, "not all were forwarded: {statuses:?}");
+}
+
 /// What a program that starts finds of discovery.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Agent {
