Shutdown: its times count from SIGTERM, not from when the process heeds it

Callers: at a restart, requests on open connections ended without an answer if the process stood still for up to 0.15 s when SIGTERM came.

Cause: shutdown::finish took Instant::now() for the moment of the signal. SIGKILL counts from the signal, so the close (1.35 s) and the last answers (1.55 s) came 0.15 s late, and nothing was left for a stall before the last write.

Evidence: the new test stops the process for 0.15 s at SIGTERM and kills it 1.7 s after it.

A log line says how long ago the signal came at most.

--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -8,7 +8,7 @@
 use heathward_transport::handover::PeerPhase;
 use tokio::net::UnixStream;
 use tokio::sync::mpsc;
-use tokio::time::interval;
+use tokio::time::{interval, Instant};
 
 use crate::handover::{HandoverSocket, HandoverStart};
 use crate::server::Server;
@@ -32,22 +32,24 @@
     let address = server.fronts.local_http_address()?;
     handover_socket.bind();
     tracing::info!("listening on {address}");
-    serve_until_shutdown(&mut server, &mut handover_socket, &mut peer_phases, &mut signals).await?;
+    let signalled_at =
+        serve_until_shutdown(&mut server, &mut handover_socket, &mut peer_phases, &mut signals).await?;
+    tracing::info!("shutting down, signalled up to {} ms ago", signalled_at.elapsed().as_millis());
     // A process that starts from now on finds no handover socket, and does not wait for an answer.
     drop(handover_socket);
-    shutdown::finish(&server).await;
+    shutdown::finish(&server, signalled_at).await;
     server.recording.stop(&server.core).await;
     server.report_counters().await;
     Ok(())
 }
 
-/// Reacts to what comes until a signal asks for the shutdown.
+/// Reacts to what comes until a signal asks for the shutdown. Returns the earliest time of that signal.
 async fn serve_until_shutdown(
     server: &mut Server,
     handover_socket: &mut HandoverSocket,
     peer_phases: &mut mpsc::Receiver<PeerPhase>,
     signals: &mut Signals,
-) -> io::Result<()> {
+) -> io::Result<Instant> {
     let mut loss_reports = interval(LOSS_REPORT_INTERVAL);
     let mut reported_lines = 0;
     loop {
@@ -57,8 +59,8 @@
                 report_dropped_lines(&server.logs, &mut reported_lines);
                 server.recording.report_disk_faults();
             }
-            request = signals.next() => match request {
-                SignalRequest::ShutDown => return Ok(()),
+            signalled_at = signals.shutdown.requested() => return Ok(signalled_at),
+            Some(request) = signals.requests.next() => match request {
                 SignalRequest::Reload => server.reload().await,
                 SignalRequest::ReportCounters => server.report_counters().await,
             },
--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -1,5 +1,7 @@
 //! Graceful shutdown: answers every open request, and serves new ones for as long as they can still be
 //! answered.
+//!
+//! All times count from the signal, as those of the platform do, and not from when it was heeded.
 
 use std::time::Duration;
 
@@ -14,7 +16,8 @@
 /// Connections are closed between requests from this time on, after SIGTERM and the longest deadline: early
 /// enough for what is open then to be answered.
 const CLOSE_DELAY: Duration = Duration::from_millis(350);
-/// Everything is answered this long before the platform kills the process.
+/// Everything is answered this long before the platform kills the process, which may stall for that long
+/// before its last write. The time that the write takes is left by the signal being counted from early.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// The last answers may be written for this long after that.
 const FINAL_WRITE_TIME: Duration = Duration::from_millis(100);
@@ -26,13 +29,13 @@
 /// Serves on for as long as new requests can be answered, then closes connections and waits for the open
 /// requests. The platform starts the next process at a fixed time, when this one would have been killed.
 /// Until then no other process answers, so this one serves on even if nothing is open. If a peer process
-/// has taken over before the shutdown, this one exits as soon as nothing is left.
-pub async fn finish(server: &Server) {
+/// has taken over before the shutdown, this one exits as soon as nothing is left. `signalled_at` is the
+/// earliest time at which the signal may have come.
+pub async fn finish(server: &Server, signalled_at: Instant) {
     let core = &server.core;
-    let started = Instant::now();
     let longest_deadline = longest_deadline(server).min(MAX_COUNTED_DEADLINE);
-    let answer_deadline = started + longest_deadline + KILL_DELAY - ANSWER_MARGIN;
-    let close_at = started + longest_deadline + CLOSE_DELAY;
+    let answer_deadline = signalled_at + longest_deadline + KILL_DELAY - ANSWER_MARGIN;
+    let close_at = signalled_at + longest_deadline + CLOSE_DELAY;
     core.set_shutdown_deadline(answer_deadline).await;
     let replaced = core.draining().borrow().replaced;
     while Instant::now() < close_at && (!replaced || server.is_busy()) {
--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -24,4 +24,5 @@
 mod rejected_requests;
 mod request_writer;
 mod shutdown;
+mod shutdown_stall;
 mod support;
--- /dev/null
+++ b/crates/scheduler/tests/net/shutdown_stall.rs
@@ -0,0 +1,81 @@
+//! Shutdown of a process that stands still for up to 0.15 s, as the platform may hold it: at the signal, and
+//! before its last answers.
+
+use rstest::rstest;
+use rustix::process::{kill_process, Pid, Signal};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, Duration, Instant};
+
+use crate::support::{start_program, wait_until_listening, write_config};
+use heathward_fakes::*;
+
+/// The platform holds a process for so long at most.
+const STALL: Duration = Duration::from_millis(150);
+/// The longest deadline of a class in these tests.
+const DEADLINE: Duration = Duration::from_millis(1000);
+/// SIGKILL follows SIGTERM this much after the longest deadline.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// A request that comes this long after SIGTERM or later is lost if SIGKILL finds it unanswered.
+const COUNTED_AFTER: Duration = Duration::from_millis(700);
+/// When the clients ask, after SIGTERM.
+const ASKED_AFTER: Duration = Duration::from_millis(760);
+/// Requests that a node that nothing is known of gets at a time.
+const CLIENTS: u32 = 4;
+
+/// Stops a process over a time.
+async fn stall(process: Pid, from: Instant) {
+    sleep_until(from).await;
+    kill_process(process, Signal::STOP).unwrap();
+    sleep_until(from + STALL).await;
+    kill_process(process, Signal::CONT).unwrap();
+}
+
+/// Guards against a shutdown that counts from the moment at which SIGTERM is heeded, or leaves no time to
+/// write its last answers: SIGKILL then finds requests unanswered.
+#[rstest]
+#[tokio::test]
+async fn requests_are_answered_before_sigkill_if_the_process_stalls(
+    #[values(false, true)] at_the_signal: bool,
+    #[values(None, Some(1450), Some(1500), Some(1540))] at_the_end_ms: Option<u64>,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Silent], &log).await;
+    let members = member("s0", node, 0, "in_service", 0);
+    // An attempt lasts for as long as its client waits.
+    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members).replace("\"aimMs\":150", "\"aimMs\":1000");
+    let name = format!("stall{at_the_signal}{at_the_end_ms:?}");
+    let (mut child, _lines, address) = wait_until_listening(start_program(&write_config(&name, &text), &[]));
+    let process = Pid::from_child(&child);
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        clients.push(TcpStream::connect(address).await.unwrap());
+    }
+    let signalled = Instant::now();
+    if at_the_signal {
+        kill_process(process, Signal::STOP).unwrap();
+    }
+    kill_process(process, Signal::TERM).unwrap();
+    if at_the_signal {
+        sleep_until(signalled + STALL).await;
+        kill_process(process, Signal::CONT).unwrap();
+    }
+    sleep_until(signalled + ASKED_AFTER).await;
+    assert!(ASKED_AFTER >= COUNTED_AFTER && signalled.elapsed() < DEADLINE, "the clients ask too late");
+    let mut answers = JoinSet::new();
+    for (call, mut stream) in (0..).zip(clients) {
+        stream.write_all(request("consulta", call, 0, 1000, "").as_bytes()).await.unwrap();
+        answers.spawn(async move { read_message(&mut stream).await.map(|(head, ..)| head) });
+    }
+    if let Some(at) = at_the_end_ms {
+        stall(process, signalled + Duration::from_millis(at)).await;
+    }
+    sleep_until(signalled + DEADLINE + KILL_DELAY).await;
+    // One that has ended is none to kill.
+    let _ = kill_process(process, Signal::KILL);
+    let answers = answers.join_all().await;
+    child.wait().unwrap();
+    assert_eq!(log.all().len(), CLIENTS as usize, "not all were forwarded");
+    assert!(answers.iter().all(Option::is_some), "unanswered at SIGKILL: {answers:?}");
+}
