Reload: files that are read slowly or never end do not hold up SIGTERM

Callers: SIGTERM during a reload with an operator file was heeded once its files were read (up to 2 s of a core, or never), and SIGKILL found requests unanswered.

Cause: serve_until_shutdown awaited the whole reload in the branch for SIGHUP, and at the exit the runtime waited for the thread that reads.

Evidence: the new test puts a pipe that nobody writes in the place of the configuration, waits until the program has opened it, and sends SIGTERM.

Files are now read beside all else and applied when they are there; a shutdown leaves them. Further signals still wait for the end of a reload. Without an operator file the configuration is read on the program's own thread, as before.

--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -15,10 +15,12 @@
 mod sockets;
 mod startup;
 
+use std::io;
 use std::process::ExitCode;
 
 use arguments::{Arguments, Command};
 use clap::Parser;
+use heathward_config::{Config, FileArguments};
 
 /// The exit code if the configuration is rejected.
 const CONFIGURATION_REJECTED: u8 = 2;
@@ -42,8 +44,7 @@
         load_listing::print(listing);
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| runtime.block_on(serve::run(config, files))) {
+    match serve_on_runtime(config, files) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("heathward: {error}");
@@ -51,3 +52,12 @@
         }
     }
 }
+
+/// Serves until the shutdown.
+fn serve_on_runtime(config: Config, files: FileArguments) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let result = runtime.block_on(serve::run(config, files));
+    // Files of a reload that are still being read hold up no exit.
+    runtime.shutdown_background();
+    result
+}
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -1,17 +1,19 @@
 //! Runs the scheduler from its start to its end: reacts to signals and to a peer process meanwhile.
 
+use std::future::pending;
 use std::io;
 use std::time::Duration;
 
 use heathward_config::{Config, FileArguments};
 use heathward_logs::Logs;
+use heathward_policy::settings::ConfigError;
 use heathward_transport::handover::PeerPhase;
 use tokio::net::UnixStream;
 use tokio::sync::mpsc;
 use tokio::time::{interval, Instant};
 
 use crate::handover::{HandoverSocket, HandoverStart};
-use crate::server::Server;
+use crate::server::{ReloadedFiles, Server};
 use crate::signals::{SignalRequest, Signals};
 use crate::{shutdown, startup};
 
@@ -52,6 +54,7 @@
 ) -> io::Result<Instant> {
     let mut loss_reports = interval(LOSS_REPORT_INTERVAL);
     let mut reported_lines = 0;
+    let mut reload: Option<ReloadedFiles> = None;
     loop {
         // A branch whose pattern does not match is left out until the next turn of the loop.
         tokio::select! {
@@ -60,10 +63,16 @@
                 server.recording.report_disk_faults();
             }
             signalled_at = signals.shutdown.requested() => return Ok(signalled_at),
-            Some(request) = signals.requests.next() => match request {
-                SignalRequest::Reload => server.reload().await,
+            // A further signal waits for the end of a reload, as it may announce newer files.
+            Some(request) = signals.requests.next(), if reload.is_none() => match request {
+                SignalRequest::Reload => reload = Some(server.start_reload()),
                 SignalRequest::ReportCounters => server.report_counters().await,
             },
+            // Files that can't be read to the end, or slowly, hold up nothing else.
+            files = read_to_end(&mut reload) => {
+                reload = None;
+                server.finish_reload(files).await;
+            }
             Some(peer) = handover_socket.next_peer(), if !server.descriptors.peer_running => {
                 hand_over(server, handover_socket, peer)?;
             }
@@ -72,6 +81,14 @@
     }
 }
 
+/// The files of a reload, if there is one; else it never returns.
+async fn read_to_end(reload: &mut Option<ReloadedFiles>) -> Result<Config, ConfigError> {
+    match reload {
+        Some(files) => files.await,
+        None => pending().await,
+    }
+}
+
 /// Hands over to a process that has connected. Only one at a time: another one waits until it is known that
 /// this one is no scheduler, or until it has exited. An error, which ends the program, means that no
 /// descriptors are left.
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use heathward_config::{self as config, Config, FileArguments};
@@ -18,6 +19,9 @@
 use crate::recording::EventRecording;
 use crate::sockets;
 
+/// The files of a reload, once they are read.
+pub type ReloadedFiles = Pin<Box<dyn Future<Output = Result<Config, ConfigError>>>>;
+
 /// The running scheduler.
 pub struct Server {
     /// Decides on requests, and owns all that is known of them and of the storage nodes.
@@ -80,10 +84,17 @@
         Ok(())
     }
 
-    /// Reads the configuration and the operator file again, applies them, and logs whether they were
-    /// accepted.
-    pub async fn reload(&mut self) {
-        let applied = self.read_and_apply().await;
+    /// Starts to read the configuration and the operator file again.
+    pub fn start_reload(&self) -> ReloadedFiles {
+        Box::pin(read_files(self.files.clone()))
+    }
+
+    /// Applies the files that were read again, and logs whether they were accepted.
+    pub async fn finish_reload(&mut self, files: Result<Config, ConfigError>) {
+        let applied = match files {
+            Ok(config) => self.apply(config).await,
+            Err(error) => Err(error),
+        };
         self.core.count_configuration_reload(applied.is_ok());
         match applied {
             Ok(()) => tracing::info!("configuration reloaded"),
@@ -93,7 +104,7 @@
 
     /// Applies the files as a whole, or leaves everything as it is. Connections and open requests go on;
     /// the seed, the NVMe front and the address of the admin interface stay as they were at the start.
-    async fn read_and_apply(&mut self) -> Result<(), ConfigError> {
+    async fn apply(&mut self, config: Config) -> Result<(), ConfigError> {
         let Config {
             name,
             listen_address,
@@ -103,7 +114,7 @@
             deployment,
             operator_settings,
             ..
-        } = read_files(&self.files).await?;
+        } = config;
         // The address is bound and the settings are checked first, so that a rejected configuration changes
         // nothing. After that only a lack of descriptors can fail.
         let new_socket = match listen_address == self.fronts.http_address() {
@@ -149,11 +160,10 @@
 }
 
 /// Reads all files again. An operator file is evaluated on a thread of its own, as that takes a while.
-async fn read_files(files: &FileArguments) -> Result<Config, ConfigError> {
+async fn read_files(files: FileArguments) -> Result<Config, ConfigError> {
     if files.operator.is_none() {
-        return config::load(files);
+        return config::load(&files);
     }
-    let files = files.clone();
     let read = tokio::task::spawn_blocking(move || config::load(&files)).await;
     read.unwrap_or_else(|error| {
         Err(ConfigError { field: "operator file".to_owned(), reason: error.to_string() })
--- a/crates/scheduler/tests/net/shutdown_stall.rs
+++ b/crates/scheduler/tests/net/shutdown_stall.rs
@@ -1,12 +1,17 @@
-//! Shutdown of a process that stands still for up to 0.15 s, as the platform may hold it: at the signal, and
-//! before its last answers.
+//! Shutdown of a process that is held up: by the platform for up to 0.15 s, at the signal or before its last
+//! answers, or by a reload.
+
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::{Child, Command};
 
 use rstest::rstest;
 use rustix::process::{kill_process, Pid, Signal};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
-use tokio::time::{sleep_until, Duration, Instant};
+use tokio::time::{sleep_until, timeout, Duration, Instant};
 
 use crate::support::{start_program, wait_until_listening, write_config};
 use heathward_fakes::*;
@@ -24,12 +29,63 @@
 /// Requests that a node that nothing is known of gets at a time.
 const CLIENTS: u32 = 4;
 
-/// Stops a process over a time.
-async fn stall(process: Pid, from: Instant) {
-    sleep_until(from).await;
-    kill_process(process, Signal::STOP).unwrap();
-    sleep_until(from + STALL).await;
-    kill_process(process, Signal::CONT).unwrap();
+/// A program before a node that answers nothing, with clients that are connected.
+struct HangingNode {
+    child: Child,
+    process: Pid,
+    config: PathBuf,
+    log: Log,
+    clients: Vec<TcpStream>,
+}
+
+impl HangingNode {
+    async fn start(name: &str, arguments: &[&str]) -> Self {
+        let log = Log::default();
+        let node = http_node(0, &[Does::Silent], &log).await;
+        let members = member("s0", node, 0, "in_service", 0);
+        // An attempt lasts for as long as its client waits.
+        let text =
+            config_text("127.0.0.1:0", "127.0.0.1:1", &members).replace("\"aimMs\":150", "\"aimMs\":1000");
+        let config = write_config(name, &text);
+        let (child, _lines, address) = wait_until_listening(start_program(&config, arguments));
+        let process = Pid::from_child(&child);
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            clients.push(TcpStream::connect(address).await.unwrap());
+        }
+        Self { child, process, config, log, clients }
+    }
+
+    /// Stops the process over a time.
+    async fn stall(&self, from: Instant) {
+        sleep_until(from).await;
+        kill_process(self.process, Signal::STOP).unwrap();
+        sleep_until(from + STALL).await;
+        kill_process(self.process, Signal::CONT).unwrap();
+    }
+
+    /// Has the clients ask, so that all of them are in flight.
+    async fn ask(&mut self, signalled: Instant) -> JoinSet<Option<String>> {
+        sleep_until(signalled + ASKED_AFTER).await;
+        assert!(ASKED_AFTER >= COUNTED_AFTER && signalled.elapsed() < DEADLINE, "the clients ask too late");
+        let mut answers = JoinSet::new();
+        for (call, mut stream) in (0..).zip(std::mem::take(&mut self.clients)) {
+            stream.write_all(request("consulta", call, 0, 1000, "").as_bytes()).await.unwrap();
+            answers.spawn(async move { read_message(&mut stream).await.map(|(head, ..)| head) });
+        }
+        answers
+    }
+
+    /// Kills the process when the platform does, and checks that all clients have their answers.
+    async fn kill(mut self, signalled: Instant, answers: JoinSet<Option<String>>) {
+        sleep_until(signalled + DEADLINE + KILL_DELAY).await;
+        // One that has ended is none to kill.
+        let _ = kill_process(self.process, Signal::KILL);
+        let answers = answers.join_all().await;
+        self.child.wait().unwrap();
+        assert_eq!(self.log.all().len(), CLIENTS as usize, "not all were forwarded");
+        assert!(answers.iter().all(Option::is_some), "unanswered at SIGKILL: {answers:?}");
+    }
 }
 
 /// Guards against a shutdown that counts from the moment at which SIGTERM is heeded, or leaves no time to
@@ -40,42 +96,39 @@
     #[values(false, true)] at_the_signal: bool,
     #[values(None, Some(1450), Some(1500), Some(1540))] at_the_end_ms: Option<u64>,
 ) {
-    let log = Log::default();
-    let node = http_node(0, &[Does::Silent], &log).await;
-    let members = member("s0", node, 0, "in_service", 0);
-    // An attempt lasts for as long as its client waits.
-    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members).replace("\"aimMs\":150", "\"aimMs\":1000");
-    let name = format!("stall{at_the_signal}{at_the_end_ms:?}");
-    let (mut child, _lines, address) = wait_until_listening(start_program(&write_config(&name, &text), &[]));
-    let process = Pid::from_child(&child);
-    let mut clients = Vec::new();
-    for _ in 0..CLIENTS {
-        clients.push(TcpStream::connect(address).await.unwrap());
-    }
+    let mut program = HangingNode::start(&format!("stall{at_the_signal}{at_the_end_ms:?}"), &[]).await;
     let signalled = Instant::now();
     if at_the_signal {
-        kill_process(process, Signal::STOP).unwrap();
+        kill_process(program.process, Signal::STOP).unwrap();
     }
-    kill_process(process, Signal::TERM).unwrap();
+    kill_process(program.process, Signal::TERM).unwrap();
     if at_the_signal {
         sleep_until(signalled + STALL).await;
-        kill_process(process, Signal::CONT).unwrap();
-    }
-    sleep_until(signalled + ASKED_AFTER).await;
-    assert!(ASKED_AFTER >= COUNTED_AFTER && signalled.elapsed() < DEADLINE, "the clients ask too late");
-    let mut answers = JoinSet::new();
-    for (call, mut stream) in (0..).zip(clients) {
-        stream.write_all(request("consulta", call, 0, 1000, "").as_bytes()).await.unwrap();
-        answers.spawn(async move { read_message(&mut stream).await.map(|(head, ..)| head) });
+        kill_process(program.process, Signal::CONT).unwrap();
     }
+    let answers = program.ask(signalled).await;
     if let Some(at) = at_the_end_ms {
-        stall(process, signalled + Duration::from_millis(at)).await;
+        program.stall(signalled + Duration::from_millis(at)).await;
     }
-    sleep_until(signalled + DEADLINE + KILL_DELAY).await;
-    // One that has ended is none to kill.
-    let _ = kill_process(process, Signal::KILL);
-    let answers = answers.join_all().await;
-    child.wait().unwrap();
-    assert_eq!(log.all().len(), CLIENTS as usize, "not all were forwarded");
-    assert!(answers.iter().all(Option::is_some), "unanswered at SIGKILL: {answers:?}");
+    program.kill(signalled, answers).await;
+}
+
+/// Guards against a reload that keeps the program from heeding SIGTERM: its configuration can't be read to the
+/// end.
+#[tokio::test]
+async fn requests_are_answered_before_sigkill_if_a_reload_hangs() {
+    let operator = write_config("reload-hangs-operator", "{}");
+    let mut program = HangingNode::start("reload-hangs", &["--operator", operator.to_str().unwrap()]).await;
+    let config = program.config.clone();
+    std::fs::remove_file(&config).unwrap();
+    assert!(Command::new("mkfifo").arg(&config).status().unwrap().success());
+    kill_process(program.process, Signal::HUP).unwrap();
+    // Opened once the program has opened it to read, and never written.
+    let (opened, reload) = oneshot::channel();
+    std::thread::spawn(move || opened.send(File::options().write(true).open(config)));
+    let _unwritten = timeout(PATIENCE, reload).await.expect("a reload").unwrap().unwrap();
+    let signalled = Instant::now();
+    kill_process(program.process, Signal::TERM).unwrap();
+    let answers = program.ask(signalled).await;
+    program.kill(signalled, answers).await;
 }
