Discovery: the lease after a move counts from SIGHUP, not from the end of the reload

Seen from outside: where SIGHUP moves discovery, a reload that took long or a stall at the signal let the old list be used for that much longer than 4 s, so requests could be sent to draining nodes.

Evidence: the new test has the configuration read for a second and nobody at the new address.

The earliest time of the signal goes with the reload to the watch of discovery and to the lease.

--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -55,6 +55,7 @@
     let mut loss_reports = interval(LOSS_REPORT_INTERVAL);
     let mut reported_lines = 0;
     let mut reload: Option<ReloadedFiles> = None;
+    let mut reload_announced_at = Instant::now();
     loop {
         // A branch whose pattern does not match is left out until the next turn of the loop.
         tokio::select! {
@@ -64,14 +65,17 @@
             }
             signalled_at = signals.shutdown.requested() => return Ok(signalled_at),
             // A further signal waits for the end of a reload, as it may announce newer files.
-            Some(request) = signals.requests.next(), if reload.is_none() => match request {
-                SignalRequest::Reload => reload = Some(server.start_reload()),
+            Some(received) = signals.requests.next(), if reload.is_none() => match received.request {
+                SignalRequest::Reload => {
+                    reload_announced_at = received.earliest;
+                    reload = Some(server.start_reload());
+                }
                 SignalRequest::ReportCounters => server.report_counters().await,
             },
             // Files that can't be read to the end, or slowly, hold up nothing else.
             files = read_to_end(&mut reload) => {
                 reload = None;
-                server.finish_reload(files).await;
+                server.finish_reload(files, reload_announced_at).await;
             }
             Some(peer) = handover_socket.next_peer(), if !server.descriptors.peer_running => {
                 hand_over(server, handover_socket, peer)?;
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -10,9 +9,11 @@
 use heathward_core::{CoreHandle, CoreMessage};
 use heathward_logs::Logs;
 use heathward_policy::settings::ConfigError;
+use heathward_transport::discovery::DiscoveryAddress;
 use heathward_transport::node::Limits;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::descriptor_budget::DescriptorBudget;
 use crate::fronts::Fronts;
@@ -33,7 +34,7 @@
     /// The limits of connections to storage nodes, which the connection pool follows.
     pub node_limits: watch::Sender<Limits>,
     /// The address of discovery, which the watch of the endpoint list follows.
-    pub discovery_address: watch::Sender<SocketAddr>,
+    pub discovery_address: watch::Sender<DiscoveryAddress>,
     /// The files that the command line names, to be read again.
     pub files: FileArguments,
     /// The log's format and filter.
@@ -89,10 +90,11 @@
         Box::pin(read_files(self.files.clone()))
     }
 
-    /// Applies the files that were read again, and logs whether they were accepted.
-    pub async fn finish_reload(&mut self, files: Result<Config, ConfigError>) {
+    /// Applies the files that were read again, and logs whether they were accepted. `announced_at` is the
+    /// earliest time of the signal that asked for it.
+    pub async fn finish_reload(&mut self, files: Result<Config, ConfigError>, announced_at: Instant) {
         let applied = match files {
-            Ok(config) => self.apply(config).await,
+            Ok(config) => self.apply(config, announced_at).await,
             Err(error) => Err(error),
         };
         self.core.count_configuration_reload(applied.is_ok());
@@ -104,7 +106,7 @@
 
     /// Applies the files as a whole, or leaves everything as it is. Connections and open requests go on;
     /// the seed, the NVMe front and the address of the admin interface stay as they were at the start.
-    async fn apply(&mut self, config: Config) -> Result<(), ConfigError> {
+    async fn apply(&mut self, config: Config, announced_at: Instant) -> Result<(), ConfigError> {
         let Config {
             name,
             listen_address,
@@ -128,7 +130,8 @@
         self.apply_descriptor_budget();
         // Without a core the program ends.
         let _ = self.core.discovery_sender().send(CoreMessage::EndpointUpdate(cached_endpoints)).await;
-        self.discovery_address.send_replace(discovery_address);
+        self.discovery_address
+            .send_replace(DiscoveryAddress { address: discovery_address, since: announced_at });
         if let Some(socket) = new_socket {
             let moved =
                 self.fronts.move_http(listen_address, socket, self.descriptors.nvme_host_connections());
--- a/crates/scheduler/src/signals.rs
+++ b/crates/scheduler/src/signals.rs
@@ -36,7 +36,16 @@
 pub struct ShutdownSignal(watch::Receiver<Option<Instant>>);
 
 /// The other signals, in the order in which they came.
-pub struct SignalRequests(mpsc::Receiver<SignalRequest>);
+pub struct SignalRequests(mpsc::Receiver<ReceivedRequest>);
+
+/// A signal that has come.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceivedRequest {
+    /// What it asks.
+    pub request: SignalRequest,
+    /// The earliest time at which it may have come.
+    pub earliest: Instant,
+}
 
 impl Signals {
     /// Installs the handlers; from now on none of these signals kills the process.
@@ -66,7 +75,7 @@
 
 impl SignalRequests {
     /// The next request. None is lost if the future is dropped.
-    pub async fn next(&mut self) -> Option<SignalRequest> {
+    pub async fn next(&mut self) -> Option<ReceivedRequest> {
         self.0.recv().await
     }
 }
@@ -79,7 +88,7 @@
     user_defined1: Signal,
 }
 
-/// A signal that has come.
+/// What a handler has taken.
 enum Received {
     ShutDown,
     Request(SignalRequest),
@@ -135,7 +144,7 @@
 async fn take_signals(
     mut handlers: Handlers,
     shutdown: watch::Sender<Option<Instant>>,
-    requests: mpsc::Sender<SignalRequest>,
+    requests: mpsc::Sender<ReceivedRequest>,
 ) {
     let mut checks = SignalChecks::new(Instant::now());
     let mut ticks = interval(CHECK_INTERVAL);
@@ -153,7 +162,10 @@
                     });
                 }
                 // One that finds no room is answered by those that wait.
-                Received::Request(request) => _ = requests.try_send(request),
+                Received::Request(request) => {
+                    let earliest = checks.earliest_signal();
+                    let _ = requests.try_send(ReceivedRequest { request, earliest });
+                }
             },
             _ = ticks.tick() => checks.record_none(Instant::now()),
         }
--- a/crates/scheduler/src/startup.rs
+++ b/crates/scheduler/src/startup.rs
@@ -12,6 +12,7 @@
 use heathward_discovery_pacing::FleetPosition;
 use heathward_logs::Logs;
 use heathward_transport::backoff::ReconnectPolicy;
+use heathward_transport::discovery::DiscoveryAddress;
 use heathward_transport::handover::ReceivedHandover;
 use heathward_transport::node::Pool;
 use heathward_transport::nvme::{Map, Subsystem};
@@ -59,7 +60,8 @@
     };
     let limits = descriptors.client_limits();
     let fronts = Fronts::new(core.clone(), listen_address, http_socket, nvme, limits);
-    let (discovery_address, watched_address) = watch::channel(config.discovery_address);
+    let (discovery_address, watched_address) =
+        watch::channel(DiscoveryAddress::from_now(config.discovery_address));
     let recording = EventRecording::default();
     let background = JoinSet::new();
     let mut server = Server {
@@ -98,7 +100,12 @@
 }
 
 /// Keeps the core's endpoint list up to date from now on, beginning with what changed after that revision.
-fn watch_endpoints(server: &mut Server, address: watch::Receiver<SocketAddr>, revision: u64, seed: u64) {
+fn watch_endpoints(
+    server: &mut Server,
+    address: watch::Receiver<DiscoveryAddress>,
+    revision: u64,
+    seed: u64,
+) {
     let settings = &server.core.deployment().settings;
     let mode = settings.endpoint_list_mode;
     let position =
--- a/crates/scheduler/tests/net/discovery_watch.rs
+++ b/crates/scheduler/tests/net/discovery_watch.rs
@@ -7,7 +7,7 @@
 use heathward_discovery_pacing::FleetPosition;
 use heathward_policy::EndpointListMode;
 use heathward_transport::backoff::ReconnectPolicy;
-use heathward_transport::discovery;
+use heathward_transport::discovery::{self, DiscoveryAddress};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
@@ -35,8 +35,8 @@
 }
 
 /// The rig follows discovery there, as one of 300 hosts, for as long as what is given back stands.
-fn follow(rig: &Rig, address: SocketAddr, lists: EndpointListMode) -> watch::Sender<SocketAddr> {
-    let (keep, addresses) = watch::channel(address);
+fn follow(rig: &Rig, address: SocketAddr, lists: EndpointListMode) -> watch::Sender<DiscoveryAddress> {
+    let (keep, addresses) = watch::channel(DiscoveryAddress::from_now(address));
     let pace = ReconnectPolicy::new(lists, FleetPosition { scheduler_index: 1, schedulers: 300 }, 1);
     tokio::spawn(discovery::watch_endpoints(addresses, 7, lists, rig.core.discovery_sender(), pace));
     keep
@@ -195,7 +195,7 @@
     let mut gaps = Vec::new();
     for seed in [1, 2] {
         let (listener, address) = listen().await;
-        let (_keep, addresses) = watch::channel(address);
+        let (_keep, addresses) = watch::channel(DiscoveryAddress::from_now(address));
         let pace = ReconnectPolicy::new(
             EndpointListMode::Streamed,
             FleetPosition { scheduler_index: 0, schedulers: 1 },
--- a/crates/scheduler/tests/net/drain_during_reload.rs
+++ b/crates/scheduler/tests/net/drain_during_reload.rs
@@ -1,11 +1,15 @@
 //! A reload that a drain crosses: the process stands still while both come, and meets them at one moment.
 
+use std::io::Write;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rstest::rstest;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
-use crate::support::{send_signal, start_program, status_of_read, wait_until_listening, write_config};
+use crate::support::{
+    replace_by_pipe, send_signal, start_program, status_of_read, wait_until_listening, write_config,
+};
 use heathward_fakes::*;
 
 /// Who tells of the drain, and when.
@@ -73,3 +77,48 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+/// Where discovery has moved, the list of before may be used for so long after SIGHUP.
+const LEASE_AFTER_SIGHUP: Duration = Duration::from_secs(4);
+
+/// Guards against a lease that counts from the end of a reload and not from SIGHUP: the configuration is read
+/// for a second, and nobody is there at the new address.
+#[tokio::test]
+async fn the_lease_after_a_discovery_move_counts_from_sighup() {
+    let log = Log::default();
+    let node = http_node(0, &[Does::Serve], &log).await;
+    let members = member("s0", node, 0, "in_service", 0);
+    let ((old, first), (_unused, nobody)) = (listen().await, nobody());
+    let text = |discovery: SocketAddr| {
+        let text = config_text("127.0.0.1:0", &discovery.to_string(), &members);
+        text.replacen(r#""safety":{"#, r#""safety":{"stopSendingWithinMs":250,"#, 1)
+    };
+    let config = write_config("lease-sighup", &text(first));
+    let operator = write_config("lease-sighup-operator", "{}");
+    let arguments = ["--operator", operator.to_str().unwrap()];
+    let (mut child, _lines, address) = wait_until_listening(start_program(&config, &arguments));
+    let (mut agent, _) = watched(&old).await;
+    tell(&mut agent, "\n").await;
+    let mut call = 0;
+    while status_of_read(address, call, 0).await != 200 {
+        call += 1;
+    }
+    tell(&mut agent, "\n").await;
+    let reload = replace_by_pipe(&config);
+    let signalled = Instant::now();
+    send_signal(&child, "-HUP");
+    let mut file = timeout(PATIENCE, reload).await.expect("a reload").unwrap();
+    sleep(Duration::from_secs(1)).await;
+    file.write_all(text(nobody).as_bytes()).unwrap();
+    drop(file);
+    while status_of_read(address, call + 1, 0).await == 200 {
+        call += 1;
+        assert!(signalled.elapsed() < PATIENCE, "the lease does not end");
+    }
+    let last = log.all().last().unwrap().at;
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let used = last.saturating_duration_since(signalled);
+    assert!(used < LEASE_AFTER_SIGHUP + GRACE, "the old list was used for {used:?} after SIGHUP");
+    assert!(used > LEASE_AFTER_SIGHUP / 2, "the lease ended before its time: {used:?}");
+}
--- a/crates/scheduler/tests/net/endpoint_lease.rs
+++ b/crates/scheduler/tests/net/endpoint_lease.rs
@@ -7,7 +7,7 @@
 use heathward_discovery_pacing::FleetPosition;
 use heathward_policy::EndpointListMode;
 use heathward_transport::backoff::ReconnectPolicy;
-use heathward_transport::discovery;
+use heathward_transport::discovery::{self, DiscoveryAddress};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -92,7 +92,7 @@
     };
     let rig = rig_of(&text, None).await;
     let (listener, address) = listen().await;
-    let (_keep, addresses) = watch::channel(address);
+    let (_keep, addresses) = watch::channel(DiscoveryAddress::from_now(address));
     let pace = ReconnectPolicy::new(lists, FleetPosition { scheduler_index: 0, schedulers: 1 }, 1);
     tokio::spawn(discovery::watch_endpoints(addresses, 7, lists, rig.core.discovery_sender(), pace));
     let (mut watch, _) = watched(&listener).await;
@@ -111,7 +111,7 @@
 #[tokio::test]
 async fn the_core_is_notified_whether_a_watch_ended_or_a_call_failed() {
     let (listener, address) = listen().await;
-    let (_keep, addresses) = watch::channel(address);
+    let (_keep, addresses) = watch::channel(DiscoveryAddress::from_now(address));
     let (core, mut messages) = mpsc::channel(16);
     let pace = ReconnectPolicy::new(ASKED, FleetPosition { scheduler_index: 0, schedulers: 1 }, 1);
     tokio::spawn(discovery::watch_endpoints(addresses, 7, ASKED, core, pace));
--- a/crates/scheduler/tests/net/shutdown_stall.rs
+++ b/crates/scheduler/tests/net/shutdown_stall.rs
@@ -1,19 +1,17 @@
 //! Shutdown of a process that is held up: by the platform for up to 0.15 s, at the signal or before its last
 //! answers, or by a reload.
 
-use std::fs::File;
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::Child;
 
 use rstest::rstest;
 use rustix::process::{kill_process, Pid, Signal};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout, Duration, Instant};
 
-use crate::support::{start_program, wait_until_listening, write_config};
+use crate::support::{replace_by_pipe, start_program, wait_until_listening, write_config};
 use heathward_fakes::*;
 
 /// The platform holds a process for so long at most.
@@ -119,14 +117,9 @@
 async fn requests_are_answered_before_sigkill_if_a_reload_hangs() {
     let operator = write_config("reload-hangs-operator", "{}");
     let mut program = HangingNode::start("reload-hangs", &["--operator", operator.to_str().unwrap()]).await;
-    let config = program.config.clone();
-    std::fs::remove_file(&config).unwrap();
-    assert!(Command::new("mkfifo").arg(&config).status().unwrap().success());
+    let reload = replace_by_pipe(&program.config);
     kill_process(program.process, Signal::HUP).unwrap();
-    // Opened once the program has opened it to read, and never written.
-    let (opened, reload) = oneshot::channel();
-    std::thread::spawn(move || opened.send(File::options().write(true).open(config)));
-    let _unwritten = timeout(PATIENCE, reload).await.expect("a reload").unwrap().unwrap();
+    let _unwritten = timeout(PATIENCE, reload).await.expect("a reload").unwrap();
     let signalled = Instant::now();
     kill_process(program.process, Signal::TERM).unwrap();
     let answers = program.ask(signalled).await;
--- a/crates/scheduler/tests/net/support.rs
+++ b/crates/scheduler/tests/net/support.rs
@@ -1,14 +1,16 @@
 //! What several tests share.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 
 use heathward_core::Counters;
 use heathward_policy::AttemptEnd;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
 use heathward_fakes::*;
 
@@ -51,6 +53,17 @@
     path
 }
 
+/// Replaces a file by a pipe. What is received is its end to write to, once somebody has opened it to read.
+pub fn replace_by_pipe(path: &Path) -> oneshot::Receiver<File> {
+    std::fs::remove_file(path).unwrap();
+    assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
+    let (opened, reader_is_there) = oneshot::channel();
+    let path = path.to_owned();
+    // Nobody may ever read it, so that nothing waits for this thread.
+    std::thread::spawn(move || opened.send(File::options().write(true).open(path).unwrap()));
+    reader_is_there
+}
+
 /// Starts the program on a configuration, with more arguments.
 pub fn start_program(config: &PathBuf, arguments: &[&str]) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
--- a/crates/transport/src/discovery.rs
+++ b/crates/transport/src/discovery.rs
@@ -35,6 +35,23 @@
 
 pub(crate) use wire::WireList;
 
+/// Where discovery is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DiscoveryAddress {
+    /// The address.
+    pub address: SocketAddr,
+    /// From when on it counts, for the lease on the endpoint list: when the move was announced, which may be
+    /// before the program heard of it.
+    pub since: Instant,
+}
+
+impl DiscoveryAddress {
+    /// An address that counts from now on.
+    pub fn from_now(address: SocketAddr) -> Self {
+        Self { address, since: Instant::now() }
+    }
+}
+
 /// Watches the endpoint list from revision `known_revision` on, and reports to the core, until that has
 /// stopped or the sender of `addresses` is dropped. Every task that it starts ends with it.
 ///
@@ -43,7 +60,7 @@
 ///
 /// `policy` says how long to wait between calls at one address.
 pub async fn watch_endpoints(
-    mut addresses: watch::Receiver<SocketAddr>,
+    mut addresses: watch::Receiver<DiscoveryAddress>,
     known_revision: u64,
     mode: EndpointListMode,
     core: mpsc::Sender<CoreMessage>,
@@ -53,7 +70,7 @@
     let revision = Arc::new(AtomicU64::new(known_revision));
     let mut tasks = JoinSet::new();
     loop {
-        let address = *addresses.borrow_and_update();
+        let DiscoveryAddress { address, .. } = *addresses.borrow_and_update();
         let superseded = CancellationToken::new();
         let task = WatchTask {
             address,
@@ -64,14 +81,15 @@
             superseded: superseded.clone(),
         };
         tasks.spawn(task.run());
-        tokio::select! {
-            changed = addresses.wait_for(|current| *current != address) => if changed.is_err() {
-                return;
+        let moved_at = tokio::select! {
+            changed = addresses.wait_for(|current| current.address != address) => match changed {
+                Ok(current) => current.since,
+                Err(_) => return,
             },
             () = reporter.core_stopped() => return,
-        }
+        };
         superseded.cancel();
-        reporter.send_moved(Instant::now()).await;
+        reporter.send_moved(moved_at).await;
         // Tasks at former addresses that have ended.
         while tasks.try_join_next().is_some() {}
     }
