Soak: shutdowns and restarts drawn from seeds, judged by clients and nodes alone

A plan is drawn from a seed and can be written out and played alone: closed loops with and without pauses, one to five SIGTERMs in 0.4 s, in a start or beside SIGHUP, stops of up to 0.15 s at the signal, in between and where the last answers are due, a crowd of whole, half and empty requests, a node that hangs, resets or rejects, deadlines from 0.1 to 10 s.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,13 @@
 measure-capacity: build
 	target/release/heathward-measure capacity
 
+# Shutdowns and restarts drawn from seeds, with a table; CI plays a few.
+.PHONY: soak
+SEEDS ?= 50
+FIRST ?= 1
+soak: build
+	target/release/heathward-measure soak $(FIRST) $(SEEDS)
+
 # Which runs of the bench the present state owes (exit code 1 where one is, 2 without a bench); plays them in turn.
 .PHONY: regression regression-run journal
 regression: build
--- a/testing/fault-injection/src/lib.rs
+++ b/testing/fault-injection/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod play;
 pub mod rogue;
 pub mod scenario;
+pub mod shutdown_soak;
 
 pub use heathward_scale_tests::{callers, service};
--- a/testing/measure/src/main.rs
+++ b/testing/measure/src/main.rs
@@ -10,6 +10,7 @@
 mod regression;
 mod report;
 mod slowstart;
+mod soak;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -71,6 +72,15 @@
                 rest.get(1).map_or("The runs that this state owes", String::as_str),
             );
         }
+        Some("soak") => {
+            return match soak::run(&rest) {
+                Ok(kept) => ExitCode::from(u8::from(!kept)),
+                Err(error) => {
+                    eprintln!("{error}");
+                    ExitCode::from(2)
+                }
+            };
+        }
         Some("report") => report::run(&mut figures),
         Some("coldstart") => coldstart::run(&mut figures),
         Some("slowstart") => slowstart::run(&rest, &mut figures),
@@ -86,7 +96,7 @@
                 "usage: heathward-measure report|fleet|coldstart|slowstart [SCHEDULERS]|\
                  capacity [--short] [FOLDER]|\
                  experiment SCENARIO|journal [FOLDER]|\
-                 regression [--run [WHY]]"
+                 regression [--run [WHY]]|soak FIRST COUNT|soak FILE"
             );
             return ExitCode::from(2);
         }
