--- a/crates/transport/src/http/body.rs
+++ b/crates/transport/src/http/body.rs
@@ -12,14 +12,14 @@
 use heathward_core::{BodyInterrupted, StreamedReply};
 
 /// The body of an answer to a client.
-pub enum Outgoing {
+pub enum AnswerBody {
     /// Held whole.
-    Whole(Option<Bytes>),
+    Buffered(Option<Bytes>),
     /// On its way from a node, to that client.
-    Passing(StreamedReply, Arc<Client>),
+    Streamed(StreamedReply, Arc<Client>),
 }
 
-impl Body for Outgoing {
+impl Body for AnswerBody {
     type Data = Bytes;
     type Error = BodyInterrupted;
 
@@ -28,31 +28,33 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyInterrupted>>> {
         match &mut *self {
-            Self::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            Self::Passing(passing, client) => {
+            Self::Buffered(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            Self::Streamed(passing, client) => {
                 let next = ready!(passing.body.poll_next(cx));
                 // The connection has taken what came before.
-                client.enter(Phase::Passing(Instant::now()));
+                client.enter(Phase::StreamingAnswer(Instant::now()));
                 Poll::Ready(next.map(|piece| piece.map(Frame::data)))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        matches!(self, Self::Buffered(None))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => SizeHint::with_exact(body.as_ref().map_or(0, |body| body.len() as u64)),
-            Self::Passing(passing, _) => passing.content_length.map(SizeHint::with_exact).unwrap_or_default(),
+            Self::Buffered(body) => SizeHint::with_exact(body.as_ref().map_or(0, |body| body.len() as u64)),
+            Self::Streamed(passing, _) => {
+                passing.content_length.map(SizeHint::with_exact).unwrap_or_default()
+            }
         }
     }
 }
 
-impl Drop for Outgoing {
+impl Drop for AnswerBody {
     fn drop(&mut self) {
-        if let Self::Passing(_, client) = self {
+        if let Self::Streamed(_, client) = self {
             client.enter(Phase::Idle(Instant::now()));
         }
     }
--- a/crates/transport/src/http/connections.rs
+++ b/crates/transport/src/http/connections.rs
@@ -8,86 +8,98 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A request's last byte comes this long after its client has connected, or after its first byte on a
-/// connection that has carried others. Clients that do not keep to it are owed an end within 3 s.
-pub const REQUEST: Duration = Duration::from_millis(2500);
-/// A connection without a request is kept so long, and for the second time as long as all find room.
-const IDLE: (Duration, Duration) = (Duration::from_millis(2030), Duration::from_secs(10));
-/// How dispensable an idle connection is: only one that is ending anyway is more so. And one that has not
-/// been idle for long: the last to go.
-const PARTING_RANK: u8 = 0;
+/// The time for a request, from its connection or, on one that has carried others, from its first byte. A
+/// client that exceeds it gets its error or the end of its connection within 3 s.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
+/// An idle connection is kept for so long while places are scarce.
+const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_millis(2030);
+/// The same while all find room.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Ranks of connections for eviction, the lowest first: one that is being closed anyway,
+const LINGERING_RANK: u8 = 0;
+/// one that has been idle for long,
 const IDLE_RANK: u8 = 1;
-const LATELY_IDLE_RANK: u8 = 4;
-/// A client that takes nothing of a long answer for so long has left.
-const STALLED: Duration = Duration::from_secs(15);
-/// A client that has been answered for the last time may take so long to read that and close.
-const PARTING: Duration = Duration::from_secs(1);
-/// Whoever connects to ask has begun to by then: before, silence is no sign of one who never will.
-const SETTLED: Duration = Duration::from_millis(50);
-/// The same for a request that has begun and does not end.
-const DRAGGING: Duration = Duration::from_millis(700);
+/// one on which nothing has come yet,
+const CONNECTED_RANK: u8 = 2;
+/// one whose request does not come to its end,
+const SLOW_REQUEST_RANK: u8 = 3;
+/// and one that has not been idle for long.
+const RECENTLY_IDLE_RANK: u8 = 4;
+/// A client that reads nothing of a streamed answer for this long has disconnected.
+const STALLED_CLIENT_TIMEOUT: Duration = Duration::from_secs(15);
+/// The time that a client has to read the last answer on its connection and to close it.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection is evicted only after this time in its phase: its client may be about to send or close.
+const MIN_QUIET_TIME: Duration = Duration::from_millis(50);
+/// The same for a request that is being received.
+const SLOW_REQUEST_TIME: Duration = Duration::from_millis(700);
 
-/// What a connection is at, and since when.
+/// The phase of a connection, and since when it has been in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// Nothing has come yet.
-    Silent(Instant),
-    /// A request is coming.
-    Asking(Instant),
-    /// A body is coming, the next piece by then.
-    Sending {
-        /// Since when its client has been asking.
+    /// Nothing was received yet.
+    Connected(Instant),
+    /// The head of a request is being received.
+    ReceivingRequest(Instant),
+    /// A body is being received.
+    ReceivingBody {
+        /// When its request began.
         since: Instant,
         /// When the next piece is due.
         by: Instant,
     },
-    /// A request is being worked on.
-    Busy,
-    /// A piece of its body waits for the node that takes it; more may be coming.
-    Handing,
-    /// A long answer is on its way, of which the client has taken some then.
-    Passing(Instant),
+    /// A request was received completely and has no answer yet.
+    Processing,
+    /// A piece of a streamed body waits for the node to accept it.
+    ForwardingBody,
+    /// A streamed answer is being sent; the client last read some of it at that time.
+    StreamingAnswer(Instant),
     /// Between requests.
     Idle(Instant),
     /// The last answer is given; the client reads it.
-    Parting(Instant),
+    Lingering(Instant),
 }
 
 impl Phase {
     /// When it ends, an idle one if places are scarce; an answer has its own deadline.
     pub fn until(self) -> Option<Instant> {
         match self {
-            Self::Silent(since) | Self::Asking(since) => Some(since + REQUEST),
+            Self::Connected(since) | Self::ReceivingRequest(since) => Some(since + REQUEST_TIMEOUT),
             // Whoever reads the body sees to the time, and answers.
-            Self::Sending { by, .. } => Some(by + PARTING),
-            Self::Busy | Self::Handing => None,
-            Self::Passing(since) => Some(since + STALLED),
-            Self::Idle(since) => Some(since + IDLE.0),
-            Self::Parting(since) => Some(since + PARTING),
+            Self::ReceivingBody { by, .. } => Some(by + LINGER_TIMEOUT),
+            Self::Processing | Self::ForwardingBody => None,
+            Self::StreamingAnswer(since) => Some(since + STALLED_CLIENT_TIMEOUT),
+            Self::Idle(since) => Some(since + CROWDED_IDLE_TIMEOUT),
+            Self::Lingering(since) => Some(since + LINGER_TIMEOUT),
         }
     }
 
     /// Until when an idle connection is kept while places are not scarce.
     pub fn kept_until(self) -> Option<Instant> {
         match self {
-            Self::Idle(since) => Some(since + IDLE.1),
+            Self::Idle(since) => Some(since + IDLE_TIMEOUT),
             _ => None,
         }
     }
 
-    /// How dispensable a connection in this phase is, the least of all first; `None` if it stays.
-    fn dispensable(self, now: Instant) -> Option<(u8, Instant)> {
+    /// The rank of a connection in this phase for eviction, and since when it has been in it; `None` if it is
+    /// not evicted.
+    fn eviction_rank(self, now: Instant) -> Option<(u8, Instant)> {
         let lasting = |since| now.saturating_duration_since(since);
         let (rank, since, after) = match self {
-            Self::Parting(since) => (PARTING_RANK, since, SETTLED),
+            Self::Lingering(since) => (LINGERING_RANK, since, MIN_QUIET_TIME),
             // Its client just opens another; the first request of a silent one may be on its way.
-            Self::Idle(since) if lasting(since) >= IDLE.0 => (IDLE_RANK, since, IDLE.0),
-            Self::Silent(since) => (2, since, SETTLED),
-            Self::Asking(since) | Self::Sending { since, .. } => (3, since, DRAGGING),
+            Self::Idle(since) if lasting(since) >= CROWDED_IDLE_TIMEOUT => {
+                (IDLE_RANK, since, CROWDED_IDLE_TIMEOUT)
+            }
+            Self::Connected(since) => (CONNECTED_RANK, since, MIN_QUIET_TIME),
+            Self::ReceivingRequest(since) | Self::ReceivingBody { since, .. } => {
+                (SLOW_REQUEST_RANK, since, SLOW_REQUEST_TIME)
+            }
             // In a crowd of clients that ask once and stay: a newcomer that is closed on has failed, while
             // the client of an idle connection asks again on another.
-            Self::Idle(since) => (LATELY_IDLE_RANK, since, SETTLED),
-            Self::Busy | Self::Handing | Self::Passing(_) => return None,
+            Self::Idle(since) => (RECENTLY_IDLE_RANK, since, MIN_QUIET_TIME),
+            Self::Processing | Self::ForwardingBody | Self::StreamingAnswer(_) => return None,
         };
         (lasting(since) >= after).then_some((rank, since))
     }
@@ -204,14 +216,14 @@
         }
         lock(&self.head).note(bytes);
         match *phase {
-            Phase::Silent(since) => *phase = Phase::Asking(since),
-            Phase::Idle(_) => *phase = Phase::Asking(Instant::now()),
-            Phase::Asking(_)
-            | Phase::Sending { .. }
-            | Phase::Busy
-            | Phase::Handing
-            | Phase::Passing(_)
-            | Phase::Parting(_) => {}
+            Phase::Connected(since) => *phase = Phase::ReceivingRequest(since),
+            Phase::Idle(_) => *phase = Phase::ReceivingRequest(Instant::now()),
+            Phase::ReceivingRequest(_)
+            | Phase::ReceivingBody { .. }
+            | Phase::Processing
+            | Phase::ForwardingBody
+            | Phase::StreamingAnswer(_)
+            | Phase::Lingering(_) => {}
         }
     }
 
@@ -220,10 +232,10 @@
     pub fn begin(&self) -> Instant {
         let mut phase = lock(&self.phase);
         let since = match *phase {
-            Phase::Silent(since) | Phase::Asking(since) => since,
+            Phase::Connected(since) | Phase::ReceivingRequest(since) => since,
             _ => Instant::now(),
         };
-        *phase = Phase::Asking(since);
+        *phase = Phase::ReceivingRequest(since);
         since
     }
 }
@@ -288,20 +300,22 @@
         // Clients may be short of descriptors themselves, of which they hold a third, two thirds of the
         // places: before it comes to that, the answered go, long idle or not.
         let ranks: &[u8] = match () {
-            () if taken >= cap => &[PARTING_RANK, IDLE_RANK, 2, 3, LATELY_IDLE_RANK],
-            () if 8 * taken >= 5 * most => &[PARTING_RANK, IDLE_RANK, LATELY_IDLE_RANK],
-            () if 2 * taken >= most => &[PARTING_RANK, IDLE_RANK],
+            () if taken >= cap => {
+                &[LINGERING_RANK, IDLE_RANK, CONNECTED_RANK, SLOW_REQUEST_RANK, RECENTLY_IDLE_RANK]
+            }
+            () if 8 * taken >= 5 * most => &[LINGERING_RANK, IDLE_RANK, RECENTLY_IDLE_RANK],
+            () if 2 * taken >= most => &[LINGERING_RANK, IDLE_RANK],
             () => &[],
         };
         if !ranks.is_empty() {
             let spared =
-                |(number, client): (&u64, &Arc<Client>)| Some((client.phase().dispensable(now)?, *number));
+                |(number, client): (&u64, &Arc<Client>)| Some((client.phase().eviction_rank(now)?, *number));
             let least =
                 slots.taken.iter().filter_map(spared).filter(|((rank, _), _)| ranks.contains(rank)).min();
             let least =
                 least.and_then(|((rank, _), number)| Some((rank, number, slots.taken.remove(&number)?)));
             if let Some((rank, number, client)) = least {
-                if rank == PARTING_RANK {
+                if rank == LINGERING_RANK {
                     // It is being closed already, and had its time.
                     client.cut.notify_one();
                 } else {
@@ -318,7 +332,7 @@
         let number = slots.next;
         slots.next += 1;
         let client = Arc::new(Client {
-            phase: Mutex::new(Phase::Silent(now)),
+            phase: Mutex::new(Phase::Connected(now)),
             head: Mutex::default(),
             ending: AtomicBool::new(false),
             evicted: Notify::new(),
--- a/crates/transport/src/http/connections/tests.rs
+++ b/crates/transport/src/http/connections/tests.rs
@@ -16,8 +16,8 @@
             now += Duration::from_millis(rng.u64(0..40));
             if let Some(slot) = table.enter(now) {
                 let phase = match rng.u32(0..4) {
-                    0 => Phase::Busy,
-                    1 => Phase::Asking(now),
+                    0 => Phase::Processing,
+                    1 => Phase::ReceivingRequest(now),
                     _ => Phase::Idle(now),
                 };
                 slot.client.enter(phase);
@@ -31,7 +31,7 @@
                 told.as_mut().poll(&mut std::task::Context::from_waker(std::task::Waker::noop())).is_ready()
             };
             open.retain(|_, slot: &mut Slot| !told(&slot.client.cut));
-            for slot in open.values().filter(|slot| slot.client.phase() == Phase::Busy) {
+            for slot in open.values().filter(|slot| slot.client.phase() == Phase::Processing) {
                 if rng.u32(0..8) == 0 {
                     slot.client.enter(Phase::Idle(now));
                 }
--- a/crates/transport/src/http/decode.rs
+++ b/crates/transport/src/http/decode.rs
@@ -20,7 +20,7 @@
 
 /// Why a request makes no sense: the part of it that is at fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bad(pub &'static str);
+pub struct InvalidRequest(pub &'static str);
 
 /// Decodes a request whose last byte came at `arrived`; or of a body of some length its beginning, and the
 /// rest is coming.
@@ -33,45 +33,47 @@
     body: Bytes,
     rest: Option<(Option<u64>, BodyStream)>,
     arrived: Instant,
-) -> Result<ClientRequest, Bad> {
+) -> Result<ClientRequest, InvalidRequest> {
     let text = |name: &'static str| {
         let mut values = head.headers.get_all(name).iter();
-        let value = values.next().map(|v| v.to_str().map_err(|_| Bad(name)));
+        let value = values.next().map(|v| v.to_str().map_err(|_| InvalidRequest(name)));
         // Of two, a node might go by the other.
-        values.next().map_or(value.transpose(), |_| Err(Bad(name)))
+        values.next().map_or(value.transpose(), |_| Err(InvalidRequest(name)))
     };
-    let need = |name: &'static str| text(name)?.filter(|v| !v.is_empty()).ok_or(Bad(name));
+    let need = |name: &'static str| text(name)?.filter(|v| !v.is_empty()).ok_or(InvalidRequest(name));
     let class_name = need(headers::CLASS)?;
-    let class = deployment.class_names.iter().position(|c| c == class_name).ok_or(Bad(headers::CLASS))?;
+    let class =
+        deployment.class_names.iter().position(|c| c == class_name).ok_or(InvalidRequest(headers::CLASS))?;
     let plan = need(headers::PLAN)?;
-    let plan = deployment.plan_names.iter().position(|p| p == plan).ok_or(Bad(headers::PLAN))?;
+    let plan = deployment.plan_names.iter().position(|p| p == plan).ok_or(InvalidRequest(headers::PLAN))?;
     let write = deployment.class_writes[class];
     if head.method != if write { Method::PUT } else { Method::GET } {
-        return Err(Bad("method"));
+        return Err(InvalidRequest("method"));
     }
     if !write && !body.is_empty() {
-        return Err(Bad("body"));
+        return Err(InvalidRequest("body"));
     }
     let settings = &deployment.settings;
     let once = text(headers::ONCE)?;
     if once.is_none() && settings.classes[class].idempotency == Idempotency::WithKey {
-        return Err(Bad(headers::ONCE));
+        return Err(InvalidRequest(headers::ONCE));
     }
     let path: Vec<&str> = head.uri.path().split('/').collect();
-    let ["", first, volume, key] = path[..] else { return Err(Bad("path")) };
+    let ["", first, volume, key] = path[..] else { return Err(InvalidRequest("path")) };
     if first != class_name {
-        return Err(Bad("path"));
+        return Err(InvalidRequest("path"));
     }
     let (volume, key) = (hex(volume)?, hex(key)?);
     let budget = need(headers::BUDGET)?;
     let digits = budget.bytes().all(|b| b.is_ascii_digit());
-    let budget: u64 = budget.parse().ok().filter(|ms| digits && *ms > 0).ok_or(Bad(headers::BUDGET))?;
+    let budget: u64 =
+        budget.parse().ok().filter(|ms| digits && *ms > 0).ok_or(InvalidRequest(headers::BUDGET))?;
     let sound = |(units, _, hosts): &(u32, Option<ShardId>, u32)| {
         (1..=settings.max_units).contains(units) && (1..=settings.schedulers).contains(hosts)
     };
-    let (units, shard, hosts) = io(need(headers::IO)?).filter(sound).ok_or(Bad(headers::IO))?;
+    let (units, shard, hosts) = io(need(headers::IO)?).filter(sound).ok_or(InvalidRequest(headers::IO))?;
     let call = need(headers::CALL)?;
-    hex(call).map_err(|_| Bad(headers::CALL))?;
+    hex(call).map_err(|_| InvalidRequest(headers::CALL))?;
     let budget = Duration::from_millis(budget.min(LONGEST_MS)).saturating_sub(MARGIN);
     let rest = rest.map(|(length, pieces)| Upload::new(length, budget, pieces));
     let passes = rest.is_some();
@@ -79,7 +81,7 @@
         client_request_id: call.into(),
         class_name: class_name.into(),
         is_write: write,
-        target: head.uri.path_and_query().ok_or(Bad("path"))?.as_str().into(),
+        target: head.uri.path_and_query().ok_or(InvalidRequest("path"))?.as_str().into(),
         idempotency_key: once.map(Into::into),
         volume: VolumeId(volume),
         key: KeyId(key),
@@ -100,12 +102,12 @@
 }
 
 /// The 16 hex digits of a volume or a piece of data.
-fn hex(digits: &str) -> Result<u64, Bad> {
+fn hex(digits: &str) -> Result<u64, InvalidRequest> {
     let sound = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit());
     if !sound {
-        return Err(Bad("path"));
+        return Err(InvalidRequest("path"));
     }
-    u64::from_str_radix(digits, 16).map_err(|_| Bad("path"))
+    u64::from_str_radix(digits, 16).map_err(|_| InvalidRequest("path"))
 }
 
 /// `units=2,shard=5,hosts=3`; a negative shard stands for none yet.
--- a/crates/transport/src/http/front.rs
+++ b/crates/transport/src/http/front.rs
@@ -25,10 +25,10 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 use tower::{Service, ServiceExt};
 
-use super::body::Outgoing;
-use super::connections::{Client, ConnectionTable, Framing, Phase, Slot, REQUEST};
+use super::body::AnswerBody;
+use super::connections::{Client, ConnectionTable, Framing, Phase, Slot, REQUEST_TIMEOUT};
 use super::stream::ClientStream;
-use super::{decode, headers, retry_after, Bad, HEAD_LIMIT, LONGEST_BODY};
+use super::{decode, headers, retry_after, InvalidRequest, HEAD_LIMIT, LONGEST_BODY};
 use heathward_core::{
     body_channel, Answer, BodySender, ClientRequest, CoreHandle, Draining, NodeReply, Upload,
     MAX_BUFFERED_BODY_BYTES,
@@ -37,19 +37,20 @@
 /// A pause after a connection could not be accepted, so that a lack of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Bytes in a millisecond of the slowest client, with some to spare: a good one sends 64.
-const SLOWEST: u64 = 48;
-/// What a client is told whose request does not come to its end in time.
-const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-/// How often an idle connection that is kept looks whether places have become scarce.
-const LOOK: Duration = Duration::from_millis(500);
-/// An idle connection is closed so long after the start of a pause, or after its last answer.
-const PAUSED: Duration = Duration::from_millis(800);
+/// The slowest rate at which a body may be received; a client that keeps to the protocol sends 64.
+const MIN_BODY_BYTES_PER_MS: u64 = 48;
+/// The answer to a request that is not complete in time.
+const TIMEOUT_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// How often it is checked for an idle connection whether the table has become crowded.
+const CROWDING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// An idle connection is closed this long after the start of a pause, or after its last answer.
+const PAUSED_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same once another process takes what comes: there is more time, and a client whose request crosses the
 /// close has to come again.
-const REPLACED: Duration = Duration::from_millis(2030);
-/// Bytes that are thrown away at a time of what comes after the last answer.
-const WASTE: usize = 64 * 1024;
+const REPLACED_IDLE_TIMEOUT: Duration = Duration::from_millis(2030);
+/// Input after the last answer is discarded in pieces of this many bytes.
+const DISCARD_BUFFER_BYTES: usize = 64 * 1024;
 
 /// The platform's front as a tower service.
 #[derive(Clone)]
@@ -64,7 +65,7 @@
     }
 
     /// Answers a request whose head has come.
-    async fn answer(self, request: Request<Incoming>, client: &Arc<Client>) -> Response<Outgoing> {
+    async fn answer(self, request: Request<Incoming>, client: &Arc<Client>) -> Response<AnswerBody> {
         let since = client.begin();
         let framing = client.framing();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
@@ -79,7 +80,7 @@
         if body.size_hint().lower() > LONGEST_BODY {
             return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body");
         }
-        let mut coming = Coming { body, since, size: 0, client: client.clone() };
+        let mut coming = RequestBody { body, since, size: 0, client: client.clone() };
         match coming.buffer().await {
             Err(status) => self.refuse(status, "body"),
             Ok(Buffered::Complete(body)) => self.answer_buffered(&head, body, client).await,
@@ -90,7 +91,7 @@
     }
 
     /// Answers a health check: 200 while requests can be served here, else 503 and why.
-    fn health(&self) -> Response<Outgoing> {
+    fn health(&self) -> Response<AnswerBody> {
         let (status, paused) = (self.core.status(), self.core.draining().borrow().paused);
         let why = match status.expired_lease_last_contact {
             _ if paused => "paused by staff".to_owned(),
@@ -102,11 +103,11 @@
     }
 
     /// Answers a request whose body is held as a whole, so that it can be retried.
-    async fn answer_buffered(self, head: &Parts, body: Bytes, client: &Arc<Client>) -> Response<Outgoing> {
-        client.enter(Phase::Busy);
+    async fn answer_buffered(self, head: &Parts, body: Bytes, client: &Arc<Client>) -> Response<AnswerBody> {
+        client.enter(Phase::Processing);
         match decode(&self.core.deployment(), head, body, None, Instant::now()) {
             Ok(call) => encode(self.ask(call).await, client),
-            Err(Bad(part)) => self.refuse(StatusCode::BAD_REQUEST, part),
+            Err(InvalidRequest(part)) => self.refuse(StatusCode::BAD_REQUEST, part),
         }
     }
 
@@ -116,14 +117,14 @@
         head: &Parts,
         beginning: Bytes,
         length: Option<u64>,
-        coming: Coming,
+        coming: RequestBody,
         client: &Arc<Client>,
-    ) -> Response<Outgoing> {
+    ) -> Response<AnswerBody> {
         let (feed, pieces) = body_channel();
         let rest = Some((length, pieces));
         let call = match decode(&self.core.deployment(), head, beginning, rest, Instant::now()) {
             Ok(call) => call,
-            Err(Bad(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
+            Err(InvalidRequest(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
         };
         let upload = call.node_request.upload.clone();
         // A connection may take its time, and a node no more than the client would wait at the end.
@@ -156,8 +157,9 @@
         answer.unwrap_or(Answer::Failed { possibly_executed: true, deadline_passed: false })
     }
 
-    /// Turns away what makes no sense. What else comes on that connection can't be trusted either.
-    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<Outgoing> {
+    /// Rejects a malformed request and closes its connection: what follows it can't be parsed reliably
+    /// either.
+    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<AnswerBody> {
         self.core.count_malformed_request();
         closing(status, part)
     }
@@ -171,16 +173,16 @@
     Beginning(Bytes),
 }
 
-/// A client's body, as it comes.
-struct Coming {
+/// The body of a request that is being received.
+struct RequestBody {
     body: Incoming,
-    /// Since when its client has been asking.
+    /// When its request began, less the time for which a node did not accept it.
     since: Instant,
     size: u64,
     client: Arc<Client>,
 }
 
-impl Coming {
+impl RequestBody {
     /// Reads on until the body is complete or too long to be held as a whole.
     async fn buffer(&mut self) -> Result<Buffered, StatusCode> {
         let mut held = BytesMut::new();
@@ -197,8 +199,8 @@
     /// sent, counted from the first.
     async fn next(&mut self) -> Result<Option<Bytes>, StatusCode> {
         loop {
-            let by = self.since + REQUEST + Duration::from_millis(self.size / SLOWEST);
-            self.client.enter(Phase::Sending { since: self.since, by });
+            let by = self.since + REQUEST_TIMEOUT + Duration::from_millis(self.size / MIN_BODY_BYTES_PER_MS);
+            self.client.enter(Phase::ReceivingBody { since: self.since, by });
             match timeout_at(by, self.body.frame()).await {
                 Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
                 Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
@@ -221,13 +223,13 @@
 /// Passes on what is still to come of a body, each piece within that time. What the node does not take then
 /// is not its client's fault.
 async fn pass(
-    mut coming: Coming,
+    mut coming: RequestBody,
     feed: BodySender,
     upload: Option<&Upload>,
     within: Duration,
 ) -> Result<(), StatusCode> {
     while let Some(piece) = coming.next().await? {
-        coming.client.enter(Phase::Handing);
+        coming.client.enter(Phase::ForwardingBody);
         let handed = Instant::now();
         if !timeout_at(handed + within, feed.send(piece)).await.unwrap_or(false) {
             // The answer tells why nobody takes it.
@@ -236,7 +238,7 @@
         }
         coming.since += handed.elapsed();
     }
-    coming.client.enter(Phase::Busy);
+    coming.client.enter(Phase::Processing);
     upload.into_iter().for_each(Upload::mark_complete);
     feed.finish().await;
     Ok(())
@@ -251,17 +253,17 @@
 }
 
 /// The last answer on its connection.
-fn closing(status: StatusCode, part: &'static str) -> Response<Outgoing> {
+fn closing(status: StatusCode, part: &'static str) -> Response<AnswerBody> {
     let mut response = plain(status, part);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn encode(answer: Answer, client: &Arc<Client>) -> Response<Outgoing> {
+fn encode(answer: Answer, client: &Arc<Client>) -> Response<AnswerBody> {
     match answer {
         Answer::Served(NodeReply::Buffered(body)) => Response::new(whole(body)),
         Answer::Served(NodeReply::Streamed(passing)) => {
-            Response::new(Outgoing::Passing(passing, client.clone()))
+            Response::new(AnswerBody::Streamed(passing, client.clone()))
         }
         Answer::Shed { retry_after: advice } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
@@ -276,11 +278,11 @@
     }
 }
 
-fn whole(body: Bytes) -> Outgoing {
-    Outgoing::Whole((!body.is_empty()).then_some(body))
+fn whole(body: Bytes) -> AnswerBody {
+    AnswerBody::Buffered((!body.is_empty()).then_some(body))
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Outgoing> {
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
     let mut response = Response::new(whole(text.into()));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -295,7 +297,7 @@
 }
 
 impl Service<Request<Incoming>> for ConnectionService {
-    type Response = Response<Outgoing>;
+    type Response = Response<AnswerBody>;
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
 
@@ -312,9 +314,9 @@
             if draining.borrow().closes_connections() || client.ends_with_answer() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let passes = matches!(answer.body(), Outgoing::Passing(..));
+            let passes = matches!(answer.body(), AnswerBody::Streamed(..));
             let now = Instant::now();
-            client.enter(if passes { Phase::Passing(now) } else { Phase::Idle(now) });
+            client.enter(if passes { Phase::StreamingAnswer(now) } else { Phase::Idle(now) });
             Ok(answer)
         })
     }
@@ -416,12 +418,12 @@
                 retention.last_request = true;
                 // A request that is coming has its answer; between requests the connection is closed.
                 client.end_with_answer();
-                if !matches!(client.phase(), Phase::Asking(_)) {
+                if !matches!(client.phase(), Phase::ReceivingRequest(_)) {
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
             ConnectionEvent::TimedOut if may_be_kept(&retention, &slot, &client) => {
-                retention.kept_until = Instant::now() + LOOK;
+                retention.kept_until = Instant::now() + CROWDING_CHECK_INTERVAL;
             }
             ConnectionEvent::Ended => break Close::Lingering,
             ConnectionEvent::ClientDisconnected => break Close::Immediate,
@@ -460,12 +462,12 @@
         if connection.poll_without_shutdown(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::Ended);
         }
-        let working = matches!(client.phase(), Phase::Busy | Phase::Passing(_));
+        let working = matches!(client.phase(), Phase::Processing | Phase::StreamingAnswer(_));
         if working && stream.poll_gone(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::ClientDisconnected);
         }
         // A connection that nothing has come on yet is not closed: its first request may be on its way.
-        let stoppable = !retention.last_request && !matches!(client.phase(), Phase::Silent(_));
+        let stoppable = !retention.last_request && !matches!(client.phase(), Phase::Connected(_));
         if stoppable && stop.as_mut().poll(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::ShuttingDown);
         }
@@ -488,9 +490,9 @@
 
 /// Tells a client whose request is still coming that it was too slow.
 fn refuse_late(client: &Client, stream: &ClientStream) -> Close {
-    let asking = matches!(client.phase(), Phase::Asking(_) | Phase::Sending { .. });
+    let asking = matches!(client.phase(), Phase::ReceivingRequest(_) | Phase::ReceivingBody { .. });
     // A few bytes, of which nothing else has been written: they find room, or the client has left.
-    if asking && stream.try_write(TOO_SLOW).is_err() {
+    if asking && stream.try_write(TIMEOUT_ANSWER).is_err() {
         return Close::Immediate;
     }
     Close::Lingering
@@ -498,7 +500,7 @@
 
 /// From now on idle connections are closed after so long, if clients are to be sent away.
 fn closes(draining: Draining) -> Option<(Instant, Duration)> {
-    let span = if draining.paused { PAUSED } else { REPLACED };
+    let span = if draining.paused { PAUSED_IDLE_TIMEOUT } else { REPLACED_IDLE_TIMEOUT };
     draining.closes_connections().then(|| (Instant::now(), span))
 }
 
@@ -506,12 +508,12 @@
 /// in for a while what is still on its way. A connection closed over unread bytes is reset, which may
 /// overtake the answer; a request that crosses the close is not read, and its client sends it once more.
 async fn linger(stream: &mut TcpStream, client: &Client) {
-    let phase = Phase::Parting(Instant::now());
+    let phase = Phase::Lingering(Instant::now());
     client.enter(phase);
     if stream.shutdown().await.is_err() {
         return;
     }
-    let mut waste = vec![0; WASTE];
+    let mut waste = vec![0; DISCARD_BUFFER_BYTES];
     let read = async { while stream.read(&mut waste).await.is_ok_and(|size| size > 0) {} };
     let by = phase.until().unwrap_or_else(Instant::now);
     tokio::select! {
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -7,7 +7,7 @@
 mod stream;
 
 pub use connections::{closing_places, ConnectionTable};
-pub use decode::{decode, retry_after, Bad};
+pub use decode::{decode, retry_after, InvalidRequest};
 pub use front::{serve, Front};
 
 /// No body holds more.
