HTTP front: connections and request bodies in files of their own

front.rs had 522 lines with three jobs: the service, the body of a request, and the life of a connection.

--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -1,14 +1,17 @@
 //! The platform's front: HTTP/1.1 to typed calls and back.
 
 mod body;
+mod connection;
 mod connections;
 mod decode;
 mod front;
+mod request_body;
 mod stream;
 
+pub use connection::serve;
 pub use connections::{closing_places, ConnectionTable};
 pub use decode::{decode, retry_after, InvalidRequest};
-pub use front::{serve, Front};
+pub use front::Front;
 
 /// No body holds more.
 pub const LONGEST_BODY: u64 = 32 << 20;
