Shutdown tests: waiting connections are served where no tight objective sheds them

The two known failures of connections waiting to be accepted ask for 200 with an objective of 150 ms, of which their clients' time (900 of 1000 ms) leaves 47 ms. Beside a heavily loaded machine the policy sheds what has queued too long for that (traces: GivenUp after 10 to 60 ms in the queue, never forwarded).

--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -130,12 +130,26 @@
 #[rstest]
 #[tokio::test]
 async fn connections_waiting_to_be_accepted_at_shutdown_are_answered(#[values(false, true)] heeded: bool) {
+    check_connections_waiting_to_be_accepted(heeded, "150").await;
+}
+
+/// The same where requests are not shed for having queued too long, as a loaded machine makes them do.
+#[rstest]
+#[tokio::test]
+async fn connections_waiting_to_be_accepted_at_shutdown_are_served_without_a_tight_objective(
+    #[values(false, true)] heeded: bool,
+) {
+    check_connections_waiting_to_be_accepted(heeded, "1000").await;
+}
+
+async fn check_connections_waiting_to_be_accepted(heeded: bool, objective_ms: &str) {
     let log = Log::default();
     let node = http_node(0, &[Does::Serve], &log).await;
     let hangs = http_node(1, &[Does::Silent], &log).await;
     let members = [member("s0", node, 0, "in_service", 0), member("s1", hangs, 1, "in_service", 0)].join(",");
-    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members);
-    let name = format!("accept{heeded}");
+    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members)
+        .replace("\"aimMs\":150", &format!("\"aimMs\":{objective_ms}"));
+    let name = format!("accept{heeded}{objective_ms}");
     let (mut child, _lines, address) = wait_until_listening(start_program(&write_config(&name, &text), &[]));
     let mut resting = rested(address, SPACE).await;
     // Until this has its answer the process has not ended.
