--- a/crates/scheduler/tests/net/shutdown_stall.rs
+++ b/crates/scheduler/tests/net/shutdown_stall.rs
@@ -111,8 +111,8 @@
     program.kill(signalled, answers).await;
 }
 
-/// Guards against a reload that keeps the program from heeding SIGTERM: its configuration can't be read to the
-/// end.
+/// Guards against a reload that keeps the program from heeding SIGTERM: its configuration is never read to
+/// the end.
 #[tokio::test]
 async fn requests_are_answered_before_sigkill_if_a_reload_hangs() {
     let operator = write_config("reload-hangs-operator", "{}");
--- a/testing/fault-injection/src/shutdown_soak.rs
+++ b/testing/fault-injection/src/shutdown_soak.rs
@@ -2,8 +2,8 @@
 //! a verdict by what clients and nodes saw alone.
 //!
 //! Clients keep using their connections until the platform kills the process, which it does as early as it
-//! may. [`plan`] draws what happens, [`play()`] plays it, [`clients`] are the clients and the crowd, [`verdict`]
-//! holds the rules against what was seen.
+//! may. [`plan`] draws what happens, [`play()`] plays it, [`clients`] are the clients and the crowd, and
+//! [`verdict`] holds the rules against what was seen.
 
 pub mod clients;
 pub mod plan;
--- a/testing/measure/src/soak.rs
+++ b/testing/measure/src/soak.rs
@@ -10,8 +10,8 @@
 /// Plays at a time.
 const PARALLEL: usize = 4;
 /// What the table has by seed.
-const HEADER: &str =
-    "seed  deadline  fault    crossing  signals  stalls  crowd  served refused failed unread  exit   kill  ready";
+const HEADER: &str = "seed  deadline  fault    crossing  signals  stalls  crowd  \
+                      served refused failed unread  exit   kill  ready";
 
 /// Plays what the words say: `FIRST COUNT`, seeds; or `FILE`, a plan. Returns whether no rule was broken.
 ///
