Tests: fault scenarios and slow start across processes are not played a second time

Both hid a first failure by a second play: of answers that were late, or of a sum over its bound. A first failure stands now; checks and bounds are as they were.

--- a/crates/scheduler/tests/fault_scenarios.rs
+++ b/crates/scheduler/tests/fault_scenarios.rs
@@ -3,7 +3,6 @@
 
 use std::path::{Path, PathBuf};
 
-use heathward_fault_injection::audit::Rule;
 use heathward_fault_injection::fleet::{play, Outcome};
 use heathward_fault_injection::scenario::Scenario;
 use rstest::rstest;
@@ -42,13 +41,7 @@
     #[case] least: f64,
 ) {
     let scenario = scenario(name);
-    let mut outcome = played(&scenario).await;
-    let late = |outcome: &Outcome| outcome.breaches.iter().filter(|b| b.rule == Rule::Answer).count();
-    if !outcome.breaches.is_empty() && late(&outcome) == outcome.breaches.len() {
-        // A machine that stands still looks the same, and does not twice.
-        println!("{name}: {} answers late, played once more", late(&outcome));
-        outcome = played(&scenario).await;
-    }
+    let outcome = played(&scenario).await;
     let (served, asked) = outcome.served(from, to);
     let calls = outcome.calls.0;
     println!("{name}, seed {}: {served} of {asked} served from {from} to {to} s, {calls:?}", scenario.seed);
--- a/crates/scheduler/tests/slow_start_across_processes.rs
+++ b/crates/scheduler/tests/slow_start_across_processes.rs
@@ -30,12 +30,7 @@
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../testing/fault-injection/scenarios/throng.jsonnet");
     let mut scenario = Scenario::load(Path::new(path)).unwrap_or_else(|wrong| panic!("{wrong}"));
     (scenario.hosts, scenario.rate) = (hosts, ASKED / f64::from(hosts));
-    let mut outcome = played(&scenario).await;
-    if most_cold(&outcome.log, &RULES) > MOST {
-        // What comes while the machine stands still is seen at one moment, and does not so twice.
-        println!("{:.2} of N, played once more", most_cold(&outcome.log, &RULES));
-        outcome = played(&scenario).await;
-    }
+    let outcome = played(&scenario).await;
     let most = most_cold(&outcome.log, &RULES);
     let (served, asked) = outcome.served(0.5, scenario.seconds);
     println!("{hosts} hosts: {most:.2} of N at most, {served} of {asked} served");
