Policy: a first request is not taken for a retry where clients mark their retries

With 900 of 1,000 ms and an objective of 150 ms a request was due 50 ms after it came; with 800 ms it had the lowest tier and weight.

Cause: request_timing took the rest of the class's deadline for time that the client had waited, also without the mark X-Again. The policy did not read clients.marksRetry.

The new tests failed before: queued for 66 ms in place of 272 ms with 600 of 1,000 ms, and 1 in place of 4 requests sent to an idle node.

Mend: where clients mark their retries, one without the mark has waited for nothing. Where the settings say that they do not, the inference stays, as nothing else tells a retry. Where the settings say nothing, a request is a first one: the protocol calls a time below the class's deadline frequent, so it is no sign of a retry (docs/deployments.md).

That only first requests with less than their deadline are concerned is held by recognition_of_retries_concerns_only_requests_with_less_than_their_deadline. a_client_retry_past_its_latency_objective_yields_to_first_requests left its retry unmarked; it now plays both a marked one and, where clients do not mark them, an unmarked one, with the same checks.

--- a/crates/policy/src/api/settings.rs
+++ b/crates/policy/src/api/settings.rs
@@ -97,6 +97,17 @@
     },
 }
 
+/// How a client's retry is told from its first request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ClientRetries {
+    /// Clients mark each retry ([`crate::Request::is_client_retry`]): a request without the mark is a first one.
+    #[default]
+    Marked,
+    /// Clients do not mark their retries. What a request lacks of its class's deadline is taken for the time
+    /// that its client has waited, also for a first request whose client waits for less than the deadline.
+    Unmarked,
+}
+
 /// Everything that the policy is configured with.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -122,6 +133,8 @@
     pub max_attempts: u32,
     /// Maximum Retry-After that clients obey; 0 if clients are given none.
     pub max_retry_after: Micros,
+    /// How clients' retries are recognized.
+    pub client_retries: ClientRetries,
     /// Resolution of the caller's timers: a timer may fire this much late.
     pub timer_resolution: Micros,
     /// Units within [`Self::overload_window`], from all schedulers together, that a node can serve when it
--- a/crates/policy/src/scheduler/arrival.rs
+++ b/crates/policy/src/scheduler/arrival.rs
@@ -1,7 +1,7 @@
 //! A request arrives: when it is due, which quota covers it, and its priority.
 
 use super::Scheduler;
-use crate::api::{Action, ClassSettings, Micros, PlanSettings, Request, RequestId};
+use crate::api::{Action, ClassSettings, ClientRetries, Micros, PlanSettings, Request, RequestId};
 use crate::request::{RequestState, RequestTiming, TrackedRequest};
 use crate::volume::{PlanQuota, QuotaTier, Volume};
 
@@ -17,7 +17,7 @@
         if let Some(budget) = &self.settings.retry_budget {
             self.retry_window.record_request(now, budget);
         }
-        let timing = request_timing(now, &request, self.class_of(&request));
+        let timing = request_timing(now, &request, self.class_of(&request), self.settings.client_retries);
         let quota_tier = if timing.is_late { QuotaTier::Excess } else { self.quota_tier(now, &request) };
         let priority = self.priority(&request, quota_tier, timing.is_late);
         let draw = self.random.decisions.f64();
@@ -87,9 +87,15 @@
 /// When a request is due. A first request is due within the latency objective of its class. A client's retry
 /// is due when its first request was, unless that is past. A first request whose client waits for less than
 /// the objective can still be served in time, its retries cannot.
-fn request_timing(now: Micros, request: &Request, class: &ClassSettings) -> RequestTiming {
+fn request_timing(
+    now: Micros,
+    request: &Request,
+    class: &ClassSettings,
+    client_retries: ClientRetries,
+) -> RequestTiming {
     let deadline = now + request.time_budget;
-    let elapsed = class.deadline.saturating_sub(request.time_budget);
+    let may_be_retry = request.is_client_retry || client_retries == ClientRetries::Unmarked;
+    let elapsed = if may_be_retry { class.deadline.saturating_sub(request.time_budget) } else { 0 };
     let is_short = request.time_budget < class.latency_objective;
     let is_late = if is_short { request.is_client_retry } else { elapsed > class.latency_objective };
     let elapsed_of_objective = if is_short || is_late { 0 } else { elapsed };
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -1,8 +1,8 @@
 //! Reads a deployment's settings under their wire names and maps them to the policy's own terms.
 
 use crate::api::{
-    ClassSettings, DeduplicationScope, EndpointListMode, Idempotency, Micros, PlanSettings, RetryBudget,
-    Settings,
+    ClassSettings, ClientRetries, DeduplicationScope, EndpointListMode, Idempotency, Micros, PlanSettings,
+    RetryBudget, Settings,
 };
 
 mod error;
@@ -151,6 +151,7 @@
         usage_period: from.duration_from_ms("familyInfo.meterPeriodMs")?,
         max_attempts: from.whole_number("limits.sendCap")?,
         max_retry_after: if has_retry_after { from.duration_from_ms("limits.maxRetryAfterMs")? } else { 0 },
+        client_retries: read_client_retries(from)?,
         timer_resolution: from.duration_from_ms("resolutionMs")?,
         slow_start_units: from.non_negative("familyInfo.youngLimit")?,
         slow_start_fraction: from.non_negative("safety.coldShare")?,
@@ -163,6 +164,14 @@
     })
 }
 
+/// Retries are taken to be unmarked only where the settings say so: by the protocol, a time below the class's
+/// deadline is usual for a first request.
+fn read_client_retries(from: &impl SettingsSource) -> Result<ClientRetries, ConfigError> {
+    let name = "clients.marksRetry";
+    let is_unmarked = from.get(name).is_some() && !from.flag(name)?;
+    Ok(if is_unmarked { ClientRetries::Unmarked } else { ClientRetries::Marked })
+}
+
 /// There is a retry budget if its window is not 0.
 fn read_retry_budget(from: &impl SettingsSource) -> Result<Option<RetryBudget>, ConfigError> {
     let budget = RetryBudget {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -65,6 +65,7 @@
 /// Settings of the first deployment: a class with idempotency keys, no rate limits; a node in slow start
 /// fails at four times its capacity.
 pub const PREDIO_NORTE: &str = r#"{"balancers": 4, "slotNo": 0, "discovery": "pushed", "resolutionMs": 2.0,
+    "clients": {"marksRetry": true},
     "lanes": [
         {"name": "consulta", "aimMs": 150, "deadlineMs": 1000, "credit": 2, "lateWorth": 0.2,
          "repeat": "free"},
@@ -85,6 +86,7 @@
 /// Settings of the second deployment: a class that is not idempotent, a rate limit, load reports; a node in
 /// slow start fails at twice its capacity.
 pub const GRANITE_SHELF: &str = r#"{"balancers": 4, "slotNo": 0, "discovery": "pushed", "resolutionMs": 2.0,
+    "clients": {"marksRetry": false},
     "lanes": [
         {"name": "book-read", "aimMs": 200, "deadlineMs": 1500, "credit": 3, "lateWorth": 0.1,
          "repeat": "free"},
--- a/crates/policy/tests/common/simulated_day.rs
+++ b/crates/policy/tests/common/simulated_day.rs
@@ -27,6 +27,8 @@
     pub unsharded_fraction: f64,
     /// Fraction of nodes that have just started when the day begins.
     pub starting_fraction: f64,
+    /// Whether the client of each first request waits for the deadline of its class.
+    pub has_full_deadlines: bool,
 }
 
 /// An event to come.
@@ -258,6 +260,7 @@
         let shard = ShardId(self.random.u32(0..self.plan.nodes) * self.random.u32(1..=4) / 4);
         let deadline = class_settings.deadline;
         let elapsed = self.random.u64(0..deadline) * u64::from(self.random.u32(0..4) == 0);
+        let elapsed = if self.plan.has_full_deadlines { 0 } else { elapsed };
         let has_key = class_settings.idempotency == Idempotency::WithKey;
         Request {
             id: RequestId(id),
--- a/crates/policy/tests/period_budget.rs
+++ b/crates/policy/tests/period_budget.rs
@@ -4,6 +4,7 @@
 mod common;
 use common::*;
 use heathward_policy::*;
+use rstest::rstest;
 
 /// Length of a budget period with the tests' settings.
 const PERIOD: Micros = 150_000;
@@ -70,15 +71,20 @@
     }
 }
 
-#[test]
-fn a_client_retry_past_its_latency_objective_yields_to_first_requests() {
-    let mut harness = Harness::with_nodes(settings(), &[1]);
+#[rstest]
+#[case::marked(ClientRetries::Marked, true)]
+#[case::unmarked(ClientRetries::Unmarked, false)]
+fn a_client_retry_past_its_latency_objective_yields_to_first_requests(
+    #[case] client_retries: ClientRetries,
+    #[case] is_client_retry: bool,
+) {
+    let mut harness = Harness::with_nodes(Settings { client_retries, ..settings() }, &[1]);
     harness.submit(sample_request(1));
     harness.advance(10_000);
     harness.end_attempt(1, 0, 1, AttemptEnd::Served, true, 200_000);
     // There is a queueing delay: a first request within the reserved rate is sent, a late retry is shed at
     // once.
-    harness.submit(Request { time_budget: 500_000, ..sample_request(2) });
+    harness.submit(Request { time_budget: 500_000, is_client_retry, ..sample_request(2) });
     assert_eq!(harness.shed_count(2), 1);
     assert_eq!(harness.submit(sample_request(3)).len(), 1);
 }
--- a/crates/policy/tests/queueing.rs
+++ b/crates/policy/tests/queueing.rs
@@ -4,6 +4,7 @@
 mod common;
 use common::*;
 use heathward_policy::*;
+use rstest::rstest;
 
 #[test]
 fn a_request_is_sent_at_once_while_the_node_has_capacity() {
@@ -97,3 +98,47 @@
         assert_eq!(harness.shed_count(1), 1, "time budget {time_budget}");
     }
 }
+
+/// How long a request is queued at a busy node before it is shed.
+fn queued_for(client_retries: ClientRetries, time_budget: Micros, is_client_retry: bool) -> Micros {
+    let mut harness = Harness::with_nodes(Settings { client_retries, ..settings() }, &[1]);
+    // Four mean requests of two units fill the minimum of the budget.
+    for id in 1..=4 {
+        assert_eq!(harness.submit(sample_request(id)).len(), 1);
+    }
+    let submitted_at = harness.now;
+    harness.submit(Request { time_budget, is_client_retry, ..sample_request(5) });
+    harness.advance(1_000_000);
+    let shed = |timed: &&TimedAction| matches!(timed.action, Action::Shed { request: RequestId(5), .. });
+    harness.actions.iter().find(shed).expect("the request is shed").at - submitted_at
+}
+
+/// Guards against first requests that are shed before their latency objective, with capacity to come, since
+/// their clients wait for less than their class's deadline: that is no sign of a retry where clients mark them.
+#[test]
+fn a_first_request_has_its_latency_objective_whatever_time_its_client_has() {
+    let with_whole_deadline = queued_for(ClientRetries::Marked, 1_000_000, false);
+    for time_budget in [600_000, 800_000, 900_000] {
+        assert_eq!(queued_for(ClientRetries::Marked, time_budget, false), with_whole_deadline);
+    }
+    // A retry is due when its first request was, 300 ms after that.
+    assert!(queued_for(ClientRetries::Marked, 900_000, true) < 200_000);
+    assert!(queued_for(ClientRetries::Unmarked, 900_000, false) < 200_000);
+}
+
+/// Guards against first requests that are demoted, and queued before an idle node, since the rest of their
+/// class's deadline is over their latency objective.
+#[rstest]
+#[case::marked(ClientRetries::Marked, false, 4)]
+#[case::marked_retry(ClientRetries::Marked, true, 1)]
+#[case::unmarked(ClientRetries::Unmarked, false, 1)]
+fn a_first_request_has_its_priority_whatever_time_its_client_has(
+    #[case] client_retries: ClientRetries,
+    #[case] is_client_retry: bool,
+    #[case] sent: usize,
+) {
+    let mut harness = Harness::with_nodes(Settings { client_retries, ..settings() }, &[1]);
+    let requests = (1..=4).map(|id| Request { time_budget: 600_000, is_client_retry, ..sample_request(id) });
+    let sent_at_once: usize = requests.map(|request| harness.submit(request).len()).sum();
+    assert_eq!(sent_at_once, sent);
+}
--- a/crates/policy/tests/replay.rs
+++ b/crates/policy/tests/replay.rs
@@ -30,9 +30,15 @@
 /// Fraction of the requests of such a day that any node may serve.
 const UNSHARDED_FRACTION: f64 = 0.4;
 
+/// The settings of other tests, before clients that do not mark their retries.
+fn plain() -> Settings {
+    Settings { client_retries: ClientRetries::Unmarked, ..settings() }
+}
+
 /// Every rule, four schedulers, and an endpoint list that is polled.
 fn every_rule() -> Settings {
     Settings {
+        client_retries: ClientRetries::Unmarked,
         schedulers: 4,
         endpoint_list_mode: EndpointListMode::Polled { max_interval: 8_000_000 },
         ..settings_with_every_rule()
@@ -49,9 +55,10 @@
         rate,
         unsharded_fraction: 0.0,
         starting_fraction,
+        has_full_deadlines: false,
     };
     vec![
-        plan("plain", settings(), 1, 60, 100.0, 0.0),
+        plan("plain", plain(), 1, 60, 100.0, 0.0),
         plan("every-rule", every_rule(), 2, 120, 80.0, 0.3),
         plan("predio-norte", deployment(PREDIO_NORTE), 3, 200, 90.0, 0.1),
         plan("predio-norte-cold", deployment(PREDIO_NORTE), 4, 100, 400.0, 1.0),
@@ -72,9 +79,10 @@
         rate,
         unsharded_fraction: UNSHARDED_FRACTION,
         starting_fraction,
+        has_full_deadlines: false,
     };
     vec![
-        plan("plain", settings(), 60, 150.0, 0.1),
+        plan("plain", plain(), 60, 150.0, 0.1),
         plan("every-rule", every_rule(), 120, 100.0, 0.3),
         plan("predio-norte", deployment(PREDIO_NORTE), 100, 400.0, 0.1),
         plan("predio-norte-cold", deployment(PREDIO_NORTE), 150, 200.0, 1.0),
@@ -190,3 +198,17 @@
     }
     assert_eq!(recorded.lines().count(), played.lines().count());
 }
+
+/// Guards against decisions that change with the way in which retries are recognized, but for first requests
+/// whose clients wait for less than their class's deadline.
+#[test]
+fn recognition_of_retries_concerns_only_requests_with_less_than_their_deadline() {
+    for plan in days() {
+        let with = |client_retries, has_full_deadlines| {
+            let settings = Settings { client_retries, ..plan.settings.clone() };
+            record(DayPlan { settings, has_full_deadlines, ..plan.clone() })
+        };
+        assert_eq!(with(ClientRetries::Marked, true), with(ClientRetries::Unmarked, true), "{}", plan.name);
+        assert_ne!(with(ClientRetries::Marked, false), with(ClientRetries::Unmarked, false), "{}", plan.name);
+    }
+}
--- a/crates/policy/tests/settings.rs
+++ b/crates/policy/tests/settings.rs
@@ -24,6 +24,7 @@
     overload_multiple: f64,
     rate_limit: f64,
     idempotency: &'static [Idempotency],
+    client_retries: ClientRetries,
 }
 
 #[rstest]
@@ -33,6 +34,7 @@
     overload_multiple: 4.0,
     rate_limit: 0.0,
     idempotency: &[Idempotency::Idempotent, Idempotency::WithKey, Idempotency::Idempotent],
+    client_retries: ClientRetries::Marked,
 })]
 #[case::granite_shelf(GRANITE_SHELF, Expected {
     drain_grace: 1_000_000,
@@ -40,6 +42,7 @@
     overload_multiple: 2.0,
     rate_limit: 40.0,
     idempotency: &[Idempotency::Idempotent, Idempotency::NotIdempotent],
+    client_retries: ClientRetries::Unmarked,
 })]
 fn what_differs_between_deployments_is_read_from_their_settings(
     #[case] text: &str,
@@ -51,6 +54,7 @@
         (settings.max_attempts, settings.overload_multiple),
         (expected.max_attempts, expected.overload_multiple)
     );
+    assert_eq!(settings.client_retries, expected.client_retries);
     assert_eq!(settings.plans[0].rate_limit, expected.rate_limit);
     let idempotency = settings.classes.iter().map(|class| class.idempotency);
     assert!(idempotency.eq(expected.idempotency.iter().copied()));
@@ -75,6 +79,7 @@
 #[case::half_a_scheduler(r#""balancers": 4"#, r#""balancers": 4.5"#, "balancers")]
 #[case::index_beyond_the_schedulers(r#""slotNo": 0"#, r#""slotNo": 4"#, "host")]
 #[case::fraction_above_one(r#""coldShare": 0"#, r#""coldShare": 1"#, "cold_share")]
+#[case::client_retries(r#""marksRetry": "#, r#""marksRetry": "perhaps", "x": "#, "clients.marksRetry")]
 #[case::endpoint_list_mode(r#""pushed""#, r#""shouted""#, "discovery")]
 fn an_invalid_setting_is_named_in_the_error(
     #[values(PREDIO_NORTE, GRANITE_SHELF)] text: &str,
@@ -93,3 +98,10 @@
     let without_rule = text.replace("stopSendingWithinMs", "someOtherField");
     assert_eq!(read(&without_rule).expect("valid settings").drain_grace, None);
 }
+
+/// Guards against first requests that are taken for retries where nothing says that clients retry unmarked.
+#[rstest]
+fn retries_are_unmarked_only_where_the_settings_say_so(#[values(PREDIO_NORTE, GRANITE_SHELF)] text: &str) {
+    let silent = text.replace("marksRetry", "someOtherField");
+    assert_eq!(read(&silent).expect("valid settings").settings.client_retries, ClientRetries::Marked);
+}
--- a/crates/transport/src/nvme/subsystem.rs
+++ b/crates/transport/src/nvme/subsystem.rs
@@ -96,6 +96,7 @@
             plan: namespace.plan,
             shard: Some(namespace.shard(blocks.first)),
             schedulers: namespace.hosts,
+            // A host has no mark for a command that it sends again, and each has its class's whole deadline.
             is_client_retry: false,
             deadline: Instant::now() + Duration::from_micros(settings.deadline),
             node_request: Arc::new(work),
