--- a/crates/scheduler/tests/net/forwarding.rs
+++ b/crates/scheduler/tests/net/forwarding.rs
@@ -159,3 +159,12 @@
     assert_eq!(status, 502);
     assert_eq!(count(&rig.counters().await, AttemptEnd::Reset), 3);
 }
+
+/// Guards against a read that is forwarded, given up before its latency objective is over, and then shed: its
+/// client waits for less than its class's deadline, which is no sign of a retry.
+#[tokio::test]
+async fn a_read_with_less_than_its_class_deadline_is_served_by_a_late_node() {
+    let OneNode { rig, .. } = one_node(&[Does::LateServe]).await;
+    assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
+    assert_eq!(rig.counters().await.attempts_sent, 1);
+}
--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -14,7 +14,7 @@
 
 use crate::message::{header, listen, read_message};
 
-/// How late [`Does::LateError`] is.
+/// How late [`Does::LateServe`] and [`Does::LateError`] are.
 pub const LATE: Duration = Duration::from_millis(200);
 
 /// What a node does with a request.
@@ -22,6 +22,8 @@
 pub enum Does {
     /// Answers well.
     Serve,
+    /// Answers well after [`LATE`].
+    LateServe,
     /// Answers well and closes.
     ServeThenClose,
     /// An error.
@@ -214,11 +216,13 @@
         let Some((small, head, body)) = read_message(&mut stream).await else { return };
         let call = header(&small, "x-call-id").expect("a request id").to_owned();
         log.note(number, &head, &call, &body);
-        if does == Does::LateError {
+        if matches!(does, Does::LateServe | Does::LateError) {
             sleep(LATE).await;
         }
         let answer = match does {
-            Does::Serve | Does::ServeThenClose => "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+            Does::Serve | Does::LateServe | Does::ServeThenClose => {
+                "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"
+            }
             Does::Error | Does::LateError => "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
             Does::Reject => "HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
             Does::Cut => "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
--- a/testing/fakes/src/nvme.rs
+++ b/testing/fakes/src/nvme.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::{listen, Does, Log, Script, PATIENCE};
+use crate::{listen, Does, Log, Script, LATE, PATIENCE};
 
 /// Name of the subsystem that a scheduler's front offers.
 pub const FRONT: &str = "nqn.2026-12.org.heathward:test";
@@ -113,12 +113,15 @@
     disk: &Mutex<HashMap<u64, Bytes>>,
 ) -> Option<(Status, Option<Pdu>)> {
     let (cid, size) = (command.cid, count as usize * SMALL);
+    if does == Does::LateServe {
+        tokio::time::sleep(LATE).await;
+    }
     match does {
-        Does::Serve | Does::ServeThenClose if write => {
+        Does::Serve | Does::LateServe | Does::ServeThenClose if write => {
             disk.lock().expect("no holder of the lock panics").insert(first, body);
             Some((Status::SUCCESS, None))
         }
-        Does::Serve | Does::ServeThenClose => {
+        Does::Serve | Does::LateServe | Does::ServeThenClose => {
             let kept =
                 disk.lock().expect("no holder of the lock panics").get(&first).cloned().unwrap_or_default();
             let mut data = BytesMut::from(&*kept);
