Core: a request is possibly executed only once its attempt is written completely

What callers saw: 504 at the end of a shutdown for requests that had never been forwarded, where 503 would have let them try again.

Cause: is_possibly_executed took every attempt in flight for one that a node may have executed, also while it waited for a connection. The end of a shutdown fails what may have been executed.

Evidence: the new test forces the moment, with a node whose queue of connections is full and a shutdown that ends before the attempt gives up its connection.

Mend: an attempt has a flag that the socket's writer sets with its last byte (HTTP and NVMe). A node begins a request once its last byte has come, and nothing more is written once a request has its answer, so one without the flag was and will not be executed.

full_node moves from a network test to the fakes.

--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -3,10 +3,10 @@
 use tokio::time::Instant;
 
 use super::nodes::Node;
-use super::open_requests::OpenRequest;
+use super::open_requests::{InFlightAttempt, OpenRequest};
 use super::Actor;
 use crate::observe::{NodeTreatment, Observation};
-use crate::{Answer, Attempt, EndedAttempt, NodeReply, StreamedReply, WrittenAttempts};
+use crate::{Answer, Attempt, EndedAttempt, NodeReply, StreamedReply, WriteCompletion, WrittenAttempts};
 use heathward_policy::{AttemptEnd, AttemptOutcome, Event, Micros, NodeId, RequestId};
 
 /// Which attempt it is.
@@ -29,11 +29,13 @@
         let class = &deployment.settings.classes[usize::from(open.request.class.0)];
         let deadline = open.attempt_deadline(now, timeout, class);
         let target = self.nodes.get(node);
-        let sent = open.may_send(now, deadline)
-            && target
-                .is_some_and(|target| try_send(key, open, target, now, deadline, &self.written_attempts));
-        if sent {
-            open.attempt_sent(key.number, now);
+        let in_flight = target.filter(|_| open.may_send(now, deadline)).and_then(|target| {
+            let attempt = new_attempt(key, open, target, now, deadline, &self.written_attempts);
+            try_send(attempt, target, now)
+        });
+        let sent = in_flight.is_some();
+        if let Some(in_flight) = in_flight {
+            open.attempt_sent(in_flight);
             self.counters.attempts_sent += 1;
         } else {
             self.counters.count_attempt_end(AttemptEnd::NotSent);
@@ -73,20 +75,15 @@
     }
 }
 
-/// Hands an attempt to the connections of a node. Returns false if nothing may be sent to the node, or its
-/// channel is full.
-fn try_send(
+fn new_attempt(
     key: AttemptKey,
     open: &OpenRequest,
     target: &Node,
     now: Instant,
     deadline: Instant,
     written_attempts: &WrittenAttempts,
-) -> bool {
-    if target.send_gate.is_closed() {
-        return false;
-    }
-    let attempt = Attempt {
+) -> Attempt {
+    Attempt {
         request: key.request,
         number: key.number,
         node: key.node,
@@ -96,8 +93,19 @@
         send_gate: target.send_gate.clone(),
         cancel: open.cancel.clone(),
         written_attempts: written_attempts.clone(),
-    };
-    target.attempt_sender().is_some_and(|sender| sender.try_send(attempt).is_ok())
+        write_completion: WriteCompletion::default(),
+    }
+}
+
+/// Hands an attempt to the connections of a node. `None` if nothing may be sent to the node, or its channel is
+/// full.
+fn try_send(attempt: Attempt, target: &Node, now: Instant) -> Option<InFlightAttempt> {
+    if target.send_gate.is_closed() {
+        return None;
+    }
+    let (number, write_completion) = (attempt.number, attempt.write_completion.clone());
+    target.attempt_sender()?.try_send(attempt).ok()?;
+    Some(InFlightAttempt { number, sent_at: now, write_completion })
 }
 
 fn send_observation(request: RequestId, target: &Node, units: u32, sent: bool) -> Observation<'_> {
--- a/crates/core/src/actor/open_requests.rs
+++ b/crates/core/src/actor/open_requests.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::client_request_ids::{ClientRequestIdGuard, ClientRequestIds};
-use crate::{Answer, ClientRequest, Upload};
+use crate::{Answer, ClientRequest, Upload, WriteCompletion};
 use heathward_policy::{AttemptEnd, ClassId, ClassSettings, Idempotency, Micros, RequestId};
 
 /// The policy answers a request at its deadline; the core answers what is still open this much later. It is
@@ -41,10 +41,13 @@
 }
 
 /// The attempt of a request that is in flight.
-#[derive(Clone, Copy, Debug)]
-struct InFlightAttempt {
-    number: u32,
-    sent_at: Instant,
+#[derive(Debug)]
+pub(super) struct InFlightAttempt {
+    pub(super) number: u32,
+    /// When it was handed to the connections of the node.
+    pub(super) sent_at: Instant,
+    /// Whether the node can execute it.
+    pub(super) write_completion: WriteCompletion,
 }
 
 /// What remains of a request that has got its answer.
@@ -87,9 +90,12 @@
         self.reply.is_none()
     }
 
-    /// A node may have executed it, or may do so now.
+    /// A node may have executed it, or may do so now. An attempt that still waits for a connection, or is not
+    /// written completely, cannot be executed.
     pub(super) fn is_possibly_executed(&self) -> bool {
-        self.first_possible_execution.is_some() || self.in_flight.is_some()
+        let is_in_execution =
+            self.in_flight.as_ref().is_some_and(|attempt| attempt.write_completion.is_set());
+        self.first_possible_execution.is_some() || is_in_execution
     }
 
     /// Takes the number of the next attempt.
@@ -139,8 +145,8 @@
     }
 
     /// Records that an attempt was sent.
-    pub(super) fn attempt_sent(&mut self, number: u32, sent_at: Instant) {
-        self.in_flight = Some(InFlightAttempt { number, sent_at });
+    pub(super) fn attempt_sent(&mut self, attempt: InFlightAttempt) {
+        self.in_flight = Some(attempt);
     }
 
     /// Records how the attempt in flight ended, and returns from when on the node worked on it: from when it
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -34,6 +34,8 @@
     pub cancel: CancellationToken,
     /// Counts the attempt once its last byte is written.
     pub written_attempts: WrittenAttempts,
+    /// Set once its last byte is written.
+    pub write_completion: WriteCompletion,
 }
 
 impl Attempt {
@@ -44,6 +46,28 @@
         let in_time = self.node_request.upload.is_some() || Instant::now() < self.deadline;
         in_time && !self.cancel.is_cancelled() && !self.send_gate.is_closed()
     }
+
+    /// Its last byte has been written.
+    pub fn mark_written(&self) {
+        self.written_attempts.increment();
+        self.write_completion.set();
+    }
+}
+
+/// Whether the last byte of an attempt has been written: only from then on can its node execute it. All clones
+/// share one state.
+#[derive(Clone, Debug, Default)]
+pub struct WriteCompletion(Arc<AtomicBool>);
+
+impl WriteCompletion {
+    fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// The last byte has been written.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 /// Whether anything new may be sent to a node. All clones share one gate. It is checked right before the
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,7 +31,7 @@
 mod upload;
 
 pub use actor::{start_core, CoreHandle, CoreStopped};
-pub use attempt::{Attempt, EndedAttempt, SendGate};
+pub use attempt::{Attempt, EndedAttempt, SendGate, WriteCompletion};
 pub use body::{body_channel, BodyInterrupted, BodySender, BodyStream, NodeReply, StreamedReply};
 pub use clock::Clock;
 pub use counters::{AnswerCounts, ConfigurationReloads, CoreMetrics, Counters, WrittenAttempts};
--- a/crates/scheduler/tests/net/disconnect_while_connecting.rs
+++ b/crates/scheduler/tests/net/disconnect_while_connecting.rs
@@ -1,12 +1,10 @@
 //! Clients that leave: nothing that waits for them is sent on, wherever it waits.
 
-use std::net::SocketAddr;
-
 use heathward_core::SendGate;
 use heathward_policy::AttemptEnd;
 use heathward_transport::node::{HttpLink, Job};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{timeout, Instant};
@@ -14,28 +12,15 @@
 
 use heathward_fakes::*;
 
-/// A node's machine whose queue of connections is full: none comes up until it takes what waits there.
-async fn full_node() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let address = socket.local_addr().unwrap();
-    let listener = socket.listen(1).unwrap();
-    // A queue of one takes two.
-    let mut filling = Vec::new();
-    for _ in 0..2 {
-        filling.push(TcpStream::connect(address).await.unwrap());
-    }
-    (listener, address, filling)
-}
-
 /// Guards against an attempt that goes on waiting for a connection, and holds its place, for nobody.
 #[tokio::test]
 async fn connecting_to_a_node_ends_when_the_client_disconnects() {
-    let (_listener, address, _filling) = full_node().await;
+    let node = full_node().await;
     let by = Instant::now() + PATIENCE * 10;
     let attempt = attempt(SendGate::default(), by);
     let cancel = attempt.cancel.clone();
-    let dialling = tokio::spawn(HttpLink::new(address).call(Job { attempt, idle: None, connect_by: by }));
+    let dialling =
+        tokio::spawn(HttpLink::new(node.address).call(Job { attempt, idle: None, connect_by: by }));
     tokio::task::yield_now().await;
     assert!(!dialling.is_finished());
     cancel.cancel();
@@ -70,7 +55,7 @@
         nodes.push(full_node().await);
     }
     let entry =
-        |(n, node): (usize, &(_, SocketAddr, _))| member(&format!("s{n}"), node.1, n as u32, "in_service", 0);
+        |(n, node): (usize, &FullNode)| member(&format!("s{n}"), node.address, n as u32, "in_service", 0);
     let members: Vec<String> = nodes.iter().enumerate().map(entry).collect();
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(","))
         .replace(r#""connectTimeoutMs":1000.0"#, r#""connectTimeoutMs":60000.0"#)
@@ -89,9 +74,8 @@
     rig.until(|c| c.client_disconnects == LEAVING as u64).await;
     let (came, mut heads) = mpsc::unbounded_channel();
     let mut serving = JoinSet::new();
-    for (listener, _, filling) in nodes {
-        drop(filling);
-        serving.spawn(serve(listener, came.clone()));
+    for node in nodes {
+        serving.spawn(serve(node.take_connections(), came.clone()));
     }
     for mut stream in staying {
         assert_eq!(answer(&mut stream).await.0, 200);
--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -247,6 +247,24 @@
     assert_eq!(log.all().len(), NODE_BUDGET_REQUESTS as usize, "not all were forwarded: {statuses:?}");
 }
 
+/// Guards against 504 for a request that was never forwarded, as though a node might have executed it: its
+/// attempt waits for a connection when the time of the shutdown is over.
+#[rstest]
+#[tokio::test]
+async fn requests_that_wait_for_a_connection_at_the_end_of_a_shutdown_are_shed(
+    #[values("consulta", "pedido")] class: &str,
+) {
+    let node = full_node().await;
+    let rig = rig(&[member("s0", node.address, 0, "in_service", 0)], None).await;
+    let mut client = TcpStream::connect(rig.front).await.unwrap();
+    client.write_all(request(class, 1, 0, 700, "").as_bytes()).await.unwrap();
+    rig.until(|counters| counters.attempts_sent == 1).await;
+    // By then no connection is given up yet: an attempt waits for one for up to half of its request's time.
+    rig.core.set_shutdown_deadline(Instant::now() + Duration::from_millis(100)).await;
+    assert_eq!(answer(&mut client).await.0, 503);
+    assert_eq!(rig.counters().await.attempts_written, 0);
+}
+
 /// What a program that starts finds of discovery.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Agent {
--- a/crates/transport/src/node/wire.rs
+++ b/crates/transport/src/node/wire.rs
@@ -120,7 +120,7 @@
             self.body.store(left, Ordering::Relaxed);
             if left == 0 && !self.whole.swap(true, Ordering::Relaxed) {
                 if let Some(attempt) = &*self.lock() {
-                    attempt.written_attempts.increment();
+                    attempt.mark_written();
                 }
             }
         }
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -86,7 +86,7 @@
     /// One read or write, from its first byte to its completion. Once its client has left, no more of it is
     /// written; what is written whole goes on.
     async fn exchange(&mut self, attempt: &Attempt, blocks: Blocks, data: Bytes, size: usize) -> Exchange {
-        let Attempt { written_attempts: tries, cancel, .. } = attempt;
+        let Attempt { cancel, .. } = attempt;
         let write = attempt.node_request.is_write;
         self.cid = self.cid.wrapping_add(1);
         let (cid, length) = (self.cid, size as u32);
@@ -99,7 +99,7 @@
         // Until all the data of a write is out, it can't have run.
         let (mut whole, mut sent) = (!write || carried, 0);
         if whole {
-            tries.increment();
+            attempt.mark_written();
         }
         let mut page = BytesMut::new();
         loop {
@@ -133,7 +133,7 @@
                     }
                     whole = sent == size;
                     if whole {
-                        tries.increment();
+                        attempt.mark_written();
                     }
                 }
                 Ok(Pdu::C2hData { cid: of, offset, data, .. })
--- a/testing/fakes/src/lib.rs
+++ b/testing/fakes/src/lib.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 pub use discovery::{member, tell, watched, Discovery, Listed};
-pub use message::{answer, header, listen, nobody, read_message, request, reserved};
+pub use message::{answer, full_node, header, listen, nobody, read_message, request, reserved, FullNode};
 pub use node::{attempt, http_node, scripted_node, Does, Log, Script, Seen, LATE};
 pub use program::{Held, Program};
 pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS, NODE_SOCKETS};
--- a/testing/fakes/src/message.rs
+++ b/testing/fakes/src/message.rs
@@ -18,6 +18,39 @@
     (listener, address)
 }
 
+/// A node whose machine has a full queue of connections: none comes up until those that wait are taken.
+pub struct FullNode {
+    /// Where it listens.
+    pub address: SocketAddr,
+    listener: TcpListener,
+    waiting: Vec<TcpStream>,
+}
+
+impl FullNode {
+    /// From now on its connections come up.
+    pub fn take_connections(self) -> TcpListener {
+        drop(self.waiting);
+        self.listener
+    }
+}
+
+/// A node with a full queue of connections.
+///
+/// # Panics
+/// If there is no free port.
+pub async fn full_node() -> FullNode {
+    let socket = TcpSocket::new_v4().expect("a descriptor");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let address = socket.local_addr().expect("a bound socket");
+    let listener = socket.listen(1).expect("a bound socket");
+    // A queue of one takes two.
+    let mut waiting = Vec::new();
+    for _ in 0..2 {
+        waiting.push(TcpStream::connect(address).await.expect("a place in the queue"));
+    }
+    FullNode { address, listener, waiting }
+}
+
 /// An address that nobody listens at, and that nobody else is given while the socket is kept.
 ///
 /// # Panics
--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use heathward_core::{Attempt, NodeRequest, SendGate, WrittenAttempts};
+use heathward_core::{Attempt, NodeRequest, SendGate, WriteCompletion, WrittenAttempts};
 use heathward_policy::{KeyId, NodeId, RequestId, VolumeId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -69,6 +69,7 @@
         send_gate: gate,
         cancel: Default::default(),
         written_attempts: WrittenAttempts::default(),
+        write_completion: WriteCompletion::default(),
     }
 }
 
