Event recorder: every attempt has one end, and none stays in flight at its node

What operators saw: attempts without an end in the event log, and a number of attempts in flight at a node that never came down, after attempts that had waited for a connection until their client left or their time was over.

Evidence: the new tests force each order of events, and the first one on sockets, with a node whose queue of connections is full.

Mend: what was never handed over is an observation of its own, every attempt that was handed over is reported ended once, with the node's name as it was sent, and a request is recorded once its attempt has ended, or when the recorder stops.

AttemptLedger holds this in each in-process network test; three of them wait for none in flight at rest.

--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -54,13 +54,10 @@
     pub(super) fn attempt_ended(&mut self, attempt: EndedAttempt) {
         let EndedAttempt { request, number, node, end, reply } = attempt;
         let Some(open) = self.requests.get_mut(request) else { return };
-        let Some(started_at) = open.attempt_ended(number, end) else { return };
+        let Some(finished) = open.attempt_ended(number, end) else { return };
         let now = Instant::now();
         self.counters.count_attempt_end(end);
-        if let Some(node) = self.nodes.get(node) {
-            let observation = Observation::AttemptEnded { request, node: &node.endpoint.id, end };
-            self.observer.observe_at(now, observation);
-        }
+        self.observer.observe_at(now, Observation::AttemptEnded { request, node: &finished.node, end });
         if end == AttemptEnd::Served {
             let reply = keep_id_while_streaming(reply, open);
             self.answer_request(request, Some(Answer::Served(reply)));
@@ -69,7 +66,7 @@
         if request_closed {
             self.requests.remove(request);
         }
-        let latency = now.saturating_duration_since(started_at).as_micros() as Micros;
+        let latency = now.saturating_duration_since(finished.started_at).as_micros() as Micros;
         let key = AttemptKey { request, number, node };
         self.handle_event(Event::AttemptEnded(attempt_outcome(key, end, request_closed, latency)));
     }
@@ -105,7 +102,7 @@
     }
     let (number, write_completion) = (attempt.number, attempt.write_completion.clone());
     target.attempt_sender()?.try_send(attempt).ok()?;
-    Some(InFlightAttempt { number, sent_at: now, write_completion })
+    Some(InFlightAttempt { number, node: target.endpoint.id.clone(), sent_at: now, write_completion })
 }
 
 fn send_observation(request: RequestId, target: &Node, units: u32, sent: bool) -> Observation<'_> {
@@ -115,7 +112,7 @@
         let slow_start_units = if in_slow_start { units } else { 0 };
         Observation::AttemptSent { request, node, slow_start_units }
     } else {
-        Observation::AttemptEnded { request, node, end: AttemptEnd::NotSent }
+        Observation::AttemptNotSent { request, node }
     }
 }
 
--- a/crates/core/src/actor/open_requests.rs
+++ b/crates/core/src/actor/open_requests.rs
@@ -44,12 +44,22 @@
 #[derive(Debug)]
 pub(super) struct InFlightAttempt {
     pub(super) number: u32,
+    /// Id of the node, which may leave the endpoint list before the attempt ends.
+    pub(super) node: Box<str>,
     /// When it was handed to the connections of the node.
     pub(super) sent_at: Instant,
     /// Whether the node can execute it.
     pub(super) write_completion: WriteCompletion,
 }
 
+/// An attempt that is no longer in flight.
+pub(super) struct FinishedAttempt {
+    /// Id of the node.
+    pub(super) node: Box<str>,
+    /// From when on the node worked on it: from when it was sent, or from the last byte of the body.
+    pub(super) started_at: Instant,
+}
+
 /// What remains of a request that has got its answer.
 pub(super) struct AnsweredRequest {
     pub(super) class: ClassId,
@@ -149,17 +159,17 @@
         self.in_flight = Some(attempt);
     }
 
-    /// Records how the attempt in flight ended, and returns from when on the node worked on it: from when it
-    /// was sent, or from the last byte of the body. `None` if it is not the attempt in flight.
-    pub(super) fn attempt_ended(&mut self, number: u32, end: AttemptEnd) -> Option<Instant> {
-        let InFlightAttempt { sent_at, .. } = self.in_flight.take_if(|attempt| attempt.number == number)?;
+    /// Records how the attempt in flight ended. `None` if it is not the attempt in flight.
+    pub(super) fn attempt_ended(&mut self, number: u32, end: AttemptEnd) -> Option<FinishedAttempt> {
+        let InFlightAttempt { node, sent_at, .. } =
+            self.in_flight.take_if(|attempt| attempt.number == number)?;
         self.last_attempt_end = Some(end);
         if matches!(end, AttemptEnd::Error | AttemptEnd::TimedOut | AttemptEnd::Reset | AttemptEnd::Cancelled)
         {
             self.first_possible_execution.get_or_insert(sent_at);
         }
         let body_completed_at = self.request.node_request.upload.as_ref().and_then(Upload::completed_at);
-        Some(body_completed_at.map_or(sent_at, |at| at.max(sent_at)))
+        Some(FinishedAttempt { node, started_at: body_completed_at.map_or(sent_at, |at| at.max(sent_at)) })
     }
 
     /// When the core answers it itself.
--- a/crates/core/src/observe.rs
+++ b/crates/core/src/observe.rs
@@ -62,7 +62,15 @@
         /// Units that count against the limit of a node in slow start; 0 for other nodes.
         slow_start_units: u32,
     },
-    /// An attempt has ended, or could not be sent at all.
+    /// An attempt could not be handed to the connections of a node. It has no other end.
+    AttemptNotSent {
+        /// The request.
+        request: RequestId,
+        /// Id of the node.
+        node: &'a str,
+    },
+    /// An attempt that was handed to the connections of a node has ended; reported once for each, also after
+    /// its request has ended. With [`AttemptEnd::NotSent`] it was not written completely.
     AttemptEnded {
         /// The request.
         request: RequestId,
--- a/crates/event-log/src/event.rs
+++ b/crates/event-log/src/event.rs
@@ -374,7 +374,7 @@
     /// When the attempt was sent, on the monotonic clock.
     #[serde(rename = "sent")]
     pub sent_at: Micros,
-    /// When and how it ended; `None` if the request ended first.
+    /// When and how it ended, also if the request ended first; `None` if the scheduler stopped before.
     #[serde(rename = "ended")]
     pub end: Option<(Micros, AttemptEnd)>,
 }
--- a/crates/event-recorder/src/lib.rs
+++ b/crates/event-recorder/src/lib.rs
@@ -88,8 +88,21 @@
     clock: Clock,
     start: Instant,
     second: Second,
-    /// Requests that have not ended; `None` unless each request is recorded.
-    open_requests: Option<HashMap<RequestId, RequestRecord>>,
+    /// Requests that have not ended, or whose attempt has not; `None` unless each request is recorded.
+    followed_requests: Option<HashMap<RequestId, FollowedRequest>>,
+}
+
+/// A request that is recorded once it and its attempts have ended.
+struct FollowedRequest {
+    record: RequestRecord,
+    has_ended: bool,
+}
+
+impl FollowedRequest {
+    /// At most one attempt is in flight at a time.
+    fn is_attempt_in_flight(&self) -> bool {
+        self.record.attempts.last().is_some_and(|attempt| attempt.end.is_none())
+    }
 }
 
 impl Recorder {
@@ -112,8 +125,9 @@
 
     /// A recorder that sends its events to `sender`.
     pub fn new(sender: EventSender, clock: Clock, requests: bool) -> Self {
-        let open_requests = requests.then(HashMap::new);
-        let mut new = Self { sender, clock, start: Instant::now(), second: Second::default(), open_requests };
+        let followed_requests = requests.then(HashMap::new);
+        let (start, second) = (Instant::now(), Second::default());
+        let mut new = Self { sender, clock, start, second, followed_requests };
         new.lifecycle(0, Lifecycle::Started);
         new
     }
@@ -169,9 +183,9 @@
         request: RequestId,
         record: impl FnOnce() -> RequestRecord,
     ) {
-        let Some(open_requests) = &mut self.open_requests else { return };
-        if open_requests.len() < MAX_FOLLOWED_REQUESTS {
-            open_requests.insert(request, record());
+        let Some(followed_requests) = &mut self.followed_requests else { return };
+        if followed_requests.len() < MAX_FOLLOWED_REQUESTS {
+            followed_requests.insert(request, FollowedRequest { record: record(), has_ended: false });
         } else {
             let wall_clock = self.clock.wall_clock(self.start, monotonic);
             self.sender.record_loss(Timestamp { wall_clock, monotonic });
@@ -180,30 +194,54 @@
 
     fn attempt_sent(&mut self, monotonic: Micros, request: RequestId, node: &str, slow_start_units: u32) {
         self.second.sent(node, slow_start_units);
-        if let Some(record) = self.open_request(request) {
-            record.attempts.push(AttemptRecord { node: node.to_owned(), sent_at: monotonic, end: None });
+        if let Some(followed) = self.followed_request(request) {
+            let attempt = AttemptRecord { node: node.to_owned(), sent_at: monotonic, end: None };
+            followed.record.attempts.push(attempt);
         }
     }
 
     fn attempt_ended(&mut self, monotonic: Micros, request: RequestId, node: &str, end: AttemptEnd) {
-        self.second.ended(node, convert::attempt_end(end));
-        let last = self.open_request(request).and_then(|record| record.attempts.last_mut());
-        // An attempt that was never sent was not recorded as sent.
-        if let Some(last) = last.filter(|_| end != AttemptEnd::NotSent) {
-            last.end = Some((monotonic, convert::attempt_end(end)));
+        let end = convert::attempt_end(end);
+        self.second.ended(node, end);
+        let Some(followed) = self.followed_request(request) else { return };
+        if let Some(last) = followed.record.attempts.last_mut() {
+            last.end = Some((monotonic, end));
+        }
+        if followed.has_ended {
+            self.send_request(monotonic, request);
         }
     }
 
+    /// Records a request, unless its attempt is in flight: it is recorded with the end of that.
     fn request_ended(&mut self, monotonic: Micros, request: RequestId, outcome: RequestOutcome) {
-        let record = self.open_requests.as_mut().and_then(|requests| requests.remove(&request));
-        if let Some(mut record) = record {
-            (record.ended_at, record.outcome) = (monotonic, outcome);
+        let Some(followed) = self.followed_request(request) else { return };
+        (followed.record.ended_at, followed.record.outcome) = (monotonic, outcome);
+        followed.has_ended = true;
+        if !followed.is_attempt_in_flight() {
+            self.send_request(monotonic, request);
+        }
+    }
+
+    fn send_request(&mut self, monotonic: Micros, request: RequestId) {
+        let followed = self.followed_requests.as_mut().and_then(|requests| requests.remove(&request));
+        if let Some(followed) = followed {
+            self.send(monotonic, Event::RequestEnded(followed.record));
+        }
+    }
+
+    /// Records the requests that have ended, without the ends of their attempts.
+    fn send_ended_requests(&mut self, monotonic: Micros) {
+        let followed = self.followed_requests.take().unwrap_or_default();
+        let ended = followed.into_values().filter(|request| request.has_ended);
+        let mut records: Vec<RequestRecord> = ended.map(|request| request.record).collect();
+        records.sort_unstable_by_key(|record| record.ended_at);
+        for record in records {
             self.send(monotonic, Event::RequestEnded(record));
         }
     }
 
-    fn open_request(&mut self, request: RequestId) -> Option<&mut RequestRecord> {
-        self.open_requests.as_mut()?.get_mut(&request)
+    fn followed_request(&mut self, request: RequestId) -> Option<&mut FollowedRequest> {
+        self.followed_requests.as_mut()?.get_mut(&request)
     }
 }
 
@@ -267,6 +305,7 @@
             Observation::AttemptSent { request, node, slow_start_units } => {
                 self.attempt_sent(monotonic, request, node, slow_start_units);
             }
+            Observation::AttemptNotSent { node, .. } => self.second.not_sent(node),
             Observation::AttemptEnded { request, node, end } => {
                 self.attempt_ended(monotonic, request, node, end);
             }
@@ -299,6 +338,7 @@
 impl Drop for Recorder {
     fn drop(&mut self) {
         let monotonic = self.monotonic(Instant::now());
+        self.send_ended_requests(monotonic);
         self.send_second(monotonic);
         self.lifecycle(monotonic, Lifecycle::Stopped);
     }
--- a/crates/event-recorder/src/second.rs
+++ b/crates/event-recorder/src/second.rs
@@ -94,13 +94,18 @@
         }
     }
 
-    /// Counts the end of an attempt at a node.
+    /// Counts the end of an attempt that was sent to a node.
     pub fn ended(&mut self, node: &str, end: AttemptEnd) {
         if let Some(NodeCounts { counts, in_flight, .. }) = self.node_counts(node) {
             counts.attempt_ends[attempt_end_index(end)] += 1;
-            if end != AttemptEnd::NotSent {
-                *in_flight = in_flight.saturating_sub(1);
-            }
+            *in_flight = in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Counts an attempt that could not be sent to a node.
+    pub fn not_sent(&mut self, node: &str) {
+        if let Some(NodeCounts { counts, .. }) = self.node_counts(node) {
+            counts.attempt_ends[attempt_end_index(AttemptEnd::NotSent)] += 1;
         }
     }
 
--- a/crates/event-recorder/tests/recorder.rs
+++ b/crates/event-recorder/tests/recorder.rs
@@ -3,13 +3,18 @@
 
 use std::time::Duration;
 
+use heathward_core::observe::{self, Observation, Observer};
 use heathward_core::OperatorCommand;
 use heathward_event_log::{
-    event_channel, AttemptEnd, Event, EventReceiver, FailureReason, Lifecycle, NodeState, Record,
-    RequestOutcome, ShedReason, StateChangeCause,
+    event_channel, AttemptEnd, Event, EventReceiver, FailureReason, Lifecycle, NodeSecond, NodeState, Record,
+    RequestOutcome, RequestRecord, ShedReason, StateChangeCause,
 };
 use heathward_event_recorder::{Clock, Recorder};
-use heathward_fakes::{http_node, member, nobody, request, rig, Does, Log, Rig};
+use heathward_fakes::{full_node, http_node, member, nobody, request, rig, Does, Log, Rig};
+use heathward_policy::{AttemptEnd as PolicyAttemptEnd, ClassId, PlanId, RequestId, VolumeId};
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
 async fn recorded(members: &[String], requests: bool) -> (Rig, EventReceiver) {
@@ -106,3 +111,129 @@
         "{changes:?}"
     );
 }
+
+fn ended_requests(records: &[Record]) -> Vec<&RequestRecord> {
+    let ended = records.iter().filter_map(|record| match &record.event {
+        Event::RequestEnded(request) => Some(request),
+        _ => None,
+    });
+    ended.collect()
+}
+
+fn node_seconds(records: &[Record]) -> Vec<&NodeSecond> {
+    let seconds = records.iter().filter_map(|record| match &record.event {
+        Event::NodeSecond(second) => Some(second),
+        _ => None,
+    });
+    seconds.collect()
+}
+
+/// Guards against an attempt that stays without an end in the event log, and in flight at its node for ever,
+/// since it waited for a connection until its client had left.
+#[tokio::test]
+async fn an_attempt_that_waited_for_a_connection_has_its_end() {
+    let node = full_node().await;
+    let (rig, waiting) = recorded(&[member("s0", node.address, 0, "in_service", 0)], true).await;
+    let mut client = TcpStream::connect(rig.front).await.unwrap();
+    client.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
+    rig.until(|counters| counters.attempts_sent == 1).await;
+    drop(client);
+    let counters = rig.until(|counters| counters.client_disconnects == 1).await;
+    assert_eq!(counters.attempts_written, 0);
+    rig.until(|counters| counters.attempts_ended(PolicyAttemptEnd::NotSent) == 1).await;
+    // Until a second has begun in which nothing happens.
+    sleep(Duration::from_millis(2_100)).await;
+    let records = all(&rig, &waiting).await;
+    let [request] = ended_requests(&records)[..] else { panic!("{records:?}") };
+    assert_eq!(request.outcome, RequestOutcome::ClientDisconnected);
+    let [attempt] = &request.attempts[..] else { panic!("{request:?}") };
+    assert_eq!(attempt.end.map(|(_, end)| end), Some(AttemptEnd::NotSent));
+    let [second] = node_seconds(&records)[..] else { panic!("in flight for ever: {records:?}") };
+    assert_eq!((second.sent, second.attempt_ends.iter().sum::<u32>(), second.max_in_flight), (1, 1, 1));
+}
+
+/// What the core reports of one request.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Received,
+    Sent,
+    NotSent,
+    AttemptEnded(PolicyAttemptEnd),
+    RequestEnded,
+}
+
+impl Step {
+    fn observation(self) -> Observation<'static> {
+        let (request, class, node) = (RequestId(1), ClassId(0), "s0");
+        match self {
+            Self::Received => Observation::RequestReceived {
+                request,
+                class,
+                plan: PlanId(0),
+                volume: VolumeId(1),
+                units: 1,
+            },
+            Self::Sent => Observation::AttemptSent { request, node, slow_start_units: 0 },
+            Self::NotSent => Observation::AttemptNotSent { request, node },
+            Self::AttemptEnded(end) => Observation::AttemptEnded { request, node, end },
+            Self::RequestEnded => Observation::RequestEnded {
+                request,
+                class,
+                outcome: observe::RequestOutcome::ClientDisconnected,
+                latency: 0,
+            },
+        }
+    }
+}
+
+/// Guards against records that lack the end of an attempt, whether it or its request ends first and however it
+/// ends, and against a node with attempts in flight at rest.
+#[rstest]
+#[case::attempt_first(&[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::Served), Step::RequestEnded], &[AttemptEnd::Served])]
+#[case::request_first(&[Step::Sent, Step::RequestEnded, Step::AttemptEnded(PolicyAttemptEnd::TimedOut)], &[AttemptEnd::TimedOut])]
+#[case::not_written(&[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::NotSent), Step::RequestEnded], &[AttemptEnd::NotSent])]
+#[case::cancelled_unwritten(&[Step::Sent, Step::RequestEnded, Step::AttemptEnded(PolicyAttemptEnd::NotSent)], &[AttemptEnd::NotSent])]
+#[case::not_handed_over(&[Step::NotSent, Step::RequestEnded], &[])]
+#[case::retry_not_handed_over(
+    &[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::Reset), Step::NotSent, Step::RequestEnded],
+    &[AttemptEnd::Reset]
+)]
+#[tokio::test]
+async fn each_attempt_has_one_end_and_none_is_in_flight_at_rest(
+    #[case] steps: &[Step],
+    #[case] ends: &[AttemptEnd],
+) {
+    let (sender, waiting) = event_channel(4096);
+    let mut recorder = Recorder::new(sender, Clock::default(), true);
+    let start = Instant::now();
+    recorder.observe(start, Step::Received.observation());
+    for step in steps {
+        recorder.observe(start, step.observation());
+    }
+    for second in 1..4 {
+        recorder.observe(start + Duration::from_millis(1_100) * second, Observation::TimePassed);
+    }
+    drop(recorder);
+    let records: Vec<Record> = waiting.try_iter().collect();
+    let [request] = ended_requests(&records)[..] else { panic!("{records:?}") };
+    let recorded: Vec<_> = request.attempts.iter().map(|attempt| attempt.end.expect("an end").1).collect();
+    assert_eq!(recorded, ends);
+    let [second] = node_seconds(&records)[..] else { panic!("in flight at rest: {records:?}") };
+    let not_handed_over = steps.iter().filter(|step| matches!(step, Step::NotSent)).count();
+    assert_eq!(second.sent as usize, ends.len());
+    assert_eq!(second.attempt_ends.iter().sum::<u32>() as usize, ends.len() + not_handed_over);
+}
+
+/// Guards against a request without a record where the recorder ends before the last attempt does.
+#[tokio::test]
+async fn a_request_whose_attempt_is_in_flight_at_the_end_is_recorded() {
+    let (sender, waiting) = event_channel(4096);
+    let mut recorder = Recorder::new(sender, Clock::default(), true);
+    for step in [Step::Received, Step::Sent, Step::RequestEnded] {
+        recorder.observe(Instant::now(), step.observation());
+    }
+    drop(recorder);
+    let records: Vec<Record> = waiting.try_iter().collect();
+    let [request] = ended_requests(&records)[..] else { panic!("{records:?}") };
+    assert_eq!(request.attempts.iter().map(|attempt| attempt.end).collect::<Vec<_>>(), [None]);
+}
--- a/crates/scheduler/tests/net/disconnect_while_connecting.rs
+++ b/crates/scheduler/tests/net/disconnect_while_connecting.rs
@@ -88,6 +88,7 @@
     }
     let of_leavers = sent.iter().filter(|call| **call < LEAVING).count();
     assert_eq!((of_leavers, sent.len()), (0, STAYING), "{sent:?}");
+    rig.until_at_rest().await;
     let counters = rig.counters().await;
     assert_eq!(
         (counters.attempts_written, counters.client_disconnects),
--- a/crates/scheduler/tests/net/forwarding.rs
+++ b/crates/scheduler/tests/net/forwarding.rs
@@ -49,6 +49,7 @@
 ) {
     let OneNode { rig, log, .. } = one_node(&[does]).await;
     let (told, head, _) = rig.ask(&request(class, 1, 0, 1400, "")).await;
+    rig.until_at_rest().await;
     assert_eq!(told, status, "{head}");
     assert_eq!(header(&head, "retry-after").is_some(), status == 503, "{head}");
     let counters = rig.counters().await;
--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -262,6 +262,7 @@
     // By then no connection is given up yet: an attempt waits for one for up to half of its request's time.
     rig.core.set_shutdown_deadline(Instant::now() + Duration::from_millis(100)).await;
     assert_eq!(answer(&mut client).await.0, 503);
+    rig.until_at_rest().await;
     assert_eq!(rig.counters().await.attempts_written, 0);
 }
 
--- /dev/null
+++ b/testing/fakes/src/attempt_ledger.rs
@@ -0,0 +1,49 @@
+//! Holds the core to its rule on attempts: each one that was handed to the connections of a node has one end,
+//! and a request has one in flight at most.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use heathward_core::observe::{Observation, Observer};
+use heathward_policy::settings::Deployment;
+use heathward_policy::RequestId;
+use tokio::time::Instant;
+
+/// Follows the attempts in flight, as an observer of the core. All clones are one.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptLedger {
+    /// The node of each attempt in flight.
+    in_flight: Arc<Mutex<HashMap<RequestId, String>>>,
+}
+
+impl AttemptLedger {
+    /// How many attempts are in flight.
+    pub fn in_flight_count(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, String>> {
+        self.in_flight.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Observer for AttemptLedger {
+    /// # Panics
+    /// If an attempt begins while another one of its request is in flight, or has an end that is not its first:
+    /// the core ends with it, and so no test passes.
+    fn observe(&mut self, _: Instant, observation: Observation<'_>) {
+        match observation {
+            Observation::AttemptSent { request, node, .. } => {
+                let before = self.lock().insert(request, node.to_owned());
+                assert_eq!(before, None, "{request:?} has two attempts in flight");
+            }
+            Observation::AttemptEnded { request, node, end } => {
+                let sent_to = self.lock().remove(&request);
+                assert_eq!(sent_to.as_deref(), Some(node), "{request:?}: {end:?} ends no attempt in flight");
+            }
+            _ => {}
+        }
+    }
+
+    fn settings_changed(&mut self, _: &Deployment) {}
+}
--- a/testing/fakes/src/lib.rs
+++ b/testing/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //! on NVMe over TCP, discovery, clients, and the scheduler before them. Ports are chosen by the system. What
 //! goes wrong here panics: it is a fault of the test.
 
+mod attempt_ledger;
 mod discovery;
 pub mod hour;
 mod message;
@@ -14,6 +15,7 @@
 
 use std::time::Duration;
 
+pub use attempt_ledger::AttemptLedger;
 pub use discovery::{member, tell, watched, Discovery, Listed};
 pub use message::{answer, full_node, header, listen, nobody, read_message, request, reserved, FullNode};
 pub use node::{attempt, http_node, scripted_node, Does, Log, Script, Seen, LATE};
--- a/testing/fakes/src/rig.rs
+++ b/testing/fakes/src/rig.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, Instant};
 
+use crate::attempt_ledger::AttemptLedger;
 use crate::message::{answer, listen};
 use crate::PATIENCE;
 
@@ -58,6 +59,8 @@
     pub core: CoreHandle,
     /// Where its HTTP front listens.
     pub front: SocketAddr,
+    /// The attempts that the core has in flight, by what it tells its observer.
+    pub attempts: AttemptLedger,
     /// Ends it when dropped.
     pub _stop: watch::Sender<bool>,
 }
@@ -88,6 +91,8 @@
     };
     let core = core::start_core(deployment.clone(), seed, Box::new(dial)).expect("valid settings");
     core.discovery_sender().send(CoreMessage::EndpointUpdate(known)).await.expect("the core runs");
+    let attempts = AttemptLedger::default();
+    core.set_observer(Some(Box::new(attempts.clone()))).await;
     let (listener, front) = listen().await;
     let (stop, stopping) = watch::channel(false);
     tokio::spawn(http::serve(
@@ -96,7 +101,7 @@
         ConnectionTable::new(CONNECTIONS),
         stopping,
     ));
-    Rig { core, front, _stop: stop }
+    Rig { core, front, attempts, _stop: stop }
 }
 
 impl Rig {
@@ -124,6 +129,18 @@
         }
     }
 
+    /// Waits until no attempt is in flight.
+    ///
+    /// # Panics
+    /// If one still is after [`PATIENCE`].
+    pub async fn until_at_rest(&self) {
+        let by = Instant::now() + PATIENCE;
+        while self.attempts.in_flight_count() > 0 {
+            assert!(Instant::now() < by, "in flight at rest: {:?}", self.attempts);
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Waits until the core is ready, or no longer is.
     ///
     /// # Panics
