Fault injection: a kill is a span, and excuses only requests to the process it ended

Cause: the rig noted a kill as one moment before the signal. A client takes the address before that is cleared, connects, and writes after that moment, to a process that is being killed or is gone.

Mend: Killed has a span and the time of a SIGTERM before it; a request has the time at which its client began to connect. A kill excuses what was connected to the killed process and still had time when it began; after SIGTERM by as much as the platform grants, nothing.

The same for the other notes: SIGSTOP was noted with its planned end, and any overlap with it, or with a processor that was not had, excused an answer however late, and a missing one. Now an answer may be later by as much of the span as lies before it is due, clients say when they give up, and a connection that ends without an answer is a breach.

--- a/testing/fault-injection/src/clients.rs
+++ b/testing/fault-injection/src/clients.rs
@@ -62,14 +62,19 @@
     async fn one(self, host: u32, address: SocketAddr, shard: u32, write: bool) -> Option<()> {
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
         let text = request(call, shard, write, self.load.budget);
+        let connecting_at = self.play.now();
         let mut stream = timeout(self.load.budget, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.write_all(text.as_bytes()).await.ok()?;
         let at = self.play.now();
         let until = at + self.load.budget.as_micros() as u64;
-        self.play.note(Entry::Asked { call, host, at, until });
-        let patience = self.load.budget * 2;
+        self.play.note(Entry::Asked { call, host, connecting_at, at, until });
+        let patience = self.load.budget + LATE_ANSWER_TIME;
+        let Ok(answer) = timeout(patience, read_message(&mut stream)).await else {
+            self.play.note(Entry::GaveUp { call, at: self.play.now() });
+            return None;
+        };
         // A broken connection brings no answer, which the auditor sees.
-        let (head, _, body) = timeout(patience, read_message(&mut stream)).await.ok()??;
+        let (head, _, body) = answer?;
         let status: u16 = head.get(9..12)?.parse().ok()?;
         let at = self.play.now();
         self.play.note(Entry::Answered { call, at, status });
@@ -83,6 +88,10 @@
     }
 }
 
+/// Clients read for so long beyond the time that they tell, so that a late answer is seen. More than the
+/// slack of the rules.
+pub(crate) const LATE_ANSWER_TIME: Duration = Duration::from_secs(1);
+
 /// A second answer is waited for so long.
 const MORE: Duration = Duration::from_millis(20);
 
--- a/testing/fault-injection/src/fleet.rs
+++ b/testing/fault-injection/src/fleet.rs
@@ -10,9 +10,9 @@
 use tokio::task::{spawn_blocking, AbortHandle};
 use tokio::time::{sleep, sleep_until, Instant};
 
-use crate::audit::{judge, Breach, Cold, Entry, Micros, Rules};
+use crate::audit::{judge, Breach, Cold, Entry, Micros, Rules, Span};
 use crate::callers::busiest;
-use crate::clients::{Clients, Load};
+use crate::clients::{Clients, Load, LATE_ANSWER_TIME};
 use crate::link::{Link, Way};
 use crate::lists::{Calls, Lists, Ways};
 use crate::node::{Ability, Node};
@@ -23,6 +23,8 @@
 /// Figures of the settings that all scenarios share.
 pub const RULES: Rules = Rules {
     slack: 550_000,
+    // The longest deadline in the configuration, and 0.7 s.
+    shutdown_time: 1_700_000,
     grace: 300_000,
     window: 2_550_000,
     cold: Cold { units: 200.0, share: 0.24, time: 6_000_000, fall: 500_000, multiple: 4.0 },
@@ -85,6 +87,10 @@
     number: u32,
     config: PathBuf,
     program: Option<Program>,
+    /// When that process got SIGTERM.
+    terminated_at: Option<Micros>,
+    /// When that process got SIGSTOP, if it has not got SIGCONT since.
+    stopped_at: Option<Micros>,
     at: watch::Sender<Option<SocketAddr>>,
     lists: Link,
     nodes: Vec<Link>,
@@ -159,7 +165,16 @@
             let config = folder.join(format!("host-{}-{number}.json", discovery.port()));
             std::fs::write(&config, configuration(&scenario, number, discovery, &lists))?;
             let at = watch::channel(None).0;
-            hosts.push(Host { number, config, program: None, at, lists: link, nodes: links });
+            hosts.push(Host {
+                number,
+                config,
+                program: None,
+                terminated_at: None,
+                stopped_at: None,
+                at,
+                lists: link,
+                nodes: links,
+            });
         }
         let program = program.to_owned();
         Ok(Self {
@@ -262,7 +277,7 @@
                     self.terminate(host);
                 }
             }
-            What::Stop => self.signal(fault, "-STOP"),
+            What::Stop => self.which_hosts(fault).iter().for_each(|host| self.stop(*host)),
             What::ListsDown => self.lists.down(true),
             What::BreakWatches => self.lists.break_watches(),
             What::ListsRefused => self.list_links(fault).iter().for_each(|link| {
@@ -300,7 +315,7 @@
                 hosts.iter().for_each(|host| self.kill(*host));
                 self.start(&hosts, 0.0).await;
             }
-            What::Stop => self.signal(fault, "-CONT"),
+            What::Stop => self.which_hosts(fault).iter().for_each(|host| self.resume(*host)),
             What::ListsDown => self.lists.down(false),
             What::BreakWatches | What::Reset => {}
             What::ListsRefused | What::ListsSilent => self.list_links(fault).iter().for_each(mended),
@@ -319,12 +334,16 @@
 
     /// Nobody is to ask it from now on, and it is gone.
     fn kill(&mut self, host: u32) {
+        let from = self.play.now();
+        self.note_stop(host);
         let host = &mut self.hosts[host as usize];
         host.at.send_replace(None);
+        let terminated_at = host.terminated_at.take();
         if let Some(program) = host.program.take() {
-            self.play.note(Entry::Killed { host: host.number, at: self.play.now() });
             self.watching.remove(&host.number);
             program.kill();
+            let span = Span::new(from, self.play.now());
+            self.play.note(Entry::Killed { host: host.number, span, terminated_at });
         }
     }
 
@@ -333,27 +352,38 @@
         let host = &mut self.hosts[host as usize];
         host.at.send_replace(None);
         if let Some(program) = &host.program {
+            host.terminated_at = Some(self.play.now());
             program.signal("-TERM");
         }
     }
 
-    fn signal(&mut self, fault: &Fault, name: &str) {
-        let now = self.play.now();
-        for host in self.which_hosts(fault) {
-            if let Some(program) = &self.hosts[host as usize].program {
-                program.signal(name);
-                if let (Some(until), "-STOP") = (fault.until, name) {
-                    let to = now + ((until - fault.at) * 1e6) as Micros + 100_000;
-                    self.play.note(Entry::Stopped { host, from: now, to });
-                }
-            }
+    /// It stands still until it is resumed.
+    fn stop(&mut self, host: u32) {
+        let host = &mut self.hosts[host as usize];
+        if let Some(program) = &host.program {
+            host.stopped_at = Some(self.play.now());
+            program.signal("-STOP");
+        }
+    }
+
+    fn resume(&mut self, host: u32) {
+        if let Some(program) = &self.hosts[host as usize].program {
+            program.signal("-CONT");
+        }
+        self.note_stop(host);
+    }
+
+    /// Notes for how long a process was stopped, if it was.
+    fn note_stop(&mut self, host: u32) {
+        if let Some(from) = self.hosts[host as usize].stopped_at.take() {
+            self.play.note(Entry::Stopped { host, span: Span::new(from, self.play.now()) });
         }
     }
 
     async fn finish(mut self) -> Outcome {
         self.asking.iter().for_each(AbortHandle::abort);
         // What was asked last has its time.
-        sleep(BUDGET + Duration::from_micros(RULES.slack)).await;
+        sleep(BUDGET + LATE_ANSWER_TIME + Duration::from_micros(RULES.slack)).await;
         let at = self.play.now();
         for host in &self.hosts {
             if let Some(program) = &host.program {
@@ -385,10 +415,11 @@
         let waited =
             told.split_whitespace().nth(1).and_then(|ns| ns.parse::<u64>().ok()).unwrap_or(0) / 1_000;
         let to = play.now();
-        let more = waited.saturating_sub(before.replace(waited).unwrap_or(waited));
-        // The rig itself was late, or the host waited.
-        if more > STARVED || to - from > 2 * LOOK.as_micros() as Micros + STARVED {
-            play.note(Entry::Starved { host, from: from.saturating_sub(more), to });
+        let waited_more = waited.saturating_sub(before.replace(waited).unwrap_or(waited));
+        let rig_late = (to - from).saturating_sub(LOOK.as_micros() as Micros);
+        let lost = waited_more.max(rig_late);
+        if lost > STARVED {
+            play.note(Entry::Starved { host, span: Span::new(to.saturating_sub(lost), to) });
         }
     }
 }
