--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -133,7 +133,7 @@
 /// What has come to its end on a connection.
 enum Finished<C> {
     /// An attempt.
-    Attempt(Attempt, Done<C>, Option<Permit>),
+    Attempt(Box<Attempt>, Done<C>, Option<Permit>),
     /// The rest of an answer.
     Rest(Option<C>, Permit),
 }
@@ -188,6 +188,7 @@
         if permit.is_none() {
             // No descriptor for it: it never ran, and that says nothing about the node.
             let done = Done::lost(AttemptEnd::NotSent);
+            let attempt = Box::new(attempt);
             return self.running.push(Box::pin(async move { Finished::Attempt(attempt, done, None) }));
         }
         let fresh = idle.is_none();
@@ -202,7 +203,7 @@
                 tokio::task::yield_now().await;
             }
             let Ok(done) = trying.await;
-            Finished::Attempt(attempt, done, permit)
+            Finished::Attempt(Box::new(attempt), done, permit)
         }));
     }
 
