Soak: clients that leave, keyed writes, and what SIGKILL finds unanswered

The soak did not draw clients that leave while they wait, and only one class; and a stop within 350 ms before SIGKILL excused whatever was open then, since a connection that the kill resets looked like one that was never read.

A third of the clients leave after up to 120 ms, and none of their requests may begin more than 0.1 s (and 50 ms on sockets) later; a third send keyed writes with the other class's deadline. What SIGKILL finds unanswered on an open connection is a breach; a late stop of at most 0.15 s excuses the exit alone. Where the process was held up for longer than that in those 350 ms, by stops and by waiting for a processor together as the system counts it, nothing is held against it.

--- a/testing/fault-injection/src/fleet.rs
+++ b/testing/fault-injection/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::lists::{Calls, Lists, Ways};
 use crate::node::{Ability, Node};
 use crate::play::Play;
+use crate::processor_time::processor_wait;
 use crate::scenario::{Fault, Scenario, What};
 use crate::service::Costs;
 
@@ -411,9 +412,8 @@
         let from = play.now();
         sleep(LOOK).await;
         // It has ended.
-        let Ok(told) = std::fs::read_to_string(format!("/proc/{id}/schedstat")) else { return };
-        let waited =
-            told.split_whitespace().nth(1).and_then(|ns| ns.parse::<u64>().ok()).unwrap_or(0) / 1_000;
+        let Some(waited) = processor_wait(id) else { return };
+        let waited = waited.as_micros() as Micros;
         let to = play.now();
         let waited_more = waited.saturating_sub(before.replace(waited).unwrap_or(waited));
         let rig_late = (to - from).saturating_sub(LOOK.as_micros() as Micros);
--- a/testing/fault-injection/src/lib.rs
+++ b/testing/fault-injection/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod lists;
 pub mod node;
 pub mod play;
+pub mod processor_time;
 pub mod rogue;
 pub mod scenario;
 pub mod shutdown_soak;
--- a/testing/fault-injection/src/shutdown_soak/clients.rs
+++ b/testing/fault-injection/src/shutdown_soak/clients.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
-use super::plan::ClientPlan;
+use super::plan::{ClientPlan, Plan, SoakClass};
 
 /// Ids of one client.
 const IDS: u32 = 1 << 16;
@@ -30,6 +30,8 @@
     Truncated,
     /// Nothing until the client gave up waiting.
     Nothing,
+    /// Nothing until the client left, by closing its connection.
+    Left,
 }
 
 /// A request that was written whole.
@@ -61,23 +63,49 @@
     }
 }
 
-/// Writes a request, and reads what comes of it; `None` if it was not written whole.
-async fn ask(stream: &mut TcpStream, id: u32, shard: i32, deadline_ms: u64, until: Instant) -> Option<Asked> {
-    let text = request("consulta", id, shard, deadline_ms as u32, "");
+/// Writes a request, and reads what comes of it; `None` if it was not written whole. The connection of a client
+/// that has left is closed.
+async fn ask(mut stream: TcpStream, id: u32, client: &Client, until: Instant) -> Option<(Asked, TcpStream)> {
+    let text = request(client.class.name(), id, client.shard, client.deadline_ms as u32, "");
     stream.write_all(text.as_bytes()).await.ok()?;
     let at = Instant::now();
-    let came = came(stream, until).await;
-    Some(Asked { id, is_first: false, at, came, came_at: Instant::now() })
+    let leaves_at = client.leaves_after.map(|wait| at + wait).filter(|leaves_at| *leaves_at < until);
+    let came = came(&mut stream, leaves_at.unwrap_or(until)).await;
+    let came = if came == Came::Nothing && leaves_at.is_some() { Came::Left } else { came };
+    Some((Asked { id, is_first: false, at, came, came_at: Instant::now() }, stream))
 }
 
-/// Asks on one connection after another until `until`: a client leaves a connection only when that has ended.
-pub async fn insist(
-    address: SocketAddr,
-    number: u32,
-    client: ClientPlan,
-    deadline_ms: u64,
-    until: Instant,
-) -> Vec<Asked> {
+/// A client that keeps asking.
+#[derive(Clone, Copy, Debug)]
+pub struct Client {
+    /// Its pause after an answer.
+    pub pause: Duration,
+    /// The shard that it asks for.
+    pub shard: i32,
+    /// How long it waits for an answer before it leaves, if it does.
+    pub leaves_after: Option<Duration>,
+    /// The class that it asks for.
+    pub class: SoakClass,
+    /// The deadline of that class.
+    pub deadline_ms: u64,
+}
+
+impl Client {
+    /// A client of a plan.
+    pub fn new(plan: &Plan, client: &ClientPlan) -> Self {
+        Self {
+            pause: Duration::from_millis(client.pause_ms),
+            shard: client.shard,
+            leaves_after: client.leaves_after_ms.map(Duration::from_millis),
+            class: client.class,
+            deadline_ms: client.class.deadline_ms(plan),
+        }
+    }
+}
+
+/// Asks on one connection after another until `until`: a client leaves a connection only when that has ended,
+/// or when it has waited for as long as it waits.
+pub async fn insist(address: SocketAddr, number: u32, client: Client, until: Instant) -> Vec<Asked> {
     let mut asked: Vec<Asked> = Vec::new();
     let mut id = number * IDS;
     while Instant::now() < until {
@@ -88,13 +116,14 @@
         let mut is_first = true;
         loop {
             id += 1;
-            let Some(one) = ask(&mut stream, id, client.shard, deadline_ms, until).await else { break };
+            let Some((one, connection)) = ask(stream, id, &client, until).await else { break };
+            stream = connection;
             asked.push(Asked { is_first, ..one });
             is_first = false;
             if !matches!(one.came, Came::Answer(_)) {
                 break;
             }
-            sleep(Duration::from_millis(client.pause_ms)).await;
+            sleep(client.pause).await;
         }
         sleep(RECONNECT).await;
     }
--- a/testing/fault-injection/src/shutdown_soak/plan.rs
+++ b/testing/fault-injection/src/shutdown_soak/plan.rs
@@ -9,15 +9,19 @@
 /// Deadlines of the class that clients use.
 const DEADLINES_MS: [u64; 6] = [100, 300, 1000, 1000, 3000, 10_000];
 /// The deadline of the other class of the configuration.
-const OTHER_DEADLINE_MS: u64 = 700;
+pub const OTHER_DEADLINE_MS: u64 = 700;
 /// The platform counts no longer deadline than this.
 const MAX_COUNTED_DEADLINE_MS: u64 = 3000;
 /// SIGKILL follows SIGTERM this much after the longest deadline.
 const KILL_DELAY_MS: u64 = 700;
 /// The platform holds a process for so long at most.
-const MAX_STALL_MS: u64 = 150;
+pub const MAX_STALL_MS: u64 = 150;
 /// Further signals come this late at most.
 const MAX_SIGNAL_GAP_MS: u64 = 400;
+/// Clients that leave have waited for so long at most.
+const MAX_WAIT_BEFORE_LEAVING_MS: u64 = 120;
+/// A process that was held up in so much of the time before SIGKILL may be found by that.
+const LATE_STALL_MS: u64 = 350;
 /// Connections of a crowd.
 const CROWD: u32 = 60;
 
@@ -73,6 +77,40 @@
     pub pause_ms: u64,
     /// The shard that it asks for: 0 is well, 1 has the fault.
     pub shard: i32,
+    /// It leaves when it has waited for an answer for so long; without it, it waits for the answer.
+    #[serde(default)]
+    pub leaves_after_ms: Option<u64>,
+    /// The class that it asks for.
+    #[serde(default)]
+    pub class: SoakClass,
+}
+
+/// A class of the configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SoakClass {
+    /// A read, with the plan's deadline.
+    #[default]
+    Read,
+    /// A keyed write, with [`OTHER_DEADLINE_MS`].
+    KeyedWrite,
+}
+
+impl SoakClass {
+    /// Its name on the wire.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Read => "consulta",
+            Self::KeyedWrite => "pedido",
+        }
+    }
+
+    /// Its deadline in a plan, and how long its clients wait.
+    pub fn deadline_ms(self, plan: &Plan) -> u64 {
+        match self {
+            Self::Read => plan.deadline_ms,
+            Self::KeyedWrite => OTHER_DEADLINE_MS,
+        }
+    }
 }
 
 /// What happens in one play.
@@ -120,11 +158,21 @@
         plan.stalls = draw_stalls(&mut random, plan.stall_at_signal_ms, plan.kill_ms());
         for number in 0..random.u32(4..16) {
             let pause_ms = if random.bool() { 0 } else { random.u64(1..60) };
-            plan.clients.push(ClientPlan { pause_ms, shard: (number % 2) as i32 });
+            let shard = (number % 2) as i32;
+            plan.clients.push(ClientPlan { pause_ms, shard, leaves_after_ms: None, class: SoakClass::Read });
         }
         if random.u32(..3) == 0 {
             plan.crowd_at_ms = Some(random.u64(..plan.kill_ms()));
         }
+        // Drawn last, so that the rest of a plan is that of its seed as before.
+        for client in &mut plan.clients {
+            if random.u32(..3) == 0 {
+                client.class = SoakClass::KeyedWrite;
+            }
+            if random.u32(..3) == 0 {
+                client.leaves_after_ms = Some(random.u64(1..=MAX_WAIT_BEFORE_LEAVING_MS));
+            }
+        }
         plan
     }
 
@@ -138,14 +186,24 @@
         Duration::from_millis(self.kill_ms())
     }
 
+    /// From when on a stop may explain that SIGKILL finds the process, after the first SIGTERM.
+    pub fn late_stalls_from(&self) -> Duration {
+        Duration::from_millis(self.kill_ms() - LATE_STALL_MS)
+    }
+
+    /// Whether a stop that the platform allows explains that SIGKILL finds the process.
+    pub fn has_late_stall(&self) -> bool {
+        let is_late = |stall: &Stall| stall.from_ms + LATE_STALL_MS > self.kill_ms();
+        self.stalls.iter().any(|stall| stall.length_ms <= MAX_STALL_MS && is_late(stall))
+    }
+
     /// How many connections a crowd has.
     pub fn crowd_size(&self) -> u32 {
         self.crowd_at_ms.map_or(0, |_| CROWD)
     }
 }
 
-/// Up to three stops, each within its own third of the time until SIGKILL: the last one is placed where the
-/// last answers are due, as that is the narrowest place.
+/// At most two stops, the second one where the last answers are due, as that is the narrowest place.
 fn draw_stalls(random: &mut Rng, first_from_ms: u64, kill_ms: u64) -> Vec<Stall> {
     let mut stalls = Vec::new();
     let last_from = kill_ms - 2 * MAX_STALL_MS - 100;
--- a/testing/fault-injection/src/shutdown_soak/play.rs
+++ b/testing/fault-injection/src/shutdown_soak/play.rs
@@ -13,7 +13,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::clients::{crowd, insist};
+use crate::processor_time::processor_wait;
+
+use super::clients::{crowd, insist, Client};
 use super::plan::{Crossing, Plan};
 use super::verdict::{Exit, Observed, Outcome};
 
@@ -50,8 +52,8 @@
         Crossing::Requests | Crossing::Reload => Instant::now() + BEFORE_SIGNAL,
     };
     let until = signal_at + plan.kill_after() + LAST_READ;
-    for (number, client) in (1..).zip(plan.clients.clone()) {
-        clients.spawn(insist(address, number, client, plan.deadline_ms, until));
+    for (number, client) in (1..).zip(&plan.clients) {
+        clients.spawn(insist(address, number, Client::new(&plan, client), until));
     }
     if let Some(at_ms) = plan.crowd_at_ms {
         let from = signal_at + Duration::from_millis(at_ms);
@@ -128,19 +130,71 @@
     due.sort_by_key(|(at, _)| *at);
     let mut due = due.into_iter().peekable();
     let kill_at = signalled + plan.kill_after();
+    let mut held_up = HeldUp::new(child.id(), signalled + plan.late_stalls_from());
     while Instant::now() < kill_at {
         if let Some(status) = child.try_wait()? {
-            return Ok(Exit { after: Some(signalled.elapsed()), code: status.code() });
+            return Ok(Exit::ByItself { after: signalled.elapsed(), code: status.code() });
         }
         while let Some((_, next)) =
             due.next_if(|(at, _)| signalled + Duration::from_millis(*at) <= Instant::now())
         {
             send(child, next);
+            held_up.signal_sent(next);
         }
+        held_up.check();
         let next = due.peek().map_or(kill_at, |(at, _)| signalled + Duration::from_millis(*at));
         sleep_until(next.min(kill_at).min(Instant::now() + CHECK_INTERVAL)).await;
     }
+    let at = Instant::now();
     send(child, Signal::KILL);
-    let status = child.wait()?;
-    Ok(Exit { after: None, code: status.code() })
+    let held_up = held_up.total(at);
+    child.wait()?;
+    Ok(Exit::Killed { at, held_up })
+}
+
+/// How long a process was stopped, or waited for a processor, from some time on.
+struct HeldUp {
+    process: u32,
+    from: Instant,
+    /// What it had waited for a processor when that time came.
+    waited_before: Option<Duration>,
+    stopped_at: Option<Instant>,
+    stopped: Duration,
+}
+
+impl HeldUp {
+    fn new(process: u32, from: Instant) -> Self {
+        Self { process, from, waited_before: None, stopped_at: None, stopped: Duration::ZERO }
+    }
+
+    fn signal_sent(&mut self, signal: Signal) {
+        let now = Instant::now();
+        if signal == Signal::STOP {
+            self.stopped_at = Some(now);
+        } else if signal == Signal::CONT {
+            self.end_stop(now);
+        }
+    }
+
+    fn end_stop(&mut self, at: Instant) {
+        if let Some(since) = self.stopped_at.take() {
+            self.stopped += at.saturating_duration_since(since.max(self.from));
+        }
+    }
+
+    /// To be called often, so that what it waited before is known.
+    fn check(&mut self) {
+        if self.waited_before.is_none() && Instant::now() >= self.from {
+            self.waited_before = processor_wait(self.process);
+        }
+    }
+
+    /// All of it until `at`, when the process got SIGKILL. Its last wait counts once it has ended.
+    fn total(mut self, at: Instant) -> Duration {
+        self.end_stop(at);
+        std::thread::sleep(CHECK_INTERVAL);
+        let waited = processor_wait(self.process).zip(self.waited_before);
+        let waited = waited.map_or(Duration::ZERO, |(after, before)| after.saturating_sub(before));
+        self.stopped + waited
+    }
 }
--- a/testing/fault-injection/src/shutdown_soak/verdict.rs
+++ b/testing/fault-injection/src/shutdown_soak/verdict.rs
@@ -9,13 +9,15 @@
 use tokio::time::Instant;
 
 use super::clients::{Asked, Came};
-use super::plan::Plan;
+use super::plan::{Plan, MAX_STALL_MS};
 
 /// The next process is ready this long after it was started.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 
 /// On sockets every limit is longer by this much.
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// An attempt may begin this long after its client has left.
+const LEAVING_SLACK: Duration = Duration::from_millis(100);
 /// New connections come for this long after SIGTERM.
 const NEW_CONNECTIONS_FOR: Duration = Duration::from_millis(400);
 
@@ -44,8 +46,15 @@
         /// When the node had read it, after the client had its answer.
         late_ms: u64,
     },
-    /// Nothing at all came of a request until SIGKILL.
+    /// SIGKILL found a request unanswered.
     Unanswered(u32),
+    /// A request was sent to a node after its client had left.
+    SentAfterLeaving {
+        /// Its id.
+        id: u32,
+        /// When the node had read it, after the client had left.
+        late_ms: u64,
+    },
     /// SIGKILL found the process, and no stop explains it.
     Killed,
     /// It ended with another exit code than 0.
@@ -62,11 +71,36 @@
 
 /// How the process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Exit {
-    /// After the first SIGTERM; `None` if SIGKILL found it.
-    pub after: Option<Duration>,
-    /// Its exit code, if it has one.
-    pub code: Option<i32>,
+pub enum Exit {
+    /// By itself.
+    ByItself {
+        /// Time since the first SIGTERM.
+        after: Duration,
+        /// Its exit code, if it has one.
+        code: Option<i32>,
+    },
+    /// SIGKILL found it.
+    Killed {
+        /// Just before the signal.
+        at: Instant,
+        /// How long it was stopped, or waited for a processor, in the time in which a stop may explain this.
+        held_up: Duration,
+    },
+}
+
+impl Exit {
+    /// When the process ended by itself, after the first SIGTERM.
+    fn after(self) -> Option<Duration> {
+        match self {
+            Self::ByItself { after, .. } => Some(after),
+            Self::Killed { .. } => None,
+        }
+    }
+
+    /// Whether the process was held up for longer than the platform does before SIGKILL found it.
+    fn is_held_up_for_too_long(self) -> bool {
+        matches!(self, Self::Killed { held_up, .. } if held_up > Duration::from_millis(MAX_STALL_MS))
+    }
 }
 
 /// What was seen in a play.
@@ -118,7 +152,7 @@
             refused: count(|came| came == Came::Answer(503)),
             failed: count(|came| matches!(came, Came::Answer(500..=502 | 504..))),
             unread: count(|came| matches!(came, Came::Closed | Came::Reset)),
-            exit_ms: observed.exit.after.map(|after| after.as_millis() as u64),
+            exit_ms: observed.exit.after().map(|after| after.as_millis() as u64),
             ready_ms: observed.next_ready.map(|after| after.as_millis() as u64),
             breaches,
             plan,
@@ -139,14 +173,17 @@
     }
     for asked in &observed.asked {
         let forwarded = sent.get(&asked.id);
+        let last = forwarded.and_then(|seen| seen.iter().map(|seen| seen.at).max());
+        let late = last.map_or(Duration::ZERO, |at| at.saturating_duration_since(asked.came_at));
+        let late_ms = late.as_millis() as u64;
         match asked.came {
-            Came::Answer(_) => {
-                let last = forwarded.and_then(|seen| seen.iter().map(|seen| seen.at).max());
-                let late = last.map_or(Duration::ZERO, |at| at.saturating_duration_since(asked.came_at));
-                if late > SOCKET_SLACK {
-                    breaches.push(Breach::SentAfterAnswer { id: asked.id, late_ms: late.as_millis() as u64 });
-                }
+            Came::Answer(_) if late > SOCKET_SLACK => {
+                breaches.push(Breach::SentAfterAnswer { id: asked.id, late_ms });
             }
+            Came::Left if late > LEAVING_SLACK + SOCKET_SLACK => {
+                breaches.push(Breach::SentAfterLeaving { id: asked.id, late_ms });
+            }
+            Came::Answer(_) | Came::Left => {}
             Came::Truncated => breaches.push(Breach::Truncated(asked.id)),
             Came::Closed | Came::Reset | Came::Nothing if forwarded.is_some() => {
                 let at_ms = asked.at.saturating_duration_since(observed.signalled).as_millis() as i64
@@ -157,8 +194,10 @@
             Came::Closed | Came::Reset | Came::Nothing if is_due_on_new_connection(asked, observed) => {
                 breaches.push(Breach::NewConnection(asked.id));
             }
-            // Whoever connects while the process ends may find it gone; so it waits at the next one.
-            Came::Nothing if observed.exit.after.is_none() => breaches.push(Breach::Unanswered(asked.id)),
+            Came::Closed | Came::Reset | Came::Nothing if is_found_by_kill(asked, observed) => {
+                breaches.push(Breach::Unanswered(asked.id));
+            }
+            // Whoever connects while the process ends may find it gone.
             Came::Closed | Came::Reset | Came::Nothing => {}
         }
     }
@@ -169,14 +208,20 @@
     asked.is_first && asked.at <= observed.signalled + NEW_CONNECTIONS_FOR
 }
 
+/// Whether SIGKILL found the request without an answer, and its connection open, and the process had its time.
+fn is_found_by_kill(asked: &Asked, observed: &Observed) -> bool {
+    let Exit::Killed { at, .. } = observed.exit else { return false };
+    asked.at < at && asked.came_at >= at && !observed.exit.is_held_up_for_too_long()
+}
+
 fn exit_breaches(plan: &Plan, observed: &Observed) -> Vec<Breach> {
     let mut breaches = Vec::new();
     match observed.exit {
-        Exit { after: Some(_), code: Some(0) } => {}
-        Exit { after: Some(_), code } => breaches.push(Breach::ExitCode(code)),
+        Exit::ByItself { code: Some(0), .. } => {}
+        Exit::ByItself { code, .. } => breaches.push(Breach::ExitCode(code)),
         // A process that is stopped just before its end may be found by SIGKILL, with all answers given.
-        Exit { after: None, .. } if plan.stalls.iter().any(|stall| stall.from_ms + 350 > plan.kill_ms()) => {}
-        Exit { after: None, .. } => breaches.push(Breach::Killed),
+        Exit::Killed { .. } if plan.has_late_stall() || observed.exit.is_held_up_for_too_long() => {}
+        Exit::Killed { .. } => breaches.push(Breach::Killed),
     }
     if observed.next_ready.is_none_or(|ready| ready > READY_WITHIN) {
         breaches.push(Breach::NotReady);
