Fault injection: clients keep their rate on a loaded machine; late answers are judged

slow_start_across_processes counted late answers and passed over them.

Cause: a client slept for its pause after each request, so each late timer lowered the rate. Requests are now due one pause after the one before was.

--- a/crates/scheduler/tests/slow_start_across_processes.rs
+++ b/crates/scheduler/tests/slow_start_across_processes.rs
@@ -5,7 +5,7 @@
 
 use std::path::{Path, PathBuf};
 
-use heathward_fault_injection::audit::{most_cold, Entry, Rule};
+use heathward_fault_injection::audit::{most_cold, Entry};
 use heathward_fault_injection::fleet::{play, Outcome, RULES};
 use heathward_fault_injection::scenario::Scenario;
 use rstest::rstest;
@@ -34,10 +34,7 @@
     let most = most_cold(&outcome.log, &RULES);
     let (served, asked) = outcome.served(0.5, scenario.seconds);
     println!("{hosts} hosts: {most:.2} of N at most, {served} of {asked} served");
-    let (late, broken): (Vec<_>, Vec<_>) = outcome.breaches.iter().partition(|b| b.rule == Rule::Answer);
-    // So much load may find no processor for a while; tests/faults.rs holds answers to their time.
-    println!("{} answers late", late.len());
-    assert!(broken.is_empty(), "{broken:?}");
+    assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches);
     assert!(most <= MOST, "{most} of N");
     // The test would say nothing of a node that stays warm, or of a fleet that asks for little.
     assert!(outcome.log.iter().any(|entry| matches!(entry, Entry::Began { .. })));
--- a/testing/fault-injection/src/clients.rs
+++ b/testing/fault-injection/src/clients.rs
@@ -12,7 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep_until, timeout, Instant};
 
 use crate::audit::Entry;
 use crate::play::Play;
@@ -48,8 +48,11 @@
     pub async fn ask(self, host: u32, at: watch::Receiver<Option<SocketAddr>>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let Ok(pauses) = Exp::new(self.load.rate) else { return };
+        // Counted from the request before, so that a machine under load makes them late and not fewer.
+        let mut due = Instant::now();
         loop {
-            sleep(Duration::from_secs_f64(pauses.sample(&mut rng))).await;
+            due += Duration::from_secs_f64(pauses.sample(&mut rng));
+            sleep_until(due).await;
             if at.has_changed().is_err() {
                 return;
             }
