Fault injection: entries, rules and link modes in the field's terms, no bare tuples

Entries of the log (AttemptOver, NodeStarted, DrainNotified, NodeReturned, ResourcesUsed), rules (Draining, SlowStart, RateLimit, Resources; printed as before, as fixtures/verdict.txt holds), LinkMode for Way, restore_link for mended; the pairs of shards, of a limit and of the resources at most became named fields.

--- a/crates/scheduler/tests/slow_start_across_processes.rs
+++ b/crates/scheduler/tests/slow_start_across_processes.rs
@@ -37,7 +37,7 @@
     assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches);
     assert!(most <= MOST, "{most} of N");
     // The test would say nothing of a node that stays warm, or of a fleet that asks for little.
-    assert!(outcome.log.iter().any(|entry| matches!(entry, Entry::Began { .. })));
+    assert!(outcome.log.iter().any(|entry| matches!(entry, Entry::NodeStarted { .. })));
     assert!(asked as f64 > 0.7 * ASKED * (scenario.seconds - 0.5), "{asked} asked");
     assert!(served * 10 > asked, "{served} of {asked} served");
 }
--- a/testing/fault-injection/src/audit.rs
+++ b/testing/fault-injection/src/audit.rs
@@ -50,7 +50,7 @@
     /// An attempt came to a node.
     Arrived(Arrived),
     /// The node has answered it, or its connection has ended.
-    Over {
+    AttemptOver {
         /// The request.
         call: Number,
         /// The node.
@@ -59,7 +59,7 @@
         at: Micros,
     },
     /// A host was told, or counts as told, that a node drains or is gone.
-    Leaves {
+    DrainNotified {
         /// Who was told.
         host: Number,
         /// Of which node.
@@ -70,14 +70,14 @@
         at: Micros,
     },
     /// A node is in service again, under the id that it had.
-    Back {
+    NodeReturned {
         /// The node.
         node: Number,
         /// When.
         at: Micros,
     },
     /// A node began cold.
-    Began {
+    NodeStarted {
         /// The node.
         node: Number,
         /// When.
@@ -108,7 +108,7 @@
         span: Span,
     },
     /// What a host held at some moment.
-    Held {
+    ResourcesUsed {
         /// The host.
         host: Number,
         /// When.
@@ -129,8 +129,10 @@
     pub host: Number,
     /// The node.
     pub node: Number,
-    /// The shard that the node holds, and the one that the request is for.
-    pub shards: (u32, u32),
+    /// The shard that the node holds.
+    pub node_shard: u32,
+    /// The shard that the request is for.
+    pub request_shard: u32,
     /// Its first byte and its last.
     pub first: Micros,
     /// Its last byte.
@@ -157,10 +159,21 @@
     /// A cold node: units that it bears warm in `fall`, its share at first, the time to the whole, the span
     /// that counts, and the multiple.
     pub cold: Cold,
-    /// Units a second for each volume, and what a full store holds; none where there is no limit.
-    pub limit: Option<(f64, f64)>,
-    /// Kilobytes and descriptors of a host.
-    pub most: (u64, u64),
+    /// The rate limit of each volume; none where there is no limit.
+    pub rate_limit: Option<RateLimit>,
+    /// Memory of a host at most, kilobytes.
+    pub max_memory_kb: u64,
+    /// Descriptors of a host at most.
+    pub max_descriptors: u64,
+}
+
+/// The rate limit of a volume, by all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimit {
+    /// Units a second.
+    pub rate: f64,
+    /// Units that a full token bucket holds.
+    pub burst: f64,
 }
 
 /// The rule on cold nodes.
@@ -206,13 +219,13 @@
     /// A keyed write was sent again after its window.
     Window,
     /// A first byte went to a node after its grace.
-    Leaving,
+    Draining,
     /// A cold node got more than its multiple.
-    Cold,
+    SlowStart,
     /// A volume was sent more than its limit by all hosts together.
-    Limit,
+    RateLimit,
     /// A host held more memory or descriptors than it may.
-    Held,
+    Resources,
 }
 
 impl Rule {
@@ -224,10 +237,10 @@
             Self::AtOnce => "AtOnce",
             Self::Shard => "Shard",
             Self::Window => "Window",
-            Self::Leaving => "Leaving",
-            Self::Cold => "Cold",
-            Self::Limit => "Limit",
-            Self::Held => "Held",
+            Self::Draining => "Leaving",
+            Self::SlowStart => "Cold",
+            Self::RateLimit => "Limit",
+            Self::Resources => "Held",
         }
     }
 }
@@ -265,10 +278,10 @@
     found.extend(cold(log, &arrived, rules));
     found.extend(limits(&arrived, rules));
     for entry in log {
-        let Entry::Held { host, at, memory_kb, descriptors } = entry else { continue };
-        if *memory_kb > rules.most.0 || *descriptors > rules.most.1 {
+        let Entry::ResourcesUsed { host, at, memory_kb, descriptors } = entry else { continue };
+        if *memory_kb > rules.max_memory_kb || *descriptors > rules.max_descriptors {
             let text = format!("host {host}: {memory_kb} KB, {descriptors} descriptors");
-            found.push(Breach { rule: Rule::Held, at: *at, text });
+            found.push(Breach { rule: Rule::Resources, at: *at, text });
         }
     }
     found.sort_by_key(|breach| (breach.at, breach.rule));
@@ -278,7 +291,7 @@
 fn attempts(log: &[Entry], arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
     let mut over: BTreeMap<(Number, Number), Vec<Micros>> = BTreeMap::new();
     for entry in log {
-        if let Entry::Over { call, node, at } = entry {
+        if let Entry::AttemptOver { call, node, at } = entry {
             over.entry((*call, *node)).or_default().push(*at);
         }
     }
@@ -297,8 +310,8 @@
             found.push(Breach { rule: Rule::AtOnce, at, text });
         }
         earlier.push(attempt);
-        if attempt.shards.0 != attempt.shards.1 {
-            let text = format!("call {call} for shard {} came to node {node}", attempt.shards.1);
+        if attempt.node_shard != attempt.request_shard {
+            let text = format!("call {call} for shard {} came to node {node}", attempt.request_shard);
             found.push(Breach { rule: Rule::Shard, at, text });
         }
         if let Some(key) = &attempt.key {
@@ -317,10 +330,10 @@
     let mut back: BTreeMap<Number, Vec<Micros>> = BTreeMap::new();
     for entry in log {
         match entry {
-            Entry::Leaves { host, node, since, at } => {
+            Entry::DrainNotified { host, node, since, at } => {
                 told.entry((*host, *node)).or_default().push((*since, *at));
             }
-            Entry::Back { node, at } => back.entry(*node).or_default().push(*at),
+            Entry::NodeReturned { node, at } => back.entry(*node).or_default().push(*at),
             _ => {}
         }
     }
@@ -331,7 +344,7 @@
         let told = told.map(|(_, at)| at).min()?;
         let late = attempt.first.checked_sub(told + rules.grace + 1)?;
         let text = format!("host {} to node {}: {late} us after its grace", attempt.host, attempt.node);
-        Some(Breach { rule: Rule::Leaving, at: attempt.first, text })
+        Some(Breach { rule: Rule::Draining, at: attempt.first, text })
     };
     arrived.iter().filter_map(late).collect()
 }
@@ -339,7 +352,7 @@
 fn cold(log: &[Entry], arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
     let mut found = Vec::new();
     for entry in log {
-        let Entry::Began { node, at } = entry else { continue };
+        let Entry::NodeStarted { node, at } = entry else { continue };
         let end = at + rules.cold.time;
         let got: Vec<&&Arrived> =
             arrived.iter().filter(|a| a.node == *node && a.last >= *at && a.last < end).collect();
@@ -354,7 +367,7 @@
             let allowed = rules.cold.allowed(attempt.last - at);
             if sum > allowed {
                 let text = format!("node {node}: {sum} units where {allowed:.1} are borne");
-                found.push(Breach { rule: Rule::Cold, at: attempt.last, text });
+                found.push(Breach { rule: Rule::SlowStart, at: attempt.last, text });
                 break;
             }
         }
@@ -363,7 +376,7 @@
 }
 
 fn limits(arrived: &[&Arrived], rules: &Rules) -> Vec<Breach> {
-    let Some((rate, burst)) = rules.limit else { return Vec::new() };
+    let Some(RateLimit { rate, burst }) = rules.rate_limit else { return Vec::new() };
     let mut found = Vec::new();
     let mut stores: BTreeMap<u64, (f64, Micros)> = BTreeMap::new();
     let mut seen = std::collections::BTreeSet::new();
@@ -373,7 +386,7 @@
         *at = attempt.last;
         if *left < 0.0 {
             let text = format!("volume {}: {:.1} units over its limit", attempt.volume, -*left);
-            found.push(Breach { rule: Rule::Limit, at: attempt.last, text });
+            found.push(Breach { rule: Rule::RateLimit, at: attempt.last, text });
         }
     }
     found
@@ -383,7 +396,7 @@
 pub fn most_cold(log: &[Entry], rules: &Rules) -> f64 {
     let mut most: f64 = 0.0;
     for entry in log {
-        let Entry::Began { node, at } = entry else { continue };
+        let Entry::NodeStarted { node, at } = entry else { continue };
         let got = |from: Micros| -> f64 {
             let within = |a: &Arrived| a.node == *node && a.last >= from && a.last < from + rules.cold.fall;
             log.iter()
--- a/testing/fault-injection/src/fleet.rs
+++ b/testing/fault-injection/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::audit::{judge, Breach, Cold, Entry, Micros, Rules, Span};
 use crate::callers::busiest;
 use crate::clients::{Clients, Load, LATE_ANSWER_TIME};
-use crate::link::{Link, Way};
+use crate::link::{Link, LinkMode};
 use crate::lists::{Calls, Lists, Ways};
 use crate::node::{Ability, Node};
 use crate::play::Play;
@@ -29,8 +29,9 @@
     grace: 300_000,
     window: 2_550_000,
     cold: Cold { units: 200.0, share: 0.24, time: 6_000_000, fall: 500_000, multiple: 4.0 },
-    limit: None,
-    most: (32 << 10, 256),
+    rate_limit: None,
+    max_memory_kb: 32 << 10,
+    max_descriptors: 256,
 };
 
 /// How long clients wait.
@@ -285,7 +286,7 @@
                 link.change(|state| (state.refused, state.resets) = (true, state.resets + 1));
             }),
             What::ListsSilent => self.list_links(fault).iter().for_each(|link| {
-                link.change(|state| (state.there, state.back) = (Way::Silent, Way::Silent));
+                link.change(|state| (state.there, state.back) = (LinkMode::Silent, LinkMode::Silent));
             }),
             What::Replace => {
                 for node in self.which_nodes(fault) {
@@ -296,13 +297,13 @@
                 link.change(|state| (state.refused, state.resets) = (true, state.resets + 1));
             }),
             What::Silent => self.links(fault).iter().for_each(|link| {
-                link.change(|state| (state.there, state.back) = (Way::Silent, Way::Silent));
+                link.change(|state| (state.there, state.back) = (LinkMode::Silent, LinkMode::Silent));
             }),
             What::Hold => {
-                self.links(fault).iter().for_each(|link| link.change(|state| state.back = Way::Held))
+                self.links(fault).iter().for_each(|link| link.change(|state| state.back = LinkMode::Paused))
             }
             What::Late => {
-                let late = Way::Late(Duration::from_millis(fault.ms.unwrap_or_default()));
+                let late = LinkMode::Late(Duration::from_millis(fault.ms.unwrap_or_default()));
                 self.links(fault).iter().for_each(|link| link.change(|state| state.there = late));
             }
             What::Reset => self.links(fault).iter().for_each(|link| link.change(|state| state.resets += 1)),
@@ -319,7 +320,7 @@
             What::Stop => self.which_hosts(fault).iter().for_each(|host| self.resume(*host)),
             What::ListsDown => self.lists.down(false),
             What::BreakWatches | What::Reset => {}
-            What::ListsRefused | What::ListsSilent => self.list_links(fault).iter().for_each(mended),
+            What::ListsRefused | What::ListsSilent => self.list_links(fault).iter().for_each(restore_link),
             What::Replace => {
                 let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
                 for node in self.which_nodes(fault) {
@@ -328,7 +329,7 @@
                 }
             }
             What::Refuse | What::Silent | What::Hold | What::Late => {
-                self.links(fault).iter().for_each(mended);
+                self.links(fault).iter().for_each(restore_link);
             }
         }
     }
@@ -390,7 +391,7 @@
             if let Some(program) = &host.program {
                 let held = program.held();
                 let (memory_kb, descriptors) = (held.peak_kb as u64, held.descriptors as u64);
-                self.play.note(Entry::Held { host: host.number, at, memory_kb, descriptors });
+                self.play.note(Entry::ResourcesUsed { host: host.number, at, memory_kb, descriptors });
             }
         }
         let (log, _) = self.play.log();
@@ -401,8 +402,8 @@
     }
 }
 
-fn mended(link: &Link) {
-    link.change(|state| (state.there, state.back, state.refused) = (Way::Open, Way::Open, false));
+fn restore_link(link: &Link) {
+    link.change(|state| (state.there, state.back, state.refused) = (LinkMode::Open, LinkMode::Open, false));
 }
 
 /// Notes when a process waited for a processor for most of a while, by what the system counts.
--- a/testing/fault-injection/src/link.rs
+++ b/testing/fault-injection/src/link.rs
@@ -10,14 +10,14 @@
 
 /// How a link is, for one direction or both.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Way {
+pub enum LinkMode {
     /// As it should be.
     #[default]
     Open,
     /// So late.
     Late(Duration),
     /// Nothing passes for now; it does once the link is open again.
-    Held,
+    Paused,
     /// Nothing passes, and once the link is open again such a connection resets, as with a machine that was
     /// cut off.
     Silent,
@@ -27,9 +27,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct State {
     /// From a scheduler to the stand-in.
-    pub there: Way,
+    pub there: LinkMode,
     /// Back.
-    pub back: Way,
+    pub back: LinkMode,
     /// New connections are refused.
     pub refused: bool,
     /// Counts up: connections from before are reset.
@@ -90,16 +90,16 @@
         self.pass(|state| state.back).await
     }
 
-    async fn pass(&self, way: impl Fn(&State) -> Way) -> Result<(), Broken> {
+    async fn pass(&self, way: impl Fn(&State) -> LinkMode) -> Result<(), Broken> {
         let mut states = self.0.subscribe();
         match way(&self.state()) {
-            Way::Open => {}
-            Way::Late(span) => sleep(span).await,
-            Way::Held => {
-                let _ = states.wait_for(|state| way(state) != Way::Held).await;
+            LinkMode::Open => {}
+            LinkMode::Late(span) => sleep(span).await,
+            LinkMode::Paused => {
+                let _ = states.wait_for(|state| way(state) != LinkMode::Paused).await;
             }
-            Way::Silent => {
-                let _ = states.wait_for(|state| way(state) != Way::Silent).await;
+            LinkMode::Silent => {
+                let _ = states.wait_for(|state| way(state) != LinkMode::Silent).await;
                 return Err(Broken);
             }
         }
--- a/testing/fault-injection/src/lists.rs
+++ b/testing/fault-injection/src/lists.rs
@@ -112,13 +112,13 @@
         });
         let at = self.play.now();
         if phase == "in_service" {
-            self.play.note(Entry::Back { node, at });
+            self.play.note(Entry::NodeReturned { node, at });
         } else if self.truth.borrow().down.is_none() && self.ways == Ways::Agents {
             for (host, silent) in (0..).zip(self.silent().iter()) {
                 // What a broken watch misses counts as told so long after it fell silent; sooner, if it is
                 // told on another one.
                 let (since, at) = (at, silent.map_or(at, |silent| at.max(silent + TOLD_BY)));
-                self.play.note(Entry::Leaves { host, node, since, at });
+                self.play.note(Entry::DrainNotified { host, node, since, at });
             }
         }
     }
@@ -135,7 +135,7 @@
         });
         let (at, hosts) = (self.play.now(), self.addresses().len() as u32);
         for node in left {
-            (0..hosts).for_each(|host| self.play.note(Entry::Leaves { host, node, since: at, at }));
+            (0..hosts).for_each(|host| self.play.note(Entry::DrainNotified { host, node, since: at, at }));
         }
     }
 
@@ -192,7 +192,7 @@
         let told = |l: &&Listed| l.revision > after && l.revision <= revision && l.phase != "in_service";
         let (host, at) = (host as u32, self.play.now());
         for listed in truth.nodes.iter().filter(told) {
-            self.play.note(Entry::Leaves { host, node: listed.node, since: at, at });
+            self.play.note(Entry::DrainNotified { host, node: listed.node, since: at, at });
         }
     }
 
--- a/testing/fault-injection/src/node.rs
+++ b/testing/fault-injection/src/node.rs
@@ -64,7 +64,7 @@
     pub fn begin(&self) {
         let at = self.play.now().max(1);
         self.began.store(at, Ordering::Relaxed);
-        self.play.note(Entry::Began { node: self.number, at });
+        self.play.note(Entry::NodeStarted { node: self.number, at });
     }
 
     /// When its connections came, microseconds of the play.
@@ -123,7 +123,8 @@
             call,
             host,
             node: self.number,
-            shards: (self.number, shard),
+            node_shard: self.number,
+            request_shard: shard,
             first: began,
             last: self.play.now(),
             key: header(&small, "idempotency-key").map(str::to_owned),
@@ -169,7 +170,7 @@
 impl Drop for Over<'_> {
     fn drop(&mut self) {
         let (call, node, at) = (self.call, self.node.number, self.node.play.now());
-        self.node.play.note(Entry::Over { call, node, at });
+        self.node.play.note(Entry::AttemptOver { call, node, at });
     }
 }
 
--- a/testing/fault-injection/src/play.rs
+++ b/testing/fault-injection/src/play.rs
@@ -7,7 +7,7 @@
 use crate::audit::{Entry, Micros};
 
 /// Entries of a play at most; what is more is counted.
-const MOST: usize = 2_000_000;
+const MAX_ENTRIES: usize = 2_000_000;
 
 /// The clock and the log of one play; all clones are one.
 #[derive(Clone, Debug)]
@@ -36,7 +36,7 @@
     /// Writes it down.
     pub fn note(&self, entry: Entry) {
         let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        if log.0.len() < MOST {
+        if log.0.len() < MAX_ENTRIES {
             log.0.push(entry);
         } else {
             log.1 += 1;
--- a/testing/fault-injection/tests/auditor.rs
+++ b/testing/fault-injection/tests/auditor.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use heathward_fault_injection::audit::{judge, Arrived, Cold, Entry, Rule, Rules, Span};
+use heathward_fault_injection::audit::{judge, Arrived, Cold, Entry, RateLimit, Rule, Rules, Span};
 use heathward_fault_injection::clients::{Clients, Load};
 use heathward_fault_injection::fleet::RULES;
 use heathward_fault_injection::link::Link;
@@ -64,9 +64,9 @@
 #[case::at_once(Planted::AtOnce, false, rules(), Some(Rule::AtOnce))]
 #[case::other_shard(Planted::OtherShard, false, rules(), Some(Rule::Shard))]
 #[case::past_the_window(Planted::Later(Duration::from_millis(700)), false, rules(), Some(Rule::Window))]
-#[case::leaving(Planted::Sound, true, rules(), Some(Rule::Leaving))]
-#[case::cold(Planted::Again(12), false, rules(), Some(Rule::Cold))]
-#[case::limit(Planted::Sound, false, Rules { limit: Some((0.1, 2.0)), ..rules() }, Some(Rule::Limit))]
+#[case::leaving(Planted::Sound, true, rules(), Some(Rule::Draining))]
+#[case::cold(Planted::Again(12), false, rules(), Some(Rule::SlowStart))]
+#[case::limit(Planted::Sound, false, Rules { rate_limit: Some(RateLimit { rate: 0.1, burst: 2.0 }), ..rules() }, Some(Rule::RateLimit))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_planted_fault_is_seen(
     #[case] planted: Planted,
@@ -75,7 +75,7 @@
     #[case] expected: Option<Rule>,
 ) {
     // Late writes of a volume come again only where there are enough requests.
-    let seconds = if rules.limit.is_some() { 4.0 } else { 1.5 };
+    let seconds = if rules.rate_limit.is_some() { 4.0 } else { 1.5 };
     let breaches = judge(&played(planted, leaves, seconds).await, &rules);
     println!("{} breaches, first {:?}", breaches.len(), breaches.first().map(ToString::to_string));
     match expected {
@@ -84,16 +84,16 @@
     }
     // Nothing else is made of it; more load at once is what a flood is.
     let other = breaches.iter().filter(|breach| Some(breach.rule) != expected).count();
-    assert!(other == 0 || expected == Some(Rule::Cold), "{breaches:?}");
+    assert!(other == 0 || expected == Some(Rule::SlowStart), "{breaches:?}");
 }
 
 #[test]
 fn what_a_host_holds_is_judged_by_its_limits() {
-    let held = |memory_kb, descriptors| Entry::Held { host: 3, at: 1, memory_kb, descriptors };
-    let (memory, descriptors) = RULES.most;
+    let held = |memory_kb, descriptors| Entry::ResourcesUsed { host: 3, at: 1, memory_kb, descriptors };
+    let (memory, descriptors) = (RULES.max_memory_kb, RULES.max_descriptors);
     let log = [held(memory, descriptors), held(memory + 1, 1), held(1, descriptors + 1)];
     let broken: Vec<Rule> = judge(&log, &RULES).iter().map(|breach| breach.rule).collect();
-    assert_eq!(broken, [Rule::Held, Rule::Held]);
+    assert_eq!(broken, [Rule::Resources, Rule::Resources]);
 }
 
 /// A scenario that makes no sense is named with its place.
@@ -205,13 +205,13 @@
 /// A node that is back before a host would have counted as told is none that leaves.
 #[test]
 fn what_is_back_in_service_may_be_sent_to() {
-    let leaves = Entry::Leaves { host: 1, node: 2, since: 3_100_000, at: 9_050_000 };
+    let leaves = Entry::DrainNotified { host: 1, node: 2, since: 3_100_000, at: 9_050_000 };
     let arrived =
         |first| Entry::Arrived(Arrived { host: 1, node: 2, first, last: first, ..Arrived::default() });
     let judged = |log: &[Entry]| judge(log, &RULES).len();
     assert_eq!(judged(&[leaves.clone(), arrived(9_300_000)]), 0);
     assert_eq!(judged(&[leaves.clone(), arrived(9_400_000)]), 1);
-    assert_eq!(judged(&[leaves, Entry::Back { node: 2, at: 9_000_000 }, arrived(9_400_000)]), 0);
+    assert_eq!(judged(&[leaves, Entry::NodeReturned { node: 2, at: 9_000_000 }, arrived(9_400_000)]), 0);
 }
 
 /// 19.2 units are 9.6 requests of mean work, and 9.6 + 2 x root of 9.6 + 2 are 17.8: the eighteenth is too
@@ -220,11 +220,11 @@
 #[case::within(17, 0)]
 #[case::beyond(18, 1)]
 fn a_cold_node_may_get_n_and_twice_its_root_and_two(#[case] requests: u32, #[case] breaches: usize) {
-    let mut log = vec![Entry::Began { node: 1, at: 1_000_000 }];
+    let mut log = vec![Entry::NodeStarted { node: 1, at: 1_000_000 }];
     for call in 0..requests {
         let last = 1_000_000 + u64::from(call);
         log.push(Entry::Arrived(Arrived { call, node: 1, last, units: 2, ..Arrived::default() }));
-        log.push(Entry::Over { call, node: 1, at: last });
+        log.push(Entry::AttemptOver { call, node: 1, at: last });
     }
     assert_eq!(judge(&log, &rules()).len(), breaches);
 }
--- a/testing/fault-injection/tests/verdict.rs
+++ b/testing/fault-injection/tests/verdict.rs
@@ -3,7 +3,7 @@
 
 use std::fmt::Write;
 
-use heathward_fault_injection::audit::{judge, Arrived, Cold, Entry, Rules, Span};
+use heathward_fault_injection::audit::{judge, Arrived, Cold, Entry, RateLimit, Rules, Span};
 
 const MS: u64 = 1000;
 
@@ -15,8 +15,9 @@
         grace: 250 * MS,
         window: 500 * MS,
         cold,
-        limit: Some((10.0, 20.0)),
-        most: (100_000, 512),
+        rate_limit: Some(RateLimit { rate: 10.0, burst: 20.0 }),
+        max_memory_kb: 100_000,
+        max_descriptors: 512,
     }
 }
 
@@ -26,7 +27,8 @@
         call,
         host: 1,
         node,
-        shards: (node, node),
+        node_shard: node,
+        request_shard: node,
         first,
         last,
         volume: u64::from(call),
@@ -52,15 +54,15 @@
         Entry::Killed { host: 2, span: Span::new(100 * MS, 100 * MS), terminated_at: None },
         Entry::Arrived(arrived(5, 0, 600)),
         Entry::Arrived(arrived(5, 1, 610)),
-        Entry::Over { call: 5, node: 0, at: 640 * MS },
-        Entry::Arrived(Arrived { shards: (0, 2), ..arrived(6, 0, 650) }),
+        Entry::AttemptOver { call: 5, node: 0, at: 640 * MS },
+        Entry::Arrived(Arrived { node_shard: 0, request_shard: 2, ..arrived(6, 0, 650) }),
         Entry::Arrived(Arrived { key: Some("k-7".into()), ..arrived(7, 0, 700) }),
-        Entry::Over { call: 7, node: 0, at: 720 * MS },
+        Entry::AttemptOver { call: 7, node: 0, at: 720 * MS },
         Entry::Arrived(Arrived { key: Some("k-7".into()), ..arrived(7, 0, 1300) }),
-        Entry::Leaves { host: 1, node: 3, since: 1400 * MS, at: 1410 * MS },
+        Entry::DrainNotified { host: 1, node: 3, since: 1400 * MS, at: 1410 * MS },
         Entry::Arrived(arrived(8, 3, 1800)),
-        Entry::Began { node: 4, at: 2000 * MS },
-        Entry::Held { host: 1, at: 3000 * MS, memory_kb: 100_001, descriptors: 7 },
+        Entry::NodeStarted { node: 4, at: 2000 * MS },
+        Entry::ResourcesUsed { host: 1, at: 3000 * MS, memory_kb: 100_001, descriptors: 7 },
         Entry::Arrived(Arrived { volume: 99, units: 31, ..arrived(9, 0, 3100) }),
     ];
     log.extend((0..40).map(|place| Entry::Arrived(arrived(100 + place, 4, 2100 + u64::from(place)))));
