--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -94,8 +94,8 @@
     }
 }
 
-/// Hands an attempt to the connections of a node. `None` if nothing may be sent to the node, or its channel is
-/// full.
+/// Hands an attempt to the connections of a node. `None` if nothing may be sent to the node, or its channel
+/// is full.
 fn try_send(attempt: Attempt, target: &Node, now: Instant) -> Option<InFlightAttempt> {
     if target.send_gate.is_closed() {
         return None;
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Whether the last byte of an attempt has been written: only from then on can its node execute it. All clones
-/// share one state.
+/// Whether the last byte of an attempt has been written: only from then on can its node execute it. All
+/// clones share one state.
 #[derive(Clone, Debug, Default)]
 pub struct WriteCompletion(Arc<AtomicBool>);
 
--- a/crates/event-recorder/tests/recorder.rs
+++ b/crates/event-recorder/tests/recorder.rs
@@ -186,13 +186,25 @@
     }
 }
 
-/// Guards against records that lack the end of an attempt, whether it or its request ends first and however it
-/// ends, and against a node with attempts in flight at rest.
+/// Guards against records that lack the end of an attempt, whether it or its request ends first and however
+/// it ends, and against a node with attempts in flight at rest.
 #[rstest]
-#[case::attempt_first(&[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::Served), Step::RequestEnded], &[AttemptEnd::Served])]
-#[case::request_first(&[Step::Sent, Step::RequestEnded, Step::AttemptEnded(PolicyAttemptEnd::TimedOut)], &[AttemptEnd::TimedOut])]
-#[case::not_written(&[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::NotSent), Step::RequestEnded], &[AttemptEnd::NotSent])]
-#[case::cancelled_unwritten(&[Step::Sent, Step::RequestEnded, Step::AttemptEnded(PolicyAttemptEnd::NotSent)], &[AttemptEnd::NotSent])]
+#[case::attempt_first(
+    &[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::Served), Step::RequestEnded],
+    &[AttemptEnd::Served]
+)]
+#[case::request_first(
+    &[Step::Sent, Step::RequestEnded, Step::AttemptEnded(PolicyAttemptEnd::TimedOut)],
+    &[AttemptEnd::TimedOut]
+)]
+#[case::not_written(
+    &[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::NotSent), Step::RequestEnded],
+    &[AttemptEnd::NotSent]
+)]
+#[case::cancelled_unwritten(
+    &[Step::Sent, Step::RequestEnded, Step::AttemptEnded(PolicyAttemptEnd::NotSent)],
+    &[AttemptEnd::NotSent]
+)]
 #[case::not_handed_over(&[Step::NotSent, Step::RequestEnded], &[])]
 #[case::retry_not_handed_over(
     &[Step::Sent, Step::AttemptEnded(PolicyAttemptEnd::Reset), Step::NotSent, Step::RequestEnded],
--- a/crates/policy/src/api/settings.rs
+++ b/crates/policy/src/api/settings.rs
@@ -100,7 +100,8 @@
 /// How a client's retry is told from its first request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ClientRetries {
-    /// Clients mark each retry ([`crate::Request::is_client_retry`]): a request without the mark is a first one.
+    /// Clients mark each retry ([`crate::Request::is_client_retry`]): a request without the mark is a first
+    /// one.
     #[default]
     Marked,
     /// Clients do not mark their retries. What a request lacks of its class's deadline is taken for the time
--- a/crates/policy/tests/queueing.rs
+++ b/crates/policy/tests/queueing.rs
@@ -114,7 +114,7 @@
 }
 
 /// Guards against first requests that are shed before their latency objective, with capacity to come, since
-/// their clients wait for less than their class's deadline: that is no sign of a retry where clients mark them.
+/// their clients wait for less than their class's deadline: no sign of a retry where clients mark these.
 #[test]
 fn a_first_request_has_its_latency_objective_whatever_time_its_client_has() {
     let with_whole_deadline = queued_for(ClientRetries::Marked, 1_000_000, false);
--- a/testing/fakes/src/attempt_ledger.rs
+++ b/testing/fakes/src/attempt_ledger.rs
@@ -29,8 +29,8 @@
 
 impl Observer for AttemptLedger {
     /// # Panics
-    /// If an attempt begins while another one of its request is in flight, or has an end that is not its first:
-    /// the core ends with it, and so no test passes.
+    /// If an attempt begins while another one of its request is in flight, or has an end that is not its
+    /// first: the core ends with it, and so no test passes.
     fn observe(&mut self, _: Instant, observation: Observation<'_>) {
         match observation {
             Observation::AttemptSent { request, node, .. } => {
--- a/testing/fault-injection/src/shutdown_soak/clients.rs
+++ b/testing/fault-injection/src/shutdown_soak/clients.rs
@@ -63,8 +63,8 @@
     }
 }
 
-/// Writes a request, and reads what comes of it; `None` if it was not written whole. The connection of a client
-/// that has left is closed.
+/// Writes a request, and reads what comes of it; `None` if it was not written whole. The connection of a
+/// client that has left is closed.
 async fn ask(mut stream: TcpStream, id: u32, client: &Client, until: Instant) -> Option<(Asked, TcpStream)> {
     let text = request(client.class.name(), id, client.shard, client.deadline_ms as u32, "");
     stream.write_all(text.as_bytes()).await.ok()?;
--- a/testing/fault-injection/src/shutdown_soak/verdict.rs
+++ b/testing/fault-injection/src/shutdown_soak/verdict.rs
@@ -208,7 +208,8 @@
     asked.is_first && asked.at <= observed.signalled + NEW_CONNECTIONS_FOR
 }
 
-/// Whether SIGKILL found the request without an answer, and its connection open, and the process had its time.
+/// Whether SIGKILL found the request without an answer, and its connection open, and the process had its
+/// time.
 fn is_found_by_kill(asked: &Asked, observed: &Observed) -> bool {
     let Exit::Killed { at, .. } = observed.exit else { return false };
     asked.at < at && asked.came_at >= at && !observed.exit.is_held_up_for_too_long()
--- a/testing/fault-injection/tests/auditor.rs
+++ b/testing/fault-injection/tests/auditor.rs
@@ -56,6 +56,10 @@
     Rules { window: 500_000, cold, ..RULES }
 }
 
+fn rules_with_rate_limit() -> Rules {
+    Rules { rate_limit: Some(RateLimit { rate: 0.1, burst: 2.0 }), ..rules() }
+}
+
 #[rstest]
 #[case::sound(Planted::Sound, false, rules(), None)]
 #[case::mute(Planted::Mute, false, rules(), Some(Rule::Answer))]
@@ -66,7 +70,7 @@
 #[case::past_the_window(Planted::Later(Duration::from_millis(700)), false, rules(), Some(Rule::Window))]
 #[case::leaving(Planted::Sound, true, rules(), Some(Rule::Draining))]
 #[case::cold(Planted::Again(12), false, rules(), Some(Rule::SlowStart))]
-#[case::limit(Planted::Sound, false, Rules { rate_limit: Some(RateLimit { rate: 0.1, burst: 2.0 }), ..rules() }, Some(Rule::RateLimit))]
+#[case::limit(Planted::Sound, false, rules_with_rate_limit(), Some(Rule::RateLimit))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_planted_fault_is_seen(
     #[case] planted: Planted,
--- a/testing/fault-injection/tests/soak_verdict.rs
+++ b/testing/fault-injection/tests/soak_verdict.rs
@@ -61,7 +61,8 @@
     assert_eq!(Outcome::judge(plan, &observed).breaches, expected);
 }
 
-/// Guards against an attempt that begins for a client that has left, over 0.1 s later and the slack on sockets.
+/// Guards against an attempt that begins for a client that has left, over 0.1 s later and the slack on
+/// sockets.
 #[rstest]
 #[case::in_time(150, vec![])]
 #[case::late(151, vec![Breach::SentAfterLeaving { id: ID, late_ms: 151 }])]
