--- a/review/stands/src/bin/short_read.rs
+++ b/review/stands/src/bin/short_read.rs
@@ -1,4 +1,4 @@
-//! Case 1. A host writes blocks through the NVMe front and reads them back; the storage node is an NVMe
+//! Case 2. A host writes blocks through the NVMe front and reads them back; the storage node is an NVMe
 //! target. With the disruption some of the target's answers to reads are spoilt: their data is shorter than
 //! the read.
 
--- a/review/stands/src/bin/slow_pieces.rs
+++ b/review/stands/src/bin/slow_pieces.rs
@@ -1,5 +1,5 @@
-//! Case 3. A storage node answers reads with long answers that have no length. With the disruption it writes
-//! them slowly, in pieces.
+//! Not one of the three cases, see review/REPORT.md. A storage node answers reads with long answers that have
+//! no length. With the disruption it writes them slowly, in pieces.
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/review/stands/src/lib.rs
+++ b/review/stands/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for clients, storage nodes, discovery and the platform, for the cases of the review.
 
 pub mod config;
+pub mod delay;
 pub mod discovery;
 pub mod http;
 pub mod nvme;
--- a/review/stands/src/record.rs
+++ b/review/stands/src/record.rs
@@ -25,10 +25,9 @@
         self.started_at.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Writes a line, also to standard output.
+    /// Writes a line.
     pub fn line(&self, text: impl AsRef<str>) {
         let line = format!("{:9.1} {}", self.now_ms(), text.as_ref());
-        println!("{line}");
         let mut file = self.file.lock().expect("no writer panics");
         writeln!(file, "{line}").expect("the record can be written");
     }
