Network tests: move the scheduler before nodes of both kinds to its own file

Need: tests in other files than nvme.rs are to use the same scheduler, HTTP node and NVMe target. Change: a move to mixed_rig.rs; nothing else but visibility and imports.

--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -17,6 +17,7 @@
 mod handover;
 mod large_bodies;
 mod large_fleet;
+mod mixed_rig;
 mod node_connections;
 mod node_states;
 mod nvme;
