Stand-in nodes: data of a chosen length, incomplete writes, an HTTP node that keeps data

Need: no stand-in could report success for a read or a write whose data was not transferred completely, and the HTTP node answered each request with the same five bytes. Change: ServeBytes, RequestBytes and Store in the script of a node. Existing steps do what they did.

--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -42,6 +42,14 @@
     Cut,
     /// Answers that, and keeps the connection.
     Say(&'static str),
+    /// Keeps the body of each write, and answers a read of the same object with it. An object that was never
+    /// written has this many zero bytes.
+    Store(usize),
+    /// Answers well, but a read with this many bytes of data, whatever was requested.
+    ServeBytes(usize),
+    /// An NVMe target requests only this many bytes of the data of a write that is not in its capsule, and
+    /// completes it with success.
+    RequestBytes(usize),
 }
 
 /// An attempt of a read that nobody has decided on, given up then: for tests of what writes and what dials.
@@ -183,6 +191,9 @@
     }
 }
 
+/// The objects that a node keeps, by volume and object id.
+type Objects = Arc<Mutex<HashMap<String, Vec<u8>>>>;
+
 /// An HTTP node that does `script` in turn, the last of it for ever.
 pub async fn http_node(number: u32, script: &[Does], log: &Log) -> SocketAddr {
     scripted_node(number, Script::new(script), log).await
@@ -195,16 +206,17 @@
 pub async fn scripted_node(number: u32, script: Script, log: &Log) -> SocketAddr {
     let (listener, address) = listen().await;
     let log = log.clone();
+    let objects = Objects::default();
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.expect("a connection");
-            tokio::spawn(node_connection(stream, number, script.clone(), log.clone()));
+            tokio::spawn(node_connection(stream, number, script.clone(), log.clone(), objects.clone()));
         }
     });
     address
 }
 
-async fn node_connection(mut stream: TcpStream, number: u32, script: Script, log: Log) {
+async fn node_connection(mut stream: TcpStream, number: u32, script: Script, log: Log, objects: Objects) {
     loop {
         let mut first = [0];
         if stream.peek(&mut first).await.unwrap_or(0) == 0 {
@@ -220,26 +232,54 @@
         if matches!(does, Does::LateServe | Does::LateError) {
             sleep(LATE).await;
         }
+        let stored_answer;
         let answer = match does {
+            Does::Store(unwritten_bytes) => {
+                stored_answer = store_or_load(&objects, &head, body, unwritten_bytes);
+                stored_answer.as_slice()
+            }
+            Does::ServeBytes(length) => {
+                stored_answer = served(&vec![7; length]);
+                stored_answer.as_slice()
+            }
             Does::Serve | Does::LateServe | Does::ServeThenClose => {
-                "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"
+                b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello".as_slice()
             }
-            Does::Error | Does::LateError => "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
-            Does::Reject => "HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
-            Does::Cut => "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
+            Does::Error | Does::LateError => b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
+            Does::Reject => b"HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
+            Does::Cut => b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
             Does::Silent => {
                 // Until the scheduler closes.
                 let _ = stream.read(&mut first).await;
                 log.over(&call);
                 return;
             }
-            Does::Say(this) => this,
-            Does::Reset | Does::HangUp => "",
+            Does::Say(this) => this.as_bytes(),
+            Does::Reset | Does::HangUp | Does::RequestBytes(_) => b"",
         };
         log.over(&call);
-        stream.write_all(answer.as_bytes()).await.expect("the scheduler reads");
+        stream.write_all(answer).await.expect("the scheduler reads");
         if matches!(does, Does::Reset | Does::Cut | Does::ServeThenClose) {
             return;
         }
     }
 }
+
+/// Returns a 200 answer with this body.
+fn served(body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// Keeps the body of a write, and returns the answer to the request.
+fn store_or_load(objects: &Objects, head: &str, body: Vec<u8>, unwritten_bytes: usize) -> Vec<u8> {
+    let mut objects = objects.lock().expect("no holder of the lock panics");
+    let target = head.split(' ').nth(1).expect("a request line");
+    // The first part of the path is the class, which differs between reads and writes.
+    let object = target.splitn(3, '/').nth(2).expect("a volume and an object").to_owned();
+    if head.starts_with("PUT ") {
+        objects.insert(object, body);
+        return served(b"");
+    }
+    served(objects.get(&object).unwrap_or(&vec![0; unwritten_bytes]))
+}
--- a/testing/fakes/src/nvme.rs
+++ b/testing/fakes/src/nvme.rs
@@ -81,9 +81,14 @@
                 let write = matches!(command.body, Body::Write(_));
                 let mut body = BytesMut::from(&*data);
                 if write && body.is_empty() {
-                    let length = command.sgl.length();
+                    let length = match does {
+                        Does::RequestBytes(length) => length as u32,
+                        _ => command.sgl.length(),
+                    };
                     let ask = Pdu::R2t { cid: command.cid, ttag: 9, offset: 0, length };
-                    wire.send(&[ask]).await.ok()?;
+                    if length > 0 {
+                        wire.send(&[ask]).await.ok()?;
+                    }
                     while body.len() < length as usize {
                         let Pdu::H2cData { ttag: 9, data, .. } = wire.next().await.ok()? else { return None };
                         body.extend_from_slice(&data);
@@ -118,11 +123,24 @@
         tokio::time::sleep(LATE).await;
     }
     match does {
-        Does::Serve | Does::LateServe | Does::ServeThenClose if write => {
+        Does::Serve
+        | Does::LateServe
+        | Does::ServeThenClose
+        | Does::Store(_)
+        | Does::ServeBytes(_)
+        | Does::RequestBytes(_)
+            if write =>
+        {
             disk.lock().expect("no holder of the lock panics").insert(first, body);
             Some((Status::SUCCESS, None))
         }
-        Does::Serve | Does::LateServe | Does::ServeThenClose => {
+        // A success without data.
+        Does::ServeBytes(0) => Some((Status::SUCCESS, None)),
+        Does::ServeBytes(length) => {
+            let data = Bytes::from(vec![7; length]);
+            Some((Status::SUCCESS, Some(Pdu::C2hData { cid, offset: 0, last: true, data })))
+        }
+        Does::Serve | Does::LateServe | Does::ServeThenClose | Does::Store(_) | Does::RequestBytes(_) => {
             let kept =
                 disk.lock().expect("no holder of the lock panics").get(&first).cloned().unwrap_or_default();
             let mut data = BytesMut::from(&*kept);
