NVMe initiator: split the exchange of a command, and name its errors

Need: the exchange was one function of 75 lines with its state in local variables and a pair of flags as its error, so that no check of a completion had a place; the data of a command was assembled in two ways. Change: OpenCommand holds the state of a command, ExchangeError names why it has no completion, ReceivedData assembles the data of a command, also of an admin command, whose data PDUs must now be contiguous too.

--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -15,6 +15,7 @@
 use super::identify::{CC, CSTS};
 use super::map::NvmeMap;
 use super::pdu::{Pdu, MAX_DATA_BYTES};
+use super::received_data::ReceivedData;
 use super::wire::{PduStream, StreamError};
 use crate::node::{Connection, LinkRequest, LinkResponse};
 use heathward_core::{Attempt, NodeRequest};
@@ -54,12 +55,60 @@
     }
 }
 
-/// A command that was not completed.
-struct IncompleteExchange {
+/// Why a command has no completion that can be trusted.
+enum ExchangeError {
+    /// The command was not written completely, so the target can't have executed it.
+    NotWritten,
+    /// The connection was lost after the command was written; the target may have executed it.
+    ConnectionLost,
+    /// The target's answer is not valid; the target is up and may have executed the command.
+    InvalidAnswer,
+}
+
+/// The completion of a command.
+struct Completed {
+    /// How the attempt ended.
+    end: AttemptEnd,
+    /// The data that the target sent for a read.
+    data: Bytes,
+}
+
+/// A read or a write that was sent and has no completion yet.
+struct OpenCommand {
+    cid: u16,
+    /// The data of a write; empty for a read.
+    write_data: Bytes,
+    /// How many bytes of the write's data were sent in data PDUs.
+    sent_bytes: usize,
     /// Whether the last byte of the command was written.
     is_written: bool,
-    /// Whether the target sent something that is not valid.
-    is_invalid: bool,
+    /// The data of a read; for a write it has no bytes.
+    read_data: ReceivedData,
+}
+
+impl OpenCommand {
+    /// Returns the error for a connection that was lost.
+    fn connection_lost(&self) -> ExchangeError {
+        if self.is_written {
+            ExchangeError::ConnectionLost
+        } else {
+            ExchangeError::NotWritten
+        }
+    }
+
+    /// Returns the error for an answer that is not valid.
+    fn invalid_answer(&self) -> ExchangeError {
+        if self.is_written {
+            ExchangeError::InvalidAnswer
+        } else {
+            ExchangeError::NotWritten
+        }
+    }
+
+    /// Completes the command.
+    fn complete(self, status: Status) -> Completed {
+        Completed { end: attempt_end(status), data: self.read_data.into_received() }
+    }
 }
 
 impl NvmeConnection {
@@ -90,87 +139,113 @@
         Ok(Self { admin, io, max_in_capsule, max_h2c, cid: 0 })
     }
 
-    /// Carries out one read or write until its completion. Once the attempt is cancelled, no more of the
-    /// command is written; a command that was written completely goes on to its completion.
+    /// Carries out one read or write of `size` bytes until its completion. Once the attempt is cancelled, no
+    /// more of the command is written; a command that was written completely goes on to its completion.
     async fn exchange(
         &mut self,
         attempt: &Attempt,
         blocks: BlockRange,
         data: Bytes,
         size: usize,
-    ) -> Exchange {
-        let Attempt { cancel, .. } = attempt;
+    ) -> Result<Completed, ExchangeError> {
         let is_write = attempt.node_request.is_write;
-        self.cid = self.cid.wrapping_add(1);
-        let (cid, length) = (self.cid, size as u32);
-        let in_capsule = is_write && size <= self.max_in_capsule;
-        let sgl = if in_capsule { Sgl::InCapsule { offset: 0, length } } else { Sgl::Transport { length } };
-        let body = if is_write { Body::Write(blocks) } else { Body::Read(blocks) };
-        let command = Command::new(cid, sgl, body);
-        let capsule = Pdu::Capsule { command, data: if in_capsule { data.clone() } else { Bytes::new() } };
-        self.io
-            .send(&[capsule])
-            .await
-            .map_err(|_| IncompleteExchange { is_written: false, is_invalid: false })?;
-        // The target can't execute a write before all its data was sent.
-        let (mut is_written, mut sent) = (!is_write || in_capsule, 0);
-        if is_written {
-            attempt.mark_written();
-        }
-        let mut read_data = BytesMut::new();
+        let mut command = self.send_command(attempt, blocks, data, size).await?;
+        let cid = command.cid;
         loop {
-            let invalid = IncompleteExchange { is_written, is_invalid: true };
             let next = tokio::select! {
                 biased;
-                () = cancel.cancelled(), if !is_written => Err(StreamError::Closed),
+                () = attempt.cancel.cancelled(), if !command.is_written => Err(StreamError::Closed),
                 next = self.io.next() => next,
             };
             match next {
-                Err(StreamError::Closed) => return Err(IncompleteExchange { is_written, is_invalid: false }),
+                Err(StreamError::Closed) => return Err(command.connection_lost()),
                 Ok(Pdu::Response(completion)) if completion.cid == cid => {
-                    return Ok((completion.status, read_data.freeze()));
+                    return Ok(command.complete(completion.status));
                 }
                 Ok(Pdu::R2t { cid: command_id, ttag, offset, length })
-                    if command_id == cid && !is_written && offset as usize == sent && length > 0 =>
-                {
-                    let end = sent + length as usize;
-                    if end > size {
-                        return Err(invalid);
-                    }
-                    while sent < end {
-                        if cancel.is_cancelled() {
-                            return Err(IncompleteExchange { is_written, is_invalid: false });
-                        }
-                        let chunk_end = end.min(sent + self.max_h2c);
-                        let (data, last) = (data.slice(sent..chunk_end), chunk_end == end);
-                        let pdu = Pdu::H2cData { cid, ttag, offset: sent as u32, last, data };
-                        self.io
-                            .send(&[pdu])
-                            .await
-                            .map_err(|_| IncompleteExchange { is_written, is_invalid: false })?;
-                        sent = chunk_end;
-                    }
-                    is_written = sent == size;
-                    if is_written {
-                        attempt.mark_written();
-                    }
-                }
-                Ok(Pdu::C2hData { cid: command_id, offset, data, .. })
                     if command_id == cid
-                        && !is_write
-                        && offset as usize == read_data.len()
-                        && read_data.len() + data.len() <= size =>
+                        && !command.is_written
+                        && offset as usize == command.sent_bytes
+                        && length > 0 =>
                 {
-                    read_data.extend_from_slice(&data);
+                    self.send_data(attempt, &mut command, ttag, length as usize).await?;
+                }
+                Ok(Pdu::C2hData { cid: command_id, offset, data, .. }) if command_id == cid && !is_write => {
+                    command.read_data.append(offset, &data).map_err(|_| command.invalid_answer())?;
                 }
-                _ => return Err(invalid),
+                _ => return Err(command.invalid_answer()),
             }
         }
     }
-}
 
-/// The status of a completed command, and the data that was read.
-type Exchange = Result<(Status, Bytes), IncompleteExchange>;
+    /// Sends the capsule of a read or a write, with the data of a write if the capsule takes it.
+    ///
+    /// # Errors
+    /// The connection has failed.
+    async fn send_command(
+        &mut self,
+        attempt: &Attempt,
+        blocks: BlockRange,
+        data: Bytes,
+        size: usize,
+    ) -> Result<OpenCommand, ExchangeError> {
+        let is_write = attempt.node_request.is_write;
+        self.cid = self.cid.wrapping_add(1);
+        let (cid, length) = (self.cid, size as u32);
+        let in_capsule = is_write && size <= self.max_in_capsule;
+        let sgl = if in_capsule { Sgl::InCapsule { offset: 0, length } } else { Sgl::Transport { length } };
+        let body = if is_write { Body::Write(blocks) } else { Body::Read(blocks) };
+        let capsule = Pdu::Capsule {
+            command: Command::new(cid, sgl, body),
+            data: if in_capsule { data.clone() } else { Bytes::new() },
+        };
+        self.io.send(&[capsule]).await.map_err(|_| ExchangeError::NotWritten)?;
+        // The target can't execute a write before all its data was sent.
+        let is_written = !is_write || in_capsule;
+        if is_written {
+            attempt.mark_written();
+        }
+        let read_data = ReceivedData::new(if is_write { 0 } else { size });
+        Ok(OpenCommand { cid, write_data: data, sent_bytes: 0, is_written, read_data })
+    }
+
+    /// Sends the next `length` bytes of a write's data, which the target has requested with the tag `ttag`.
+    ///
+    /// # Errors
+    /// The target requests more than there is, the attempt was cancelled, or the connection has failed.
+    async fn send_data(
+        &mut self,
+        attempt: &Attempt,
+        command: &mut OpenCommand,
+        ttag: u16,
+        length: usize,
+    ) -> Result<(), ExchangeError> {
+        let end = command.sent_bytes + length;
+        if end > command.write_data.len() {
+            return Err(command.invalid_answer());
+        }
+        while command.sent_bytes < end {
+            if attempt.cancel.is_cancelled() {
+                return Err(command.connection_lost());
+            }
+            let chunk_end = end.min(command.sent_bytes + self.max_h2c);
+            let pdu = Pdu::H2cData {
+                cid: command.cid,
+                ttag,
+                offset: command.sent_bytes as u32,
+                last: chunk_end == end,
+                data: command.write_data.slice(command.sent_bytes..chunk_end),
+            };
+            self.io.send(&[pdu]).await.map_err(|_| command.connection_lost())?;
+            command.sent_bytes = chunk_end;
+        }
+        command.is_written = command.sent_bytes == command.write_data.len();
+        if command.is_written {
+            attempt.mark_written();
+        }
+        Ok(())
+    }
+}
 
 /// Opens a connection for a queue; returns it with the most data that one PDU to it may carry, in bytes.
 async fn open_queue(address: SocketAddr) -> Result<(PduStream, usize), StreamError> {
@@ -200,16 +275,20 @@
     body: Body,
     sgl: Sgl,
     data: Bytes,
-) -> Result<(Completion, BytesMut), StreamError> {
+) -> Result<(Completion, Bytes), StreamError> {
+    let returned_bytes = match sgl {
+        Sgl::Transport { length } => length as usize,
+        Sgl::InCapsule { .. } | Sgl::Other(_) => 0,
+    };
     wire.send(&[Pdu::Capsule { command: Command::new(0, sgl, body), data }]).await?;
-    let mut page = BytesMut::new();
+    let mut returned = ReceivedData::new(returned_bytes);
     loop {
         match wire.next().await? {
-            Pdu::C2hData { data, .. } if page.len() + data.len() <= PAGE_BYTES as usize => {
-                page.extend_from_slice(&data);
+            Pdu::C2hData { offset, data, .. } => {
+                returned.append(offset, &data).map_err(|_| StreamError::Closed)?;
             }
             Pdu::Response(completion) if completion.status == Status::SUCCESS => {
-                return Ok((completion, page));
+                return Ok((completion, returned.into_received()));
             }
             _ => return Err(StreamError::Closed),
         }
@@ -284,22 +363,18 @@
             }
             let exchange = connection.exchange(&attempt, blocks, data.clone(), size);
             return match timeout_at(deadline, exchange).await {
-                Ok(Ok((status, body))) => LinkResponse::reusable(attempt_end(status), body, connection),
+                Ok(Ok(Completed { end, data })) => LinkResponse::reusable(end, data, connection),
                 // The attempt was cancelled before the command was written completely.
-                Ok(Err(IncompleteExchange { is_written: false, .. })) if attempt.cancel.is_cancelled() => {
+                Ok(Err(ExchangeError::NotWritten)) if attempt.cancel.is_cancelled() => {
                     LinkResponse::closed(AttemptEnd::NotSent)
                 }
                 // The command was not written completely on a reused connection: the same attempt goes on
                 // with another one.
-                Ok(Err(IncompleteExchange { is_written: false, .. })) if reused => continue,
-                Ok(Err(IncompleteExchange { is_written: false, .. })) => {
-                    LinkResponse::closed(AttemptEnd::NotConnected)
-                }
+                Ok(Err(ExchangeError::NotWritten)) if reused => continue,
+                Ok(Err(ExchangeError::NotWritten)) => LinkResponse::closed(AttemptEnd::NotConnected),
                 // As over HTTP: the command may have been executed, and the target is up.
-                Ok(Err(IncompleteExchange { is_invalid: true, .. })) => {
-                    LinkResponse::closed(AttemptEnd::Error)
-                }
-                Ok(Err(IncompleteExchange { .. })) => LinkResponse::closed(AttemptEnd::Reset),
+                Ok(Err(ExchangeError::InvalidAnswer)) => LinkResponse::closed(AttemptEnd::Error),
+                Ok(Err(ExchangeError::ConnectionLost)) => LinkResponse::closed(AttemptEnd::Reset),
                 Err(_) => LinkResponse::closed(AttemptEnd::TimedOut),
             };
         }
--- a/crates/transport/src/nvme/mod.rs
+++ b/crates/transport/src/nvme/mod.rs
@@ -1,7 +1,7 @@
 //! The subset of NVMe over TCP that a scheduler needs, written from the public specifications.
 //!
 //! `pdu` is the codec of the transport's PDUs, `command` that of commands and completions, and `wire` a
-//! stream of PDUs on a TCP connection. `controller` serves the queues that hosts connect to, and `subsystem`
+//! stream of PDUs on a TCP connection. `received_data` assembles the data of a command. `controller` serves the queues that hosts connect to, and `subsystem`
 //! holds the state that the queues share. `initiator` sends attempts to storage nodes that are NVMe targets
 //! themselves. `map` reads the file that maps namespaces to volumes.
 
@@ -11,6 +11,7 @@
 mod initiator;
 mod map;
 mod pdu;
+mod received_data;
 mod subsystem;
 mod wire;
 
