NVMe initiator: a read succeeds only with all of its data

What callers saw: a read whose NVMe target completed it with success after a part of the data succeeded. A host got the rest as zeros, an HTTP client 200 with a short body. Cause: the initiator took a completion with success for the end of the attempt and never compared the length of the data with that of the read (NvmeConnection::exchange). The new tests on: all 6 fail; among them an HTTP read of such a target gets 200 with 512 of 16,384 bytes, so that the initiator is at fault without the NVMe front, which fills data up. Fix: a success counts only with the complete data, for Identify too. Otherwise the attempt has failed and may have been executed, as after any spoilt answer; its connection is closed, and the policy decides on a retry. Why it works: every read of a target passes OpenCommand::complete, and ReceivedData yields only complete data.

--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -15,6 +15,7 @@
 mod forwarding;
 mod fragmented_requests;
 mod handover;
+mod incomplete_transfers;
 mod large_bodies;
 mod large_fleet;
 mod mixed_rig;
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -69,7 +69,7 @@
 struct Completed {
     /// How the attempt ended.
     end: AttemptEnd,
-    /// The data that the target sent for a read.
+    /// The complete data of a read that was served; empty otherwise.
     data: Bytes,
 }
 
@@ -106,8 +106,16 @@
     }
 
     /// Completes the command.
-    fn complete(self, status: Status) -> Completed {
-        Completed { end: attempt_end(status), data: self.read_data.into_received() }
+    ///
+    /// # Errors
+    /// The target reports success for a read but has not sent all of its data.
+    fn complete(self, status: Status) -> Result<Completed, ExchangeError> {
+        let end = attempt_end(status);
+        if end != AttemptEnd::Served {
+            return Ok(Completed { end, data: Bytes::new() });
+        }
+        let data = self.read_data.into_complete().ok_or(ExchangeError::InvalidAnswer)?;
+        Ok(Completed { end, data })
     }
 }
 
@@ -160,7 +168,7 @@
             match next {
                 Err(StreamError::Closed) => return Err(command.connection_lost()),
                 Ok(Pdu::Response(completion)) if completion.cid == cid => {
-                    return Ok(command.complete(completion.status));
+                    return command.complete(completion.status);
                 }
                 Ok(Pdu::R2t { cid: command_id, ttag, offset, length })
                     if command_id == cid
@@ -269,7 +277,7 @@
 }
 
 /// Sends a command on a queue that has no other open command, and returns its completion and data. A command
-/// that does not succeed is an error.
+/// that does not succeed is an error, and so is one that succeeds without all of its data.
 async fn execute(
     wire: &mut PduStream,
     body: Body,
@@ -288,7 +296,8 @@
                 returned.append(offset, &data).map_err(|_| StreamError::Closed)?;
             }
             Pdu::Response(completion) if completion.status == Status::SUCCESS => {
-                return Ok((completion, returned.into_received()));
+                let returned = returned.into_complete().ok_or(StreamError::Closed)?;
+                return Ok((completion, returned));
             }
             _ => return Err(StreamError::Closed),
         }
--- a/crates/transport/src/nvme/received_data.rs
+++ b/crates/transport/src/nvme/received_data.rs
@@ -34,8 +34,16 @@
         Ok(())
     }
 
-    /// Returns what was received.
-    pub(super) fn into_received(self) -> Bytes {
-        self.received.freeze()
+    /// Whether the last byte was received.
+    pub(super) fn is_complete(&self) -> bool {
+        self.received.len() == self.length
+    }
+
+    /// Returns the data; `None` if a part of it was not received.
+    pub(super) fn into_complete(self) -> Option<Bytes> {
+        self.is_complete().then(|| self.received.freeze())
     }
 }
+
+#[cfg(test)]
+mod tests;
