Node connections: the end of a chunked request is found across writes

What callers saw: nothing was observed. A request in chunks whose last bytes the socket accepts in two parts never counted as written, so that a broken connection ended its attempt as never executed, and the request could be shed although a node may have executed it. Cause: WriteProgress::record looked for the last four bytes within one write. Fix: the last four bytes of the body are kept across writes.

--- a/crates/scheduler/tests/net/request_writer.rs
+++ b/crates/scheduler/tests/net/request_writer.rs
@@ -81,6 +81,24 @@
     assert_eq!(received.len(), expected_bytes, "{received:?}");
 }
 
+/// Guards against a chunked request that counts as never written, and so as never executed, because its last
+/// bytes were accepted by the socket in two parts.
+#[rstest]
+#[tokio::test]
+async fn a_chunked_request_is_complete_with_its_last_byte_wherever_its_writes_are_split(
+    #[values("", "5\r\nhello\r\n", "4\r\n\r\n\r\n\r\n")] chunks: &str,
+) {
+    let request = [HEAD, chunks.as_bytes(), b"0\r\n\r\n"].concat();
+    for split in 1..request.len() {
+        let (mut client, written, _server) = connected_pair().await;
+        written.begin(None, attempt(SendGate::default(), Instant::now() + PATIENCE));
+        written.mark_body_end();
+        client.write_all(&request[..split]).await.unwrap();
+        client.write_all(&request[split..]).await.unwrap();
+        assert!(written.is_complete(), "split after {split} of {} bytes", request.len());
+    }
+}
+
 /// What a node does on a connection that has carried a request, at the moment at which the next request is
 /// due.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/transport/src/node/wire.rs
+++ b/crates/transport/src/node/wire.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 
@@ -14,7 +14,7 @@
 use heathward_core::Attempt;
 
 /// The bytes at the end of a head, and at the end of a chunked body.
-const TERMINATOR: &[u8] = b"\r\n\r\n";
+const TERMINATOR: &[u8; 4] = b"\r\n\r\n";
 /// In place of the length of a chunked body, which is not known in advance.
 const UNKNOWN_LENGTH: usize = usize::MAX;
 
@@ -26,6 +26,8 @@
     terminator_matched: AtomicUsize,
     /// Bytes of the body that are still to be written, or [`UNKNOWN_LENGTH`].
     remaining_body: AtomicUsize,
+    /// The last four bytes of the body that were written, in the order of their writes.
+    last_body_bytes: AtomicU32,
     /// The complete body was handed to the connection.
     body_ended: AtomicBool,
     complete: AtomicBool,
@@ -52,6 +54,7 @@
         self.reused.store(previous.is_some(), Ordering::Relaxed);
         self.terminator_matched.store(0, Ordering::Relaxed);
         self.remaining_body.store(remaining_body, Ordering::Relaxed);
+        self.last_body_bytes.store(0, Ordering::Relaxed);
         self.complete.store(false, Ordering::Relaxed);
         self.body_ended.store(false, Ordering::Relaxed);
     }
@@ -114,21 +117,31 @@
             rest = after;
         }
         self.terminator_matched.store(matched, Ordering::Relaxed);
-        if matched == TERMINATOR.len() {
-            let mut remaining = self.remaining_body.load(Ordering::Relaxed);
-            if remaining == UNKNOWN_LENGTH {
-                let is_end = self.body_ended.load(Ordering::Relaxed) && rest.ends_with(TERMINATOR);
-                remaining = if is_end { 0 } else { remaining };
-            } else {
-                remaining = remaining.saturating_sub(rest.len());
+        if matched == TERMINATOR.len()
+            && self.record_body(rest)
+            && !self.complete.swap(true, Ordering::Relaxed)
+        {
+            if let Some(attempt) = &*self.lock() {
+                attempt.mark_written();
             }
+        }
+    }
+
+    /// Records bytes of the body that the socket has accepted; returns whether its last byte is among them or
+    /// was before.
+    fn record_body(&self, bytes: &[u8]) -> bool {
+        let remaining = self.remaining_body.load(Ordering::Relaxed);
+        if remaining != UNKNOWN_LENGTH {
+            let remaining = remaining.saturating_sub(bytes.len());
             self.remaining_body.store(remaining, Ordering::Relaxed);
-            if remaining == 0 && !self.complete.swap(true, Ordering::Relaxed) {
-                if let Some(attempt) = &*self.lock() {
-                    attempt.mark_written();
-                }
-            }
+            return remaining == 0;
         }
+        // The terminator may be split between writes.
+        let tail = &bytes[bytes.len().saturating_sub(TERMINATOR.len())..];
+        let before = self.last_body_bytes.load(Ordering::Relaxed);
+        let last_bytes = tail.iter().fold(before, |last, byte| last << 8 | u32::from(*byte));
+        self.last_body_bytes.store(last_bytes, Ordering::Relaxed);
+        self.body_ended.load(Ordering::Relaxed) && last_bytes.to_be_bytes() == *TERMINATOR
     }
 }
 
