Node connections: a success before the request was written completely is an error

What callers saw: a write succeeded although its node had received a part of its data or none: an NVMe target completed it after requesting a part, or an HTTP node answered 200 during an upload. Cause: an attempt counted as served by the node's word alone; that its last byte had not been written was known and not asked. Fix: LinkResponse::validated turns such a success into an error that may have been executed and closes the connection; what is repeated is decided as after any error. Why it works: the actor of a node is the one place that reports the ends of attempts, for every kind of node. The stand-in link of request_writer.rs, which serves attempts without writing anything, now marks them as written, as a link has to; what it checks is unchanged.

--- a/crates/scheduler/tests/net/incomplete_transfers.rs
+++ b/crates/scheduler/tests/net/incomplete_transfers.rs
@@ -7,6 +7,9 @@
 use heathward_policy::AttemptEnd;
 use heathward_transport::nvme::Status;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use heathward_fakes::nvme::*;
 use heathward_fakes::*;
@@ -78,3 +81,55 @@
     assert_eq!(status, 503);
     check_attempts(&mixed, 3, 0).await;
 }
+
+/// Guards against a write that succeeds although its node has not received all of its data: an NVMe target
+/// completes a write with success after it has requested a part of the data, or none. It may have written
+/// that part.
+#[rstest]
+#[tokio::test]
+async fn a_write_without_all_its_data_is_not_served(
+    #[values(0, SMALL, LARGE / 2, LARGE - SMALL)] requested_bytes: usize,
+) {
+    let mixed = start_mixed(&[Does::RequestBytes(requested_bytes)], 0).await;
+    let mut host = Host::connect(mixed.address).await;
+    assert_eq!(host.write(1, TARGET, vec![7; LARGE]).await, Status::INTERNAL.without_retry());
+    check_attempts(&mixed, 3, 0).await;
+    assert_eq!(mixed.rig.counters().await.attempts_written, 0);
+}
+
+/// A write that a target has completed too early is repeated on another connection, with all its data.
+#[tokio::test]
+async fn a_write_that_a_target_completed_too_early_is_repeated_completely() {
+    let mixed = start_mixed(&[Does::RequestBytes(SMALL), Does::Serve], 0).await;
+    let mut host = Host::connect(mixed.address).await;
+    assert_eq!(host.write(1, TARGET, vec![7; LARGE]).await, Status::SUCCESS);
+    check_attempts(&mixed, 1, 1).await;
+    let (_, data) = host.read(1, TARGET, LARGE).await;
+    assert!(data == vec![7; LARGE], "not the data of the write: {}", summary(&data));
+}
+
+/// Guards against an upload that succeeds although its node has not received all of its body: an HTTP node
+/// answers 200 after a part of it. The body can't be sent again, so the request fails.
+#[rstest]
+#[tokio::test]
+async fn an_upload_answered_before_its_last_byte_is_not_served(#[values(false, true)] is_chunked: bool) {
+    const BODY_BYTES: usize = 200_000;
+    const SENT_BYTES: usize = 100_000;
+    let (listener, address) = listen().await;
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let framing = if is_chunked { "Transfer-Encoding: chunked" } else { "Content-Length: 200000" };
+    let head = request("pedido", 1, 0, 900, "").replace("Content-Length: 0", framing);
+    let chunk_head = if is_chunked { format!("{BODY_BYTES:x}\r\n") } else { String::new() };
+    let mut client = TcpStream::connect(rig.front).await.unwrap();
+    client.write_all(format!("{head}{chunk_head}").as_bytes()).await.unwrap();
+    client.write_all(&[b'x'; SENT_BYTES]).await.unwrap();
+    let (mut node, _) = listener.accept().await.unwrap();
+    let mut received = vec![0; SENT_BYTES / 2];
+    timeout(PATIENCE, node.read_exact(&mut received)).await.expect("in time").unwrap();
+    node.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
+    let (status, ..) = answer(&mut client).await;
+    assert_eq!(status, 502);
+    let counters = rig.counters().await;
+    let ends = (counters.attempts_ended(AttemptEnd::Error), counters.attempts_written);
+    assert_eq!((ends, counters.total_answers().failed), ((1, 0), 1), "{counters}");
+}
--- a/crates/scheduler/tests/net/request_writer.rs
+++ b/crates/scheduler/tests/net/request_writer.rs
@@ -166,6 +166,7 @@
 
     fn call(&mut self, request: LinkRequest<KeptConnection>) -> Self::Future {
         self.0.send(request.idle_connection.is_some()).unwrap();
+        request.attempt.mark_written();
         ready(Ok(LinkResponse::reusable(
             AttemptEnd::Served,
             Bytes::new(),
--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -81,6 +81,16 @@
     pub fn reusable(end: AttemptEnd, body: Bytes, connection: C) -> Self {
         Self { end, body: NodeReply::Buffered(body), idle_connection: Some(connection), forwarding: None }
     }
+
+    /// Returns this response if it can be an answer to the attempt. Otherwise the attempt has failed and may
+    /// have been executed, and its connection is closed: a node that reports success before the last byte of
+    /// the request was written has not received all of it.
+    fn validated(self, attempt: &Attempt) -> Self {
+        if self.end == AttemptEnd::Served && !attempt.write_completion.is_set() {
+            return Self::closed(AttemptEnd::Error);
+        }
+        self
+    }
 }
 
 /// The limits of connections to nodes.
@@ -235,7 +245,10 @@
     async fn finish(&mut self, finished: Finished<C>, is_listed: bool) {
         let (attempt, response, permit) = match finished {
             Finished::Forwarding(connection, permit) => return self.keep_idle(connection, permit, is_listed),
-            Finished::Attempt(attempt, response, permit) => (attempt, response, permit),
+            Finished::Attempt(attempt, response, permit) => {
+                let response = response.validated(&attempt);
+                (attempt, response, permit)
+            }
         };
         if let Some(permit) = permit {
             match response.forwarding {
