NVMe front: a read succeeds only with data of its length from the node

What callers saw: an NVMe host that read from an HTTP node got zeros in place of what the answer lacked, lost what it had beyond the read, and got zeros for blocks that another command had written; all with success. Cause: Queue::finish cut or filled each body to the length of the read. Fix: a request carries the length of its read (before, it did so for writes as well), and a success of another length is an error that may have been executed, whatever protocol the node speaks; the front fills nothing up. No other expectation changed.

--- a/crates/core/src/body.rs
+++ b/crates/core/src/body.rs
@@ -131,6 +131,15 @@
 }
 
 impl NodeReply {
+    /// Returns the length of the complete body in bytes; `None` if it is still being received and the node has
+    /// not announced it.
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Self::Buffered(body) => Some(body.len() as u64),
+            Self::Streamed(reply) => reply.content_length,
+        }
+    }
+
     /// Reads the complete body; returns `None` if it is streamed and is interrupted or longer than
     /// `max_bytes`.
     pub async fn collect(self, max_bytes: usize) -> Option<Bytes> {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -28,7 +28,7 @@
     pub key: KeyId,
     /// Size of the request, in the units that quotas and node capacities count.
     pub units: u32,
-    /// Number of bytes that a read requests, if the client states it.
+    /// Number of bytes that a read requests, if the client states it; `None` for a write.
     pub read_length: Option<usize>,
     /// The body of a write, or the beginning of it if there is an [`upload`](Self::upload).
     pub body: Bytes,
@@ -36,6 +36,13 @@
     pub upload: Option<Upload>,
 }
 
+impl NodeRequest {
+    /// Whether `reply` has the length that the client requested, if it stated one.
+    pub fn accepts(&self, reply: &NodeReply) -> bool {
+        self.read_length.is_none_or(|length| reply.length() == Some(length as u64))
+    }
+}
+
 /// A request as a front end submits it.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
--- a/crates/scheduler/tests/net/incomplete_transfers.rs
+++ b/crates/scheduler/tests/net/incomplete_transfers.rs
@@ -133,3 +133,34 @@
     let ends = (counters.attempts_ended(AttemptEnd::Error), counters.attempts_written);
     assert_eq!((ends, counters.total_answers().failed), ((1, 0), 1), "{counters}");
 }
+
+/// Guards against data that the NVMe front makes up or cuts off: an HTTP node answers a read with fewer or
+/// more bytes than the command reads.
+#[rstest]
+#[tokio::test]
+async fn a_reply_of_another_length_than_the_read_is_not_served(
+    #[values(0, SMALL, LARGE - 1, LARGE + 1, 2 * LARGE, 3 * LARGE)] sent_bytes: usize,
+    #[values(0, TARGET)] first: u64,
+) {
+    let mixed = start_mixed(&[Does::ServeBytes(sent_bytes), Does::Store(LARGE)], 0).await;
+    let mut host = Host::connect(mixed.address).await;
+    let (completion, data) = host.read(1, first, LARGE).await;
+    assert_eq!(completion.status, Status::SUCCESS);
+    assert!(data == vec![0; LARGE], "not the data of the repeat: {}", summary(&data));
+    check_attempts(&mixed, 1, 1).await;
+}
+
+/// Guards against zeros in place of blocks that were written by another command: an HTTP node keeps the data
+/// of each write as one object, so its reply to a longer read ends before those blocks.
+#[tokio::test]
+async fn a_read_across_two_objects_of_an_http_node_does_not_lose_the_second() {
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mut host = Host::connect(mixed.address).await;
+    for first in [0, 1] {
+        assert_eq!(host.write(1, first, vec![7; SMALL]).await, Status::SUCCESS);
+        let (_, data) = host.read(1, first, SMALL).await;
+        assert!(data == vec![7; SMALL], "not the data of the write: {}", summary(&data));
+    }
+    let (completion, data) = host.read(1, 0, 2 * SMALL).await;
+    assert_ne!(completion.status, Status::SUCCESS, "{}", summary(&data));
+}
--- a/crates/scheduler/tests/net/nvme.rs
+++ b/crates/scheduler/tests/net/nvme.rs
@@ -23,7 +23,7 @@
 
 #[tokio::test]
 async fn a_host_discovers_its_namespaces_and_reads_and_writes_on_both_kinds_of_node() {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     for (offset, wide, value) in
         [(0x00, true, 63 | 1 << 16 | 1 << 24 | 1 << 37), (0x08, false, 0x0001_0400), (0x1c, false, 1)]
@@ -52,11 +52,7 @@
         assert_eq!((seen.node, seen.body), (u32::from(first >= 256), vec![first as u8 + 3; size]));
         let (completion, data) = host.read(1, first, size).await;
         assert_eq!((completion.status, data.len()), (Status::SUCCESS, size));
-        if first >= 256 {
-            assert_eq!(data, vec![first as u8 + 3; size]);
-        } else {
-            assert!(data.starts_with(b"hello\0\0"), "data that was not written reads as zeros");
-        }
+        assert_eq!(data, vec![first as u8 + 3; size]);
     }
     let counters = mixed.rig.counters().await;
     assert!(counters.total_answers().served == 8 && counters.attempts_sent == 8, "{counters}");
@@ -161,7 +157,7 @@
 
 #[tokio::test]
 async fn a_write_to_a_node_that_is_down_ends_as_interrupted_with_a_retry_delay() {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let status = host.write(2, 0, vec![7; SMALL]).await;
     assert!(
@@ -188,7 +184,7 @@
     #[case] sgl: Sgl,
     #[case] expected_status: Status,
 ) {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     assert_eq!(ask(&mut host.io, 8, body, sgl, Bytes::new()).await.0.status, expected_status);
     assert_eq!(host.read(1, 0, SMALL).await.0.status, Status::SUCCESS);
@@ -209,7 +205,7 @@
     #[case] body: Body,
     #[case] expected_status: Status,
 ) {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     assert_eq!(ask(&mut host.admin, 8, body, NONE, Bytes::new()).await.0.status, expected_status);
     assert_eq!(ask(&mut host.admin, 9, Body::KeepAlive, NONE, Bytes::new()).await.0.status, Status::SUCCESS);
@@ -217,7 +213,7 @@
 
 #[tokio::test]
 async fn a_queue_is_connected_first_and_to_a_controller_of_its_host() {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut early = wire(mixed.address).await;
     assert_eq!(ask(&mut early, 1, Body::KeepAlive, NONE, Bytes::new()).await.0.status, Status::SEQUENCE);
     assert_eq!(join(&mut early, 1, 77, 0).await.status, Status::CONNECT_PARAMETER, "no such controller");
@@ -263,7 +259,7 @@
 
 #[tokio::test]
 async fn a_host_that_misses_its_keep_alive_loses_its_controller() {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut admin = wire(mixed.address).await;
     assert_eq!(join(&mut admin, 0, 0xffff, 300).await.status, Status::SUCCESS);
     assert!(timeout(PATIENCE, admin.next()).await.expect("in time").is_err());
@@ -323,7 +319,7 @@
     #[case] fatal: FatalError,
 ) {
     use tokio::io::AsyncWriteExt;
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut stream = TcpStream::connect(mixed.address).await.unwrap();
     let mut initialization = vec![0, 0, 128, 0, 128, 0, 0, 0];
     initialization.resize(128, 0);
@@ -353,7 +349,7 @@
     #[case] size: usize,
     #[case] fatal: FatalError,
 ) {
-    let mixed = start_mixed(&[Does::Serve], 0).await;
+    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     host.io.send(&[capsule(4, WRITE, Sgl::Transport { length: 512 }, Bytes::new())]).await.unwrap();
     let Pdu::R2t { ttag, .. } = next_pdu(&mut host.io).await else { panic!("not asked for data") };
@@ -370,7 +366,7 @@
 #[tokio::test]
 async fn nodes_of_both_kinds_in_slow_start_are_not_overloaded() {
     let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-    let mixed = start_mixed(&[Does::Serve], started_ms).await;
+    let mixed = start_mixed(&[Does::Store(LARGE)], started_ms).await;
     let first_sent_at = Instant::now();
     let mut hosts = tokio::task::JoinSet::new();
     for host in 0..16 {
--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -84,9 +84,11 @@
 
     /// Returns this response if it can be an answer to the attempt. Otherwise the attempt has failed and may
     /// have been executed, and its connection is closed: a node that reports success before the last byte of
-    /// the request was written has not received all of it.
+    /// the request was written has not received all of it, and data of another length than a read requests is
+    /// not the data that was read.
     fn validated(self, attempt: &Attempt) -> Self {
-        if self.end == AttemptEnd::Served && !attempt.write_completion.is_set() {
+        let is_valid = attempt.write_completion.is_set() && attempt.node_request.accepts(&self.body);
+        if self.end == AttemptEnd::Served && !is_valid {
             return Self::closed(AttemptEnd::Error);
         }
         self
--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -448,13 +448,15 @@
         let (answer, handle) = abortable(self.subsystem.core.clone().call(request));
         self.open.insert(cid, Some(handle));
         self.in_flight.push(Box::pin(async move {
-            // If the core has stopped, or a streamed reply is interrupted or too long, nothing is known about
-            // the effect of the request.
+            // If the core has stopped, or a streamed reply is interrupted or does not have the length of the
+            // read, nothing is known about the effect of the request.
             let failed = Answer::Failed { possibly_executed: true, deadline_passed: false };
             let answer = match answer.await {
                 Ok(Ok(Answer::Served(reply))) => match reply.collect(MAX_DATA_BYTES).await {
-                    Some(body) => Ok(Answer::Served(NodeReply::Buffered(body))),
-                    None => Ok(failed),
+                    Some(body) if read_size.is_none_or(|size| body.len() == size) => {
+                        Ok(Answer::Served(NodeReply::Buffered(body)))
+                    }
+                    _ => Ok(failed),
                 },
                 other => other.map(|result| result.unwrap_or(failed)),
             };
@@ -466,11 +468,8 @@
     async fn finish(&mut self, Finished { cid, read_size, answer }: Finished) -> Result<(), StreamError> {
         self.open.remove(&cid);
         match (read_size, &answer) {
-            (Some(size), Ok(Answer::Served(NodeReply::Buffered(body)))) => {
-                let mut data = BytesMut::from(&body[..body.len().min(size)]);
-                // Data that was never written reads as zeros.
-                data.resize(size, 0);
-                self.complete_with_data(cid, data.freeze()).await
+            (Some(_), Ok(Answer::Served(NodeReply::Buffered(body)))) => {
+                self.complete_with_data(cid, body.clone()).await
             }
             _ => {
                 let status = self.subsystem.status(read_size.is_none(), &answer);
--- a/crates/transport/src/nvme/subsystem.rs
+++ b/crates/transport/src/nvme/subsystem.rs
@@ -97,7 +97,7 @@
             volume: namespace.volume,
             key: KeyId(blocks.first),
             units: self.map.units(blocks.count),
-            read_length: Some(blocks.count as usize * self.map.block as usize),
+            read_length: (!is_write).then(|| blocks.count as usize * self.map.block as usize),
             body,
             upload: None,
         };
