--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::{abortable, AbortHandle, Aborted, BoxFuture};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,6 +15,7 @@
 use super::command::{BlockRange, Body, Command, Completion, Connect, ConnectData, Sgl, Status};
 use super::identify::{self, CAP, CC, CSTS, MAX_IN_CAPSULE_BYTES, VS};
 use super::pdu::{FatalError, Pdu, MAX_DATA_BYTES};
+use super::received_data::ReceivedData;
 use super::subsystem::{lock, AbortRequest, Controller, Subsystem};
 use super::wire::{PduStream, StreamError};
 use heathward_core::{Answer, ClientRequest, NodeReply};
@@ -86,8 +87,7 @@
 /// A write whose data is still being received.
 struct Transfer {
     blocks: BlockRange,
-    data: BytesMut,
-    size: usize,
+    data: ReceivedData,
 }
 
 /// A read or a write that was answered by the core or aborted.
@@ -390,7 +390,7 @@
                 .map(|request| self.start_request(cid, None, request)),
             (Body::Write(blocks), _, Ok(size)) => {
                 self.open.insert(cid, None);
-                self.transfers.insert(cid, Transfer { blocks, data: BytesMut::new(), size });
+                self.transfers.insert(cid, Transfer { blocks, data: ReceivedData::new(size) });
                 let r2t = Pdu::R2t { cid, ttag: cid, offset: 0, length: size as u32 };
                 return Ok(self.wire.send(&[r2t]).await?);
             }
@@ -418,20 +418,20 @@
         if ttag != cid {
             return Err(StreamError::Fatal(FatalError::header(10)));
         }
-        let end = transfer.data.len() + data.len();
-        if offset as usize != transfer.data.len() || end > transfer.size || last != (end == transfer.size) {
-            return Err(StreamError::Fatal(FatalError::RANGE));
+        let range_error = StreamError::Fatal(FatalError::RANGE);
+        if transfer.data.append(offset, data).is_err() || last != transfer.data.is_complete() {
+            return Err(range_error);
         }
-        transfer.data.extend_from_slice(data);
         if !last {
             return Ok(());
         }
-        let Some(Transfer { blocks, data, .. }) = self.transfers.remove(&cid) else { return Ok(()) };
+        let Some(Transfer { blocks, data }) = self.transfers.remove(&cid) else { return Ok(()) };
+        let data = data.into_complete().ok_or(range_error)?;
         if !self.open.contains_key(&cid) {
             // The write was aborted and completed while its data was being received.
             return Ok(());
         }
-        match self.subsystem.request(true, blocks, data.freeze()) {
+        match self.subsystem.request(true, blocks, data) {
             Ok(request) => {
                 self.start_request(cid, None, request);
                 Ok(())
