Shutdown: the last answers are awaited after a stall, with 20 ms more before SIGKILL

What callers saw: requests without an answer at the end of a shutdown whose process stood still for up to 0.15 s around its answer deadline; the process closed their connections itself. Cause: the wait for the last answers ended 0.1 s after the deadline by the clock, so that a process that resumed later left before its answers were given; and the deadline left just the 0.15 s of a stall until SIGKILL, while answers come up to 5 ms after it. The new test of the wait, in paused time, fails with the wait as it was: "a stall of 150 ms: exit before the answer". Fix: after the deadline polls are counted, of which a stall uses up one; the deadline is 20 ms earlier.

--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -18,12 +18,14 @@
 /// Connections are closed between requests from this time on, counted from SIGTERM plus the longest deadline:
 /// early enough for requests that are open then to be answered.
 const CLOSE_DELAY: Duration = Duration::from_millis(350);
-/// Every request is answered this long before the platform kills the process, as the process may stall for
-/// that long before its last write. The write itself has time because the signal is taken to have been sent
-/// earlier than it was.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-/// The time after the answer deadline in which the last answers may still be written.
-const FINAL_WRITE_TIME: Duration = Duration::from_millis(100);
+/// The longest time for which the process may stall.
+const MAX_STALL: Duration = Duration::from_millis(150);
+/// The time that the last answers need after a stall: the core gives them up to 5 ms after the answer
+/// deadline, and they are written.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(20);
+/// The number of polls after the answer deadline in which the last answers may still be written. Polls are
+/// counted instead of time, so that a stall does not use that time up.
+const FINAL_WRITE_POLLS: u32 = 20;
 /// How often open requests and connections are polled while new requests are still served.
 const SERVING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How often open requests and connections are polled once connections are being closed.
@@ -37,7 +39,7 @@
 pub async fn finish(server: &Server, signalled_at: Instant) {
     let core = &server.core;
     let longest_deadline = longest_deadline(server).min(MAX_COUNTED_DEADLINE);
-    let answer_deadline = signalled_at + longest_deadline + KILL_DELAY - ANSWER_MARGIN;
+    let answer_deadline = signalled_at + longest_deadline + KILL_DELAY - MAX_STALL - LAST_ANSWER_TIME;
     let close_at = signalled_at + longest_deadline + CLOSE_DELAY;
     core.set_shutdown_deadline(answer_deadline).await;
     let replaced = core.draining().borrow().replaced;
@@ -45,8 +47,18 @@
         sleep_until((Instant::now() + SERVING_POLL_INTERVAL).min(close_at)).await;
     }
     server.fronts.close_connections();
-    while server.is_busy() && Instant::now() < answer_deadline + FINAL_WRITE_TIME {
+    wait_until_idle(|| server.is_busy(), answer_deadline).await;
+}
+
+/// Waits until nothing is open, but gives up [`FINAL_WRITE_POLLS`] polls after the answer deadline. If the
+/// process has stalled past the deadline, the last answers are given only after that.
+async fn wait_until_idle(is_busy: impl Fn() -> bool, answer_deadline: Instant) {
+    let mut polls_after_deadline = 0;
+    while is_busy() && polls_after_deadline < FINAL_WRITE_POLLS {
         sleep_until(Instant::now() + CLOSING_POLL_INTERVAL).await;
+        if Instant::now() >= answer_deadline {
+            polls_after_deadline += 1;
+        }
     }
 }
 
@@ -56,3 +68,6 @@
     let micros = deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     Duration::from_micros(micros)
 }
+
+#[cfg(test)]
+mod tests;
