Shutdown: connections are not waited for beyond the time for closing them

Clients that keep connections open then held the process until SIGKILL, with requests on them that it had not read. Change: connections are closed for 0.1 s after the deadline, as before; only requests without an answer are waited for beyond that, for ten polls of 1 ms and one more to write.

--- a/crates/scheduler/src/shutdown.rs
+++ b/crates/scheduler/src/shutdown.rs
@@ -23,9 +23,12 @@
 /// The time that the last answers need after a stall: the core gives them up to 5 ms after the answer
 /// deadline, and they are written.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(20);
-/// The number of polls after the answer deadline in which the last answers may still be written. Polls are
-/// counted instead of time, so that a stall does not use that time up.
-const FINAL_WRITE_POLLS: u32 = 20;
+/// The time after the answer deadline in which connections may still be closed.
+const FINAL_CLOSE_TIME: Duration = Duration::from_millis(100);
+/// How often open requests are polled once that time is over.
+const LAST_ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// The number of these polls. Polls are counted instead of time, so that a stall does not use it up.
+const LAST_ANSWER_POLLS: u32 = 10;
 /// How often open requests and connections are polled while new requests are still served.
 const SERVING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How often open requests and connections are polled once connections are being closed.
@@ -47,19 +50,26 @@
         sleep_until((Instant::now() + SERVING_POLL_INTERVAL).min(close_at)).await;
     }
     server.fronts.close_connections();
-    wait_until_idle(|| server.is_busy(), answer_deadline).await;
+    while server.is_busy() && Instant::now() < answer_deadline + FINAL_CLOSE_TIME {
+        sleep_until(Instant::now() + CLOSING_POLL_INTERVAL).await;
+    }
+    if server.is_busy() {
+        wait_for_last_answers(|| server.core.status().open_requests > 0).await;
+    }
 }
 
-/// Waits until nothing is open, but gives up [`FINAL_WRITE_POLLS`] polls after the answer deadline. If the
-/// process has stalled past the deadline, the last answers are given only after that.
-async fn wait_until_idle(is_busy: impl Fn() -> bool, answer_deadline: Instant) {
-    let mut polls_after_deadline = 0;
-    while is_busy() && polls_after_deadline < FINAL_WRITE_POLLS {
-        sleep_until(Instant::now() + CLOSING_POLL_INTERVAL).await;
-        if Instant::now() >= answer_deadline {
-            polls_after_deadline += 1;
+/// Waits until no request is open, for [`LAST_ANSWER_POLLS`] polls at most, and then for one poll in which
+/// the last answers are written. If the process has stalled past the end of its time, they are given only
+/// now. Connections that are still open are not waited for: they may hold requests that were not read, and
+/// the process has to end before the platform kills it.
+async fn wait_for_last_answers(has_open_requests: impl Fn() -> bool) {
+    for _ in 0..LAST_ANSWER_POLLS {
+        if !has_open_requests() {
+            break;
         }
+        sleep_until(Instant::now() + LAST_ANSWER_POLL_INTERVAL).await;
     }
+    sleep_until(Instant::now() + LAST_ANSWER_POLL_INTERVAL).await;
 }
 
 /// Returns the longest deadline of all classes; zero without classes.
