Network tests: the requests of the priority test come in one moment

Change: the clients connect first and write without another task in between. What is checked, its bound and the deadlines are unchanged; a shutdown that demotes the requests still sheds them.

--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -244,11 +244,17 @@
     let rig = rig_of(&text, None).await;
     rig.core.set_shutdown_deadline(Instant::now() + Duration::from_secs(3)).await;
     let mut clients = Vec::new();
-    for call in 0..UNKNOWN_NODE_IN_FLIGHT_LIMIT {
-        let mut stream = TcpStream::connect(rig.front).await.unwrap();
-        stream.write_all(request("consulta", call, 0, 10_000, "").as_bytes()).await.unwrap();
+    for _ in 0..UNKNOWN_NODE_IN_FLIGHT_LIMIT {
+        let stream = TcpStream::connect(rig.front).await.unwrap();
+        stream.writable().await.unwrap();
         clients.push(stream);
     }
+    // No other task runs between these writes: of requests that come one after the other, the later ones are
+    // held back once the first ones have been unanswered for a period, with or without a shutdown.
+    for (call, stream) in (0..).zip(&clients) {
+        let text = request("consulta", call, 0, 10_000, "");
+        assert_eq!(stream.try_write(text.as_bytes()).unwrap(), text.len());
+    }
     let mut statuses = Vec::new();
     for stream in &mut clients {
         statuses.push(answer(stream).await.0);
