--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -234,13 +234,17 @@
 }
 
 /// Guards against requests that are demoted and shed because the shutdown shortens their time, as if their
-/// clients had already waited for that time.
+/// clients had already waited for that time. The scheduler infers such waiting only where clients do not mark
+/// their retries.
+#[rstest]
 #[tokio::test]
-async fn requests_during_a_shutdown_keep_their_priority() {
+async fn requests_during_a_shutdown_keep_their_priority(#[values(false, true)] clients_mark_retries: bool) {
     let log = Log::default();
     let node = http_node(0, &[Does::Silent], &log).await;
+    let clients_setting = format!("\"clients\":{{\"marksRetry\":{clients_mark_retries}}},\"balancers\"");
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0))
-        .replace("\"deadlineMs\":1000", "\"deadlineMs\":10000");
+        .replace("\"deadlineMs\":1000", "\"deadlineMs\":10000")
+        .replace("\"balancers\"", &clients_setting);
     let rig = rig_of(&text, None).await;
     rig.core.set_shutdown_deadline(Instant::now() + Duration::from_secs(3)).await;
     let mut clients = Vec::new();
