--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -2,7 +2,7 @@
 
 mod http;
 mod pool;
-mod wire;
+mod tracked_stream;
 
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -24,7 +24,7 @@
 
 pub use http::HttpLink;
 pub use pool::ConnectionPool;
-pub use wire::{TrackedStream, WriteProgress};
+pub use tracked_stream::{TrackedStream, WriteProgress};
 
 /// The most attempts that wait for a node's actor. It takes them at once, so this is never reached.
 const MAX_QUEUED_ATTEMPTS: usize = 1024;
--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -15,9 +15,9 @@
 use super::command::{BlockRange, Body, Command, Completion, Connect, ConnectData, Sgl, Status};
 use super::identify::{self, CAP, CC, CSTS, MAX_IN_CAPSULE_BYTES, VS};
 use super::pdu::{FatalError, Pdu, MAX_DATA_BYTES};
+use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
 use super::subsystem::{lock, AbortRequest, Controller, Subsystem};
-use super::wire::{PduStream, StreamError};
 use heathward_core::{Answer, ClientRequest, NodeReply};
 
 /// The time in which a host must connect a queue, and in which it must read a TermReq.
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -15,8 +15,8 @@
 use super::identify::{CC, CSTS};
 use super::map::NvmeMap;
 use super::pdu::{Pdu, MAX_DATA_BYTES};
+use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
-use super::wire::{PduStream, StreamError};
 use crate::node::{Connection, LinkRequest, LinkResponse};
 use heathward_core::{Attempt, NodeRequest};
 use heathward_policy::AttemptEnd;
