NVMe: split the front's queue by kind of command, and the link from the initiator

Change: moves to queue.rs, admin_commands.rs, io_commands.rs and link.rs; doc comments and visibility follow, and has_no_input of the connection stands for a look into its field. No file depends on another in a circle.

--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -1,24 +1,20 @@
-//! Connections to storage nodes that are NVMe targets: carries out attempts as commands on I/O queues.
+//! Connections to storage nodes that are NVMe targets: carry out attempts as commands on I/O queues.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::future::BoxFuture;
+use bytes::Bytes;
 use tokio::net::TcpStream;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 
 use super::command::{BlockRange, Body, Command, Completion, Connect, ConnectData, Sgl, Status};
 use super::identify::{CC, CSTS};
-use super::map::NvmeMap;
 use super::pdu::{Pdu, MAX_DATA_BYTES};
 use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
-use crate::node::{Connection, LinkRequest, LinkResponse};
-use heathward_core::{Attempt, NodeRequest};
+use crate::node::Connection;
+use heathward_core::Attempt;
 use heathward_policy::AttemptEnd;
 
 /// Number of entries of a queue, minus 1; a queue carries one command at a time.
@@ -56,7 +52,7 @@
 }
 
 /// Why a command has no completion that can be trusted.
-enum ExchangeError {
+pub(super) enum ExchangeError {
     /// The command was not written completely, so the target can't have executed it.
     NotWritten,
     /// The connection was lost after the command was written; the target may have executed it.
@@ -66,11 +62,11 @@
 }
 
 /// The completion of a command.
-struct Completed {
+pub(super) struct Completed {
     /// How the attempt ended.
-    end: AttemptEnd,
+    pub(super) end: AttemptEnd,
     /// The complete data of a read that was served; empty otherwise.
-    data: Bytes,
+    pub(super) data: Bytes,
 }
 
 /// A read or a write that was sent and has no completion yet.
@@ -120,7 +116,11 @@
 }
 
 impl NvmeConnection {
-    async fn open(address: SocketAddr, subsystem: &str) -> Result<Self, StreamError> {
+    /// Connects both queues to a subsystem at `address`.
+    ///
+    /// # Errors
+    /// The target could not be reached, or a step of the setup failed.
+    pub(super) async fn open(address: SocketAddr, subsystem: &str) -> Result<Self, StreamError> {
         let host = format!("nqn.2014-08.org.nvmexpress:uuid:heathward-{}", std::process::id());
         let names =
             |controller| ConnectData { controller, subsystem: subsystem.to_owned(), host: host.clone() };
@@ -147,9 +147,14 @@
         Ok(Self { admin, io, max_in_capsule, max_h2c, cid: 0 })
     }
 
+    /// Whether the I/O queue is open and no unexpected input has arrived on it.
+    pub(super) async fn has_no_input(&mut self) -> bool {
+        self.io.has_no_input().await
+    }
+
     /// Carries out one read or write of `size` bytes until its completion. Once the attempt is cancelled, no
     /// more of the command is written; a command that was written completely goes on to its completion.
-    async fn exchange(
+    pub(super) async fn exchange(
         &mut self,
         attempt: &Attempt,
         blocks: BlockRange,
@@ -304,92 +309,6 @@
     }
 }
 
-/// The link to one NVMe target: a tower service that carries out one attempt on one association.
-#[derive(Clone, Debug)]
-pub struct NvmeLink {
-    address: SocketAddr,
-    subsystem: Arc<str>,
-    map: Arc<NvmeMap>,
-}
-
-impl NvmeLink {
-    /// Creates a link to a subsystem at `address`.
-    pub fn new(address: SocketAddr, subsystem: &str, map: Arc<NvmeMap>) -> Self {
-        Self { address, subsystem: subsystem.into(), map }
-    }
-
-    /// Returns the blocks of a request and their size in bytes; `None` if the volume is not a namespace or
-    /// the range is not valid.
-    fn blocks(&self, request: &NodeRequest) -> Option<(BlockRange, usize)> {
-        let block = self.map.block as usize;
-        let size = match (request.is_write, request.read_length) {
-            (true, _) => request.body.len(),
-            (false, Some(length)) => length,
-            (false, None) => (request.units.saturating_mul(self.map.unit_blocks)) as usize * block,
-        };
-        let count = size.div_ceil(block);
-        let blocks = self.map.block_range(request.volume, request.key, u32::try_from(count).ok()?)?;
-        (count * block <= MAX_DATA_BYTES).then_some((blocks, count * block))
-    }
-
-    /// Runs one attempt. As over HTTP, a connection on which an attempt was given up is closed before this
-    /// returns.
-    async fn run_attempt(self, link_request: LinkRequest<NvmeConnection>) -> LinkResponse<NvmeConnection> {
-        let LinkRequest { attempt, mut idle_connection, dial_deadline } = link_request;
-        let (request, deadline) = (&attempt.node_request, attempt.deadline);
-        let Some((blocks, size)) = self.blocks(request) else {
-            return LinkResponse::closed(AttemptEnd::NotSent);
-        };
-        let mut data = BytesMut::from(&*request.body);
-        if request.is_write {
-            data.resize(size, 0);
-        }
-        let data = data.freeze();
-        loop {
-            let reused = idle_connection.is_some();
-            let mut connection = match idle_connection.take() {
-                Some(connection) => connection,
-                None => {
-                    let connecting = NvmeConnection::open(self.address, &self.subsystem);
-                    let connecting = timeout_at(dial_deadline.min(attempt.connect_deadline), connecting);
-                    let connected = tokio::select! {
-                        biased;
-                        // A cancelled attempt stops waiting for a connection and holds none.
-                        () = attempt.cancel.cancelled() => return LinkResponse::closed(AttemptEnd::NotSent),
-                        connected = connecting => connected,
-                    };
-                    match connected {
-                        Ok(Ok(connection)) => connection,
-                        _ => return LinkResponse::closed(AttemptEnd::NotConnected),
-                    }
-                }
-            };
-            if reused && !connection.io.has_no_input().await {
-                continue;
-            }
-            if !attempt.may_start() {
-                return LinkResponse::reusable(AttemptEnd::NotSent, Bytes::new(), connection);
-            }
-            let exchange = connection.exchange(&attempt, blocks, data.clone(), size);
-            return match timeout_at(deadline, exchange).await {
-                Ok(Ok(Completed { end, data })) => LinkResponse::reusable(end, data, connection),
-                // The attempt was cancelled before the command was written completely.
-                Ok(Err(ExchangeError::NotWritten)) if attempt.cancel.is_cancelled() => {
-                    LinkResponse::closed(AttemptEnd::NotSent)
-                }
-                // The command was not written completely on a reused connection: the same attempt goes on
-                // with another one.
-                Ok(Err(ExchangeError::NotWritten)) if reused => continue,
-                Ok(Err(ExchangeError::NotWritten)) => LinkResponse::closed(AttemptEnd::NotConnected),
-                // As over HTTP: the command may have been executed, and the target is up.
-                Ok(Err(ExchangeError::InvalidAnswer)) => LinkResponse::closed(AttemptEnd::Error),
-                Ok(Err(ExchangeError::ConnectionLost)) => LinkResponse::closed(AttemptEnd::Reset),
-                Err(_) => LinkResponse::closed(AttemptEnd::TimedOut),
-            };
-        }
-    }
-}
-
 /// Returns how an attempt with this command status ended. A namespace that is not ready has not executed the
 /// command and may do so later; with any other error the command may have been executed.
 fn attempt_end(status: Status) -> AttemptEnd {
@@ -400,18 +319,3 @@
         _ => AttemptEnd::Error,
     }
 }
-
-impl tower::Service<LinkRequest<NvmeConnection>> for NvmeLink {
-    type Response = LinkResponse<NvmeConnection>;
-    type Error = Infallible;
-    type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: LinkRequest<NvmeConnection>) -> Self::Future {
-        let link = self.clone();
-        Box::pin(async move { Ok(link.run_attempt(request).await) })
-    }
-}
--- /dev/null
+++ b/crates/transport/src/nvme/io_commands.rs
@@ -0,0 +1,175 @@
+//! The commands of an I/O queue: reads and writes, and the requests to the core that they become.
+
+use bytes::Bytes;
+use futures_util::future::abortable;
+use tokio::sync::oneshot;
+use tower::Service;
+
+use super::command::{Body, Command, Sgl, Status};
+use super::identify::MAX_IN_CAPSULE_BYTES;
+use super::pdu::{FatalError, Pdu, MAX_DATA_BYTES};
+use super::pdu_stream::StreamError;
+use super::queue::{Finished, Queue, Transfer};
+use super::received_data::ReceivedData;
+use heathward_core::{Answer, ClientRequest, NodeReply};
+
+impl Queue {
+    /// Handles a command: a read or a write becomes a request to the core, any other is completed at once.
+    ///
+    /// # Errors
+    /// The connection has failed, or the host has more commands open than its queue holds.
+    pub(super) async fn handle_io_command(
+        &mut self,
+        command: &Command,
+        data: &Bytes,
+    ) -> Result<(), StreamError> {
+        let cid = command.cid;
+        let validated_size = match command.body {
+            Body::Read(blocks) | Body::Write(blocks) => self.subsystem.validate(blocks),
+            Body::Connect(_) => Err(Status::SEQUENCE),
+            _ => Err(Status::INVALID_OPCODE),
+        };
+        // Limits memory: a host that respects the size of its queue never has this many commands open.
+        if self.open.len() >= usize::from(self.size) {
+            return Err(StreamError::Fatal(FatalError::SEQUENCE));
+        }
+        let started = match (command.body, command.sgl, validated_size) {
+            (_, _, Err(status)) => Err(status),
+            (_, sgl, Ok(size)) if sgl.length() as usize != size => match sgl {
+                Sgl::Other(_) => Err(Status::SGL_TYPE),
+                _ => Err(Status::SGL_LENGTH),
+            },
+            (Body::Read(blocks), Sgl::Transport { .. }, Ok(size)) => self
+                .subsystem
+                .request(false, blocks, Bytes::new())
+                .map(|request| self.start_request(cid, Some(size), request)),
+            (Body::Read(_), ..) => Err(Status::SGL_TYPE),
+            (Body::Write(blocks), sgl @ Sgl::InCapsule { .. }, Ok(_)) => in_capsule_data(sgl, data)
+                .and_then(|data| self.subsystem.request(true, blocks, Bytes::copy_from_slice(data)))
+                .map(|request| self.start_request(cid, None, request)),
+            (Body::Write(blocks), _, Ok(size)) => {
+                self.open.insert(cid, None);
+                self.transfers.insert(cid, Transfer { blocks, data: ReceivedData::new(size) });
+                let r2t = Pdu::R2t { cid, ttag: cid, offset: 0, length: size as u32 };
+                return Ok(self.wire.send(&[r2t]).await?);
+            }
+            _ => Err(Status::INVALID_OPCODE),
+        };
+        match started {
+            Ok(()) => Ok(()),
+            Err(status) => {
+                self.subsystem.core.count_malformed_request();
+                self.complete(cid, 0, status).await
+            }
+        }
+    }
+
+    /// Receives data of a write. It arrives in order, as there is one transfer for each command.
+    pub(super) async fn receive_data(
+        &mut self,
+        cid: u16,
+        ttag: u16,
+        offset: u32,
+        last: bool,
+        data: &[u8],
+    ) -> Result<(), StreamError> {
+        let transfer = self.transfers.get_mut(&cid).ok_or(StreamError::Fatal(FatalError::header(8)))?;
+        if ttag != cid {
+            return Err(StreamError::Fatal(FatalError::header(10)));
+        }
+        let range_error = StreamError::Fatal(FatalError::RANGE);
+        if transfer.data.append(offset, data).is_err() || last != transfer.data.is_complete() {
+            return Err(range_error);
+        }
+        if !last {
+            return Ok(());
+        }
+        let Some(Transfer { blocks, data }) = self.transfers.remove(&cid) else { return Ok(()) };
+        let data = data.into_complete().ok_or(range_error)?;
+        if !self.open.contains_key(&cid) {
+            // The write was aborted and completed while its data was being received.
+            return Ok(());
+        }
+        match self.subsystem.request(true, blocks, data) {
+            Ok(request) => {
+                self.start_request(cid, None, request);
+                Ok(())
+            }
+            Err(status) => {
+                self.open.remove(&cid);
+                self.complete(cid, 0, status).await
+            }
+        }
+    }
+
+    /// Passes a read or a write to the core.
+    fn start_request(&mut self, cid: u16, read_size: Option<usize>, request: ClientRequest) {
+        let (answer, handle) = abortable(self.subsystem.core.clone().call(request));
+        self.open.insert(cid, Some(handle));
+        self.in_flight.push(Box::pin(async move {
+            // If the core has stopped, or a streamed reply is interrupted or does not have the length of the
+            // read, nothing is known about the effect of the request.
+            let failed = Answer::Failed { possibly_executed: true, deadline_passed: false };
+            let answer = match answer.await {
+                Ok(Ok(Answer::Served(reply))) => match reply.collect(MAX_DATA_BYTES).await {
+                    Some(body) if read_size.is_none_or(|size| body.len() == size) => {
+                        Ok(Answer::Served(NodeReply::Buffered(body)))
+                    }
+                    _ => Ok(failed),
+                },
+                other => other.map(|result| result.unwrap_or(failed)),
+            };
+            Finished { cid, read_size, answer }
+        }));
+    }
+
+    /// Completes a command whose request has finished.
+    pub(super) async fn finish(
+        &mut self,
+        Finished { cid, read_size, answer }: Finished,
+    ) -> Result<(), StreamError> {
+        self.open.remove(&cid);
+        match (read_size, &answer) {
+            (Some(_), Ok(Answer::Served(NodeReply::Buffered(body)))) => {
+                self.complete_with_data(cid, body.clone()).await
+            }
+            _ => {
+                let status = self.subsystem.status(read_size.is_none(), &answer);
+                self.complete(cid, 0, status).await
+            }
+        }
+    }
+
+    /// Aborts a command and replies whether it was open.
+    pub(super) async fn abort(&mut self, cid: u16, reply: oneshot::Sender<bool>) -> Result<(), StreamError> {
+        let found = self.open.get(&cid).cloned();
+        // The admin queue may have ended meanwhile.
+        let _ = reply.send(found.is_some());
+        match found {
+            Some(Some(handle)) => handle.abort(),
+            Some(None) => {
+                self.open.remove(&cid);
+                return self.complete(cid, 0, Status::ABORTED).await;
+            }
+            None => {}
+        }
+        Ok(())
+    }
+}
+
+/// Returns the data of a command that has to be in its capsule.
+///
+/// # Errors
+/// The status of a command whose descriptor does not match the data.
+pub(super) fn in_capsule_data(sgl: Sgl, data: &Bytes) -> Result<&[u8], Status> {
+    match sgl {
+        Sgl::InCapsule { offset: 0, length }
+            if length as usize == data.len() && data.len() <= MAX_IN_CAPSULE_BYTES =>
+        {
+            Ok(data)
+        }
+        Sgl::InCapsule { offset: 0, .. } => Err(Status::SGL_LENGTH),
+        Sgl::InCapsule { .. } => Err(Status::SGL_OFFSET),
+        Sgl::Transport { .. } | Sgl::Other(_) => Err(Status::SGL_TYPE),
+    }
+}
--- a/crates/transport/src/nvme/mod.rs
+++ b/crates/transport/src/nvme/mod.rs
@@ -2,17 +2,21 @@
 //!
 //! `pdu` is the codec of the transport's PDUs, `command` that of commands and completions, and `pdu_stream` a
 //! stream of PDUs on a TCP connection. `received_data` assembles the data of a command. `controller` serves
-//! the queues that hosts connect to, and `subsystem` holds the state that the queues share. `initiator` sends
-//! attempts to storage nodes that are NVMe targets themselves. `map` reads the file that maps namespaces to
-//! volumes.
+//! the queues that hosts connect to: `queue` holds the state of one, `admin_commands` and `io_commands` handle
+//! its commands, and `subsystem` holds the state that the queues share. `link` sends attempts to a storage node
+//! that is an NVMe target itself, on connections of `initiator`. `map` reads the file that maps namespaces to volumes.
 
+mod admin_commands;
 mod command;
 mod controller;
 mod identify;
 mod initiator;
+mod io_commands;
+mod link;
 mod map;
 mod pdu;
 mod pdu_stream;
+mod queue;
 mod received_data;
 mod subsystem;
 
@@ -20,7 +24,8 @@
     BlockRange, Body, Command, Completion, Connect, ConnectData, Sgl, Status, CONNECT_DATA_BYTES,
 };
 pub use controller::serve;
-pub use initiator::{NvmeConnection, NvmeLink};
+pub use initiator::NvmeConnection;
+pub use link::NvmeLink;
 pub use map::{Namespace, NvmeMap, Target};
 pub use pdu::{FatalError, Pdu, MAX_DATA_BYTES};
 pub use pdu_stream::{PduStream, StreamError};
