--- a/crates/scheduler/tests/net/incomplete_transfers.rs
+++ b/crates/scheduler/tests/net/incomplete_transfers.rs
@@ -164,3 +164,59 @@
     let (completion, data) = host.read(1, 0, 2 * SMALL).await;
     assert_ne!(completion.status, Status::SUCCESS, "{}", summary(&data));
 }
+
+/// Blocks that the random test writes and reads, with the length of their data: two objects on each node.
+const OBJECTS: [(u64, usize); 4] = [(0, SMALL), (8, LARGE), (TARGET, SMALL), (TARGET + 8, LARGE)];
+
+/// Draws what a node does with a request: in three of five cases it is sound. No length that it sends is that
+/// of an object.
+fn draw_step(random: &mut fastrand::Rng) -> Does {
+    let lengths = [0, 1, SMALL - 1, SMALL + 1, LARGE - 1, LARGE + 1, 3 * LARGE];
+    match random.u32(..10) {
+        0 | 1 => Does::ServeBytes(lengths[random.usize(..lengths.len())]),
+        2 => Does::RequestBytes(SMALL * random.usize(..LARGE / SMALL)),
+        3 => Does::Error,
+        _ => Does::Store(SMALL),
+    }
+}
+
+/// Guards against data other than what was written last, whatever the nodes of both kinds do in between:
+/// writes and reads drawn from fixed seeds. After a write that failed, either data may be there, or a part.
+#[rstest]
+#[tokio::test]
+async fn reads_that_succeed_return_what_was_written_last(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    const COMMANDS: usize = 120;
+    let mut random = fastrand::Rng::with_seed(seed);
+    let script: Vec<Does> = (0..4 * COMMANDS).map(|_| draw_step(&mut random)).collect();
+    let mixed = start_mixed(&script, 0).await;
+    let mut host = Host::connect(mixed.address).await;
+    let mut written: [Option<u8>; OBJECTS.len()] = [None; OBJECTS.len()];
+    let (mut succeeded, mut verified) = (0, 0);
+    for command in 0..COMMANDS {
+        let object = random.usize(..OBJECTS.len());
+        let (first, size) = OBJECTS[object];
+        if random.bool() {
+            let value = random.u8(..);
+            let status = host.write(1, first, vec![value; size]).await;
+            written[object] = (status == Status::SUCCESS).then_some(value);
+            succeeded += usize::from(status == Status::SUCCESS);
+            continue;
+        }
+        let (completion, data) = host.read(1, first, size).await;
+        if completion.status != Status::SUCCESS {
+            continue;
+        }
+        succeeded += 1;
+        assert_eq!(data.len(), size, "command {command} at block {first}");
+        if let Some(value) = written[object] {
+            verified += 1;
+            assert!(data == vec![value; size], "command {command} at block {first}: {}", summary(&data));
+        }
+    }
+    println!("seed {seed}: {succeeded} of {COMMANDS} succeeded, {verified} reads verified");
+    assert!(
+        succeeded > COMMANDS / 2 && verified > COMMANDS / 8,
+        "{succeeded} succeeded, {verified} verified"
+    );
+    mixed.log.check_one_at_a_time();
+}
--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -45,10 +45,10 @@
     /// Keeps the body of each write, and answers a read of the same object with it. An object that was never
     /// written has this many zero bytes.
     Store(usize),
-    /// Answers well, but a read with this many bytes of data, whatever was requested.
+    /// Keeps the body of each write, but answers a read with this many bytes of data, whatever was requested.
     ServeBytes(usize),
     /// An NVMe target requests only this many bytes of the data of a write that is not in its capsule, and
-    /// completes it with success.
+    /// completes it with success; an HTTP node does as for [`Does::Store`].
     RequestBytes(usize),
 }
 
@@ -234,12 +234,14 @@
         }
         let stored_answer;
         let answer = match does {
-            Does::Store(unwritten_bytes) => {
-                stored_answer = store_or_load(&objects, &head, body, unwritten_bytes);
+            Does::ServeBytes(length) if head.starts_with("GET ") => {
+                stored_answer = served(&vec![7; length]);
                 stored_answer.as_slice()
             }
-            Does::ServeBytes(length) => {
-                stored_answer = served(&vec![7; length]);
+            Does::Store(unwritten_bytes)
+            | Does::ServeBytes(unwritten_bytes)
+            | Does::RequestBytes(unwritten_bytes) => {
+                stored_answer = store_or_load(&objects, &head, body, unwritten_bytes);
                 stored_answer.as_slice()
             }
             Does::Serve | Does::LateServe | Does::ServeThenClose => {
@@ -255,7 +257,7 @@
                 return;
             }
             Does::Say(this) => this.as_bytes(),
-            Does::Reset | Does::HangUp | Does::RequestBytes(_) => b"",
+            Does::Reset | Does::HangUp => b"",
         };
         log.over(&call);
         stream.write_all(answer).await.expect("the scheduler reads");
