--- a/crates/transport/src/nvme/mod.rs
+++ b/crates/transport/src/nvme/mod.rs
@@ -1,10 +1,12 @@
 //! The subset of NVMe over TCP that a scheduler needs, written from the public specifications.
 //!
 //! `pdu` is the codec of the transport's PDUs, `command` that of commands and completions, and `pdu_stream` a
-//! stream of PDUs on a TCP connection. `received_data` assembles the data of a command. `controller` serves
-//! the queues that hosts connect to: `queue` holds the state of one, `admin_commands` and `io_commands` handle
-//! its commands, and `subsystem` holds the state that the queues share. `link` sends attempts to a storage node
-//! that is an NVMe target itself, on connections of `initiator`. `map` reads the file that maps namespaces to volumes.
+//! stream of PDUs on a TCP connection. `received_data` assembles the data of a command.
+//!
+//! `controller` serves the queues that hosts connect to: `queue` holds the state of one, `admin_commands` and
+//! `io_commands` handle its commands, and `subsystem` holds the state that the queues share. `link` sends
+//! attempts to a storage node that is an NVMe target itself, on connections of `initiator`. `map` reads the
+//! file that maps namespaces to volumes.
 
 mod admin_commands;
 mod command;
