--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -3,7 +3,7 @@
 
 use std::process::{Command, Output};
 
-use heathward_fakes::{http_node, listen, member, nobody, rig, Does, Log, Rig};
+use heathward_fakes::{http_node, listen, member, rig, unused_address, Log, NodeBehavior, Rig};
 use heathward_transport::admin;
 use rstest::rstest;
 
@@ -22,7 +22,7 @@
 
 /// A scheduler with a second address.
 async fn scheduler() -> (Rig, String) {
-    let node = http_node(0, &[Does::Serve], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     let (listener, address) = listen().await;
     tokio::spawn(admin::serve(listener, rig.core.clone(), 8));
@@ -62,7 +62,7 @@
 #[tokio::test]
 async fn of_several_addresses_each_is_told_of() {
     let (_rig, at) = scheduler().await;
-    let (_kept, none) = nobody();
+    let (_kept, none) = unused_address();
     let (code, out, err) = run(&["status", "--at", &format!("{at},{none}")]).await;
     assert_eq!(code, 3, "{out}{err}");
     assert!(out.contains(&format!("{at}: serves")) && err.contains(&none.to_string()), "{out}{err}");
--- a/crates/event-recorder/tests/recorder.rs
+++ b/crates/event-recorder/tests/recorder.rs
@@ -10,7 +10,7 @@
     RequestOutcome, RequestRecord, ShedReason, StateChangeCause,
 };
 use heathward_event_recorder::{ClockSkew, Recorder};
-use heathward_fakes::{full_node, http_node, member, nobody, request, rig, Does, Log, Rig};
+use heathward_fakes::{full_node, http_node, member, request, rig, unused_address, Log, NodeBehavior, Rig};
 use heathward_policy::{AttemptEnd as PolicyAttemptEnd, ClassId, PlanId, RequestId, VolumeId};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
@@ -30,7 +30,7 @@
 /// Stops the recorder and returns all its events.
 async fn stop_and_collect(rig: &Rig, events: &EventReceiver) -> Vec<Record> {
     rig.core.set_observer(None).await;
-    let deadline = Instant::now() + heathward_fakes::PATIENCE;
+    let deadline = Instant::now() + heathward_fakes::TEST_TIMEOUT;
     let mut records = Vec::new();
     loop {
         records.extend(events.try_iter());
@@ -46,9 +46,9 @@
 #[tokio::test]
 async fn each_request_and_each_attempt_is_counted_once() {
     let log = Log::default();
-    let script = [Does::Error, Does::Serve];
+    let script = [NodeBehavior::Error, NodeBehavior::Serve];
     let node = http_node(0, &script, &log).await;
-    let (_bound_socket, unreachable) = nobody();
+    let (_bound_socket, unreachable) = unused_address();
     let members = [member("s0", node, 0, "in_service", 0), member("s1", unreachable, 1, "in_service", 0)];
     let (rig, events) = rig_with_recorder(&members, true).await;
     assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
@@ -99,7 +99,7 @@
 
 #[tokio::test]
 async fn node_state_changes_are_recorded_with_their_cause() {
-    let node = http_node(0, &[Does::Serve], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
     let (rig, events) = rig_with_recorder(&[member("s0", node, 0, "in_service", 0)], false).await;
     rig.core.run_command(OperatorCommand::Suspend("s0".into()), false).await.unwrap().unwrap();
     rig.core.run_command(OperatorCommand::Restore("s0".into()), false).await.unwrap().unwrap();
--- a/crates/scheduler/tests/deploy_file.rs
+++ b/crates/scheduler/tests/deploy_file.rs
@@ -109,7 +109,7 @@
 #[tokio::test]
 async fn the_program_serves_as_one_process(#[case] with_operator_file: bool) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let discovery = Discovery::start(vec![Listed {
         id: "s0".to_owned(),
         address: node,
--- a/crates/scheduler/tests/incident_report.rs
+++ b/crates/scheduler/tests/incident_report.rs
@@ -8,7 +8,7 @@
 use heathward_event_log::Lifecycle;
 use heathward_fakes::staged::{stage, unaccounted, untrue, Truth, NODES};
 use heathward_fakes::{
-    answer, config_text, http_node, member, request, reserved, Does, Log, Program, PATIENCE,
+    answer, config_text, http_node, member, request, reserved, Log, NodeBehavior, Program, TEST_TIMEOUT,
 };
 use heathward_incident::audit::Rule;
 use heathward_incident::findings::What;
@@ -144,7 +144,7 @@
         std::fs::create_dir_all(&folder).unwrap();
         let records = folder.join(records);
         let (reserved_socket, listen) = reserved();
-        let node = http_node(0, &[Does::Serve], &Log::default()).await;
+        let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
         let members = member("s0", node, 0, "in_service", 0);
         let text = config_text(&listen.to_string(), "127.0.0.1:1", &members);
         std::fs::write(folder.join("config.json"), text).unwrap();
@@ -189,7 +189,7 @@
     program.until("events cannot be recorded");
     assert!(is_served(program.listen, 2).await);
     std::fs::remove_file(&blocked).unwrap();
-    let deadline = tokio::time::Instant::now() + PATIENCE;
+    let deadline = tokio::time::Instant::now() + TEST_TIMEOUT;
     while !instance.records.exists() {
         assert!(tokio::time::Instant::now() < deadline, "recording did not start again");
         sleep(Duration::from_millis(20)).await;
--- a/crates/scheduler/tests/net/admin_interface.rs
+++ b/crates/scheduler/tests/net/admin_interface.rs
@@ -26,7 +26,7 @@
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(line.as_bytes()).await.unwrap();
     let mut response = String::new();
-    timeout(PATIENCE, stream.read_to_string(&mut response)).await.expect("an answer").unwrap();
+    timeout(TEST_TIMEOUT, stream.read_to_string(&mut response)).await.expect("an answer").unwrap();
     response
 }
 
@@ -54,7 +54,7 @@
 #[case::not_text("\u{1}\u{2}\n")]
 #[tokio::test]
 async fn a_malformed_command_is_answered_with_an_error(#[case] line: &str) {
-    let (_, unused_address) = nobody();
+    let (_, unused_address) = unused_address();
     let (rig, address) = rig_with_admin(&[member("s0", unused_address, 0, "in_service", 0)], 4).await;
     rig.until(|counters| counters.endpoint_updates == 1).await;
     assert!(run_command(address, line).await.starts_with("ERR "), "{line:?}");
@@ -65,7 +65,7 @@
 #[tokio::test]
 async fn the_metrics_count_answers_and_attempts() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve, Does::Error], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve, NodeBehavior::Error], &log).await;
     let members = [member("s0", node, 0, "in_service", 0), member("s1", node, 1, "terminating", 0)];
     let (rig, address) = rig_with_admin(&members, 4).await;
     assert_eq!(status_of_read(&rig, 1).await, 200);
@@ -108,7 +108,7 @@
 #[tokio::test]
 async fn a_suspended_node_gets_nothing_until_it_is_restored() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let entry = |phase| member("s0", node, 0, phase, 0);
     let (rig, address) = rig_with_admin(&[entry("in_service")], 4).await;
     assert_eq!(status_of_read(&rig, 1).await, 200);
@@ -127,7 +127,7 @@
     assert_eq!(log.all().len(), 1);
     assert_eq!(run_command(address, "RESTORE s0\n").await, "OK\n");
     // The node is in slow start now, and gets this scheduler's share of what a node in slow start can serve.
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     let mut next = 5;
     while status_of_read(&rig, next).await != 200 {
         assert!(Instant::now() < deadline, "the restored node gets no requests");
@@ -151,8 +151,8 @@
     #[case] expected_requests: usize,
 ) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
-    let (deadline, gate) = (Instant::now() + PATIENCE, SendGate::default());
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
+    let (deadline, gate) = (Instant::now() + TEST_TIMEOUT, SendGate::default());
     gate.set_closed(suspended);
     let attempt = attempt(gate, deadline);
     let written_attempts = attempt.written_attempts.clone();
@@ -170,7 +170,7 @@
 #[tokio::test]
 async fn a_pause_fails_health_checks_and_closes_client_connections_until_it_ends() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let (rig, address) = rig_with_admin(&[member("s0", node, 0, "in_service", 0)], 4).await;
     let health = HEALTH_CHECK;
     let mut connections = Vec::new();
@@ -190,7 +190,10 @@
         assert_eq!((status, header(&head, "connection")), (200, Some("close")));
     }
     for stream in connections.iter_mut().chain([&mut new]) {
-        assert!(timeout(PATIENCE, read_message(stream)).await.expect("the end of the connection").is_none());
+        assert!(timeout(TEST_TIMEOUT, read_message(stream))
+            .await
+            .expect("the end of the connection")
+            .is_none());
     }
     assert!(paused.elapsed() < Duration::from_millis(3500), "{:?}", paused.elapsed());
     assert_eq!(run_command(address, "STATUS\n").await, "OK\n");
--- a/crates/scheduler/tests/net/client_connections.rs
+++ b/crates/scheduler/tests/net/client_connections.rs
@@ -14,7 +14,7 @@
 
 #[tokio::test]
 async fn a_client_disconnect_is_reported_and_gets_no_answer() {
-    let OneNode { rig, .. } = one_node(&[Does::Silent]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::Silent]).await;
     let mut stream = TcpStream::connect(rig.front).await.unwrap();
     stream.write_all(request("consulta", 2, 0, 900, "").as_bytes()).await.unwrap();
     rig.until(|counters| counters.attempts_sent == 1).await;
@@ -35,7 +35,7 @@
     #[case] text: &str,
     #[case] sends_request: bool,
 ) {
-    let OneNode { rig, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::Serve]).await;
     let mut connections = Vec::new();
     for call in 0..CONNECTIONS as u32 {
         let mut stream = TcpStream::connect(rig.front).await.unwrap();
@@ -46,13 +46,13 @@
         }
         connections.push(stream);
     }
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     let mut call = 100;
     loop {
         // Some new connections may be rejected while the existing ones are still recent.
         let mut stream = TcpStream::connect(rig.front).await.unwrap();
         let written = stream.write_all(request("consulta", call, 0, 900, "").as_bytes()).await;
-        let message = timeout(PATIENCE, read_message(&mut stream)).await;
+        let message = timeout(TEST_TIMEOUT, read_message(&mut stream)).await;
         if written.is_ok()
             && message
                 .expect("an answer or the end of the connection")
@@ -70,7 +70,7 @@
 /// against rejecting clients with new requests in order to keep clients that have been answered.
 #[tokio::test]
 async fn in_a_full_table_answered_connections_are_evicted() {
-    let OneNode { rig, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::Serve]).await;
     let mut connections = Vec::new();
     for call in 0..2 * CONNECTIONS as u32 {
         let mut stream = TcpStream::connect(rig.front).await.unwrap();
--- a/crates/scheduler/tests/net/connection_close.rs
+++ b/crates/scheduler/tests/net/connection_close.rs
@@ -43,7 +43,7 @@
     #[case] pipelined: u32,
     #[values(Disconnect::Close, Disconnect::HalfClose, Disconnect::Reset)] disconnect: Disconnect,
 ) {
-    let OneNode { rig, log, .. } = one_node(&[Does::Silent]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Silent]).await;
     let mut stream = TcpStream::connect(rig.front).await.unwrap();
     let text: String = (0..=pipelined).map(|call| request("consulta", call, 0, 1000, "")).collect();
     stream.write_all(text.as_bytes()).await.unwrap();
@@ -66,7 +66,7 @@
 /// then its connection closes; memory use stays bounded however much the client sends.
 #[tokio::test]
 async fn a_connection_with_too_many_pipelined_bytes_closes_with_its_answer() {
-    let OneNode { rig, log, .. } = one_node(&[Does::LateError, Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::LateError, NodeBehavior::Serve]).await;
     let mut stream = TcpStream::connect(rig.front).await.unwrap();
     stream.write_all(request("consulta", 1, 0, 1000, "").as_bytes()).await.unwrap();
     rig.until(|counters| counters.attempts_sent == 1).await;
@@ -74,7 +74,7 @@
     let (mut read, mut write) = stream.into_split();
     let writing = tokio::spawn(async move { write.write_all(flood.as_bytes()).await.map(|()| write) });
     let mut received = Vec::new();
-    timeout(PATIENCE, read.read_to_end(&mut received)).await.expect("the end of the connection").unwrap();
+    timeout(TEST_TIMEOUT, read.read_to_end(&mut received)).await.expect("the end of the connection").unwrap();
     let text = String::from_utf8(received).unwrap();
     assert!(text.contains("connection: close"), "{text}");
     assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
@@ -92,7 +92,7 @@
 #[case::a_large_write(&request("pedido", 2, 0, 900, &"x".repeat(60_000)))]
 #[tokio::test]
 async fn a_request_that_crosses_an_eviction_is_not_read_and_not_reset(#[case] unread: &str) {
-    let OneNode { rig, log, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Serve]).await;
     let (address, table, _stop) = start_front(&rig, 2).await;
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
@@ -103,7 +103,7 @@
     assert!(new_slot.is_some(), "the idle connection is evicted");
     let mut received = Vec::new();
     let ended =
-        timeout(PATIENCE, stream.read_to_end(&mut received)).await.expect("the end of the connection");
+        timeout(TEST_TIMEOUT, stream.read_to_end(&mut received)).await.expect("the end of the connection");
     assert!(ended.is_ok() && received.is_empty(), "closed, not reset: {ended:?} {received:?}");
     assert_eq!(log.all().len(), 1);
 }
@@ -112,7 +112,7 @@
 /// closes after that.
 #[tokio::test]
 async fn a_request_being_received_at_shutdown_is_answered() {
-    let OneNode { rig, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::Serve]).await;
     let (address, _table, stop) = start_front(&rig, 8).await;
     let mut stream = TcpStream::connect(address).await.unwrap();
     let text = request("consulta", 1, 0, 900, "");
@@ -127,5 +127,8 @@
     stream.write_all(rest.as_bytes()).await.unwrap();
     let (status, head, _) = answer(&mut stream).await;
     assert_eq!((status, header(&head, "connection")), (200, Some("close")));
-    assert!(timeout(PATIENCE, read_message(&mut stream)).await.expect("the end of the connection").is_none());
+    assert!(timeout(TEST_TIMEOUT, read_message(&mut stream))
+        .await
+        .expect("the end of the connection")
+        .is_none());
 }
--- a/crates/scheduler/tests/net/descriptor_exhaustion.rs
+++ b/crates/scheduler/tests/net/descriptor_exhaustion.rs
@@ -40,7 +40,7 @@
 /// Waits until half of the descriptors are open. That is the share of client connections.
 async fn wait_until_filled(child: &Child) {
     let folder = format!("/proc/{}/fd", child.id());
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     while std::fs::read_dir(&folder).unwrap().count() < DESCRIPTORS / 2 {
         assert!(Instant::now() < deadline, "the clients do not fill the descriptors");
         sleep(Duration::from_millis(5)).await;
@@ -50,11 +50,11 @@
 /// Sends a request on a new connection, and returns the status of its answer. If the connection is closed
 /// without an answer, the request is sent again on another one.
 async fn status_of_new_connection(front: SocketAddr, call: u32) -> u16 {
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     loop {
         let mut client = TcpStream::connect(front).await.unwrap();
         let written = client.write_all(request("consulta", call, 0, 900, "").as_bytes()).await;
-        let message = timeout(PATIENCE, read_message(&mut client))
+        let message = timeout(TEST_TIMEOUT, read_message(&mut client))
             .await
             .expect("an answer or the end of the connection");
         if let (Ok(()), Some((head, ..))) = (written, message) {
@@ -70,7 +70,7 @@
 #[tokio::test]
 async fn idle_clients_that_fill_the_descriptors_leave_one_for_discovery() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let (reserved_socket, discovery) = reserved();
     let members = member("s0", node, 0, "in_service", 0).replace('\n', "");
     let text = config_text("127.0.0.1:0", &discovery.to_string(), &members)
@@ -95,7 +95,7 @@
     assert!(reachable_at.elapsed() < NOTIFIED_WITHIN, "called after {:?}", reachable_at.elapsed());
     let mut call = 2;
     while status_of_new_connection(front, call).await == 200 {
-        assert!(reachable_at.elapsed() < PATIENCE, "the drain is not applied");
+        assert!(reachable_at.elapsed() < TEST_TIMEOUT, "the drain is not applied");
         call += 1;
     }
     // The idle clients keep reconnecting, and still leave descriptors for a request after the drain.
--- a/crates/scheduler/tests/net/disconnect_while_connecting.rs
+++ b/crates/scheduler/tests/net/disconnect_while_connecting.rs
@@ -17,7 +17,7 @@
 #[tokio::test]
 async fn connecting_to_a_node_ends_when_the_client_disconnects() {
     let node = full_node().await;
-    let deadline = Instant::now() + PATIENCE * 10;
+    let deadline = Instant::now() + TEST_TIMEOUT * 10;
     let attempt = attempt(SendGate::default(), deadline);
     let cancel = attempt.cancel.clone();
     let connecting = tokio::spawn(HttpLink::new(node.address).call(LinkRequest {
@@ -28,7 +28,7 @@
     tokio::task::yield_now().await;
     assert!(!connecting.is_finished());
     cancel.cancel();
-    let Ok(done) = timeout(PATIENCE, connecting).await.expect("an immediate end").unwrap();
+    let Ok(done) = timeout(TEST_TIMEOUT, connecting).await.expect("an immediate end").unwrap();
     assert_eq!(done.end, AttemptEnd::NotSent);
     assert!(done.idle_connection.is_none());
 }
--- a/crates/scheduler/tests/net/discovery_watch.rs
+++ b/crates/scheduler/tests/net/discovery_watch.rs
@@ -71,7 +71,7 @@
 /// revisions than the other.
 #[tokio::test]
 async fn a_drain_is_not_undone_by_an_older_revision() {
-    let OneNode { rig, node, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, node, .. } = one_node(&[NodeBehavior::Serve]).await;
     for (revision, complete, phase, status) in [
         (20, false, "terminating", 503),
         (19, false, "in_service", 503),
@@ -110,7 +110,7 @@
     #[case] expires: bool,
 ) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let entry = member("s0", node, 0, "in_service", 0);
     let config = config_text("127.0.0.1:1", "127.0.0.1:1", &entry).replacen(
         r#""safety":{"#,
@@ -162,7 +162,7 @@
 /// Guards against taking the agent for one that has nothing to report. Its list is indented, over many lines.
 #[tokio::test]
 async fn a_watch_without_any_event_is_replaced_by_a_snapshot() {
-    let OneNode { rig, node, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, node, .. } = one_node(&[NodeBehavior::Serve]).await;
     assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
     let (listener, address) = listen().await;
     let _keep = follow(&rig, address, EndpointListMode::Streamed);
@@ -172,7 +172,7 @@
     let mut silent = Vec::new();
     let mut calls = Vec::new();
     while rig.counters().await.endpoint_updates < 2 {
-        let (mut stream, _) = timeout(PATIENCE, listener.accept()).await.expect("a call").unwrap();
+        let (mut stream, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("a call").unwrap();
         let (head, ..) = read_message(&mut stream).await.unwrap();
         calls.push(head.lines().next().unwrap().to_owned());
         if head.starts_with("get /v1/servers http") {
@@ -191,7 +191,7 @@
 /// reads no watch for half a minute, and misses changes that are delivered on the old watch meanwhile.
 #[tokio::test]
 async fn a_watch_that_timed_out_is_read_until_another_one_delivers() {
-    let OneNode { rig, node, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, node, .. } = one_node(&[NodeBehavior::Serve]).await;
     let (listener, address) = listen().await;
     let _keep = follow(&rig, address, EndpointListMode::Polled { max_interval: 10_000_000 });
     let (mut watch, _) = watched(&listener).await;
@@ -229,7 +229,7 @@
         let mut opened_at = Vec::new();
         while opened_at.len() < 5 {
             // Closes the connection at once.
-            drop(timeout(PATIENCE, listener.accept()).await.expect("a watch").unwrap());
+            drop(timeout(TEST_TIMEOUT, listener.accept()).await.expect("a watch").unwrap());
             opened_at.push(Instant::now());
         }
         following.abort();
@@ -256,10 +256,10 @@
     #[case] first_bytes: &str,
     #[case] noise_bytes: usize,
 ) {
-    let OneNode { rig, node, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, node, .. } = one_node(&[NodeBehavior::Serve]).await;
     let (listener, address) = listen().await;
     let _keep = follow(&rig, address, EndpointListMode::Streamed);
-    let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.expect("a watch").unwrap();
+    let (mut watch, _) = timeout(TEST_TIMEOUT, listener.accept()).await.expect("a watch").unwrap();
     watch.write_all(first_bytes.as_bytes()).await.unwrap();
     for _ in 0..noise_bytes >> 16 {
         // The connection may be closed before the last of it is written.
@@ -286,9 +286,9 @@
     let (mut listed, mut reserved_sockets) = (Vec::new(), Vec::new());
     for shard in 0..10 {
         // Six of the old nodes are gone: nothing listens at their addresses.
-        let (socket, gone) = nobody();
+        let (socket, gone) = unused_address();
         reserved_sockets.push(socket);
-        let address = if shard < 6 { gone } else { http_node(shard, &[Does::Serve], &old).await };
+        let address = if shard < 6 { gone } else { http_node(shard, &[NodeBehavior::Serve], &old).await };
         listed.push(member(&format!("old{shard}"), address, shard, "in_service", 0));
     }
     let rig = rig(&listed, None).await;
@@ -301,7 +301,7 @@
     let (mut watch, _) = watched(&listener).await;
     let mut changes = Vec::new();
     for shard in 0..6 {
-        let address = http_node(shard, &[Does::Serve], &new).await;
+        let address = http_node(shard, &[NodeBehavior::Serve], &new).await;
         changes.push(member(&format!("old{shard}"), address, shard, "terminated", 0));
         changes.push(member(&format!("new{shard}"), address, shard, "in_service", 0));
     }
--- a/crates/scheduler/tests/net/drain_during_reload.rs
+++ b/crates/scheduler/tests/net/drain_during_reload.rs
@@ -42,7 +42,7 @@
     drain_report: DrainReport,
 ) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let members = member("s0", node, 0, "in_service", 0).replace('\n', "");
     let ((old_agent, old_address), (new_agent, new_address)) = (listen().await, listen().await);
     let name = format!("crossed{drain_report:?}");
@@ -69,7 +69,7 @@
         DrainReport::NewAgent => tell(&mut new_watch, &change).await,
         DrainReport::NewAgentCompleteList => tell(&mut new_watch, &complete_list).await,
     }
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     let mut call = 2;
     while status_of_read(address, call, 0).await == 200 {
         assert!(Instant::now() < deadline, "the drain is not applied: {head}");
@@ -94,9 +94,9 @@
 #[tokio::test]
 async fn the_lease_after_a_discovery_move_counts_from_sighup() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let members = member("s0", node, 0, "in_service", 0);
-    let ((old_agent, old_address), (_reserved_socket, unused_address)) = (listen().await, nobody());
+    let ((old_agent, old_address), (_reserved_socket, unused_address)) = (listen().await, unused_address());
     let text = |discovery: SocketAddr| {
         let text = config_text("127.0.0.1:0", &discovery.to_string(), &members);
         text.replacen(r#""safety":{"#, r#""safety":{"stopSendingWithinMs":250,"#, 1)
@@ -115,13 +115,13 @@
     let reload = replace_by_pipe(&config);
     let signalled = Instant::now();
     send_signal(&child, "-HUP");
-    let mut file = timeout(PATIENCE, reload).await.expect("a reload").unwrap();
+    let mut file = timeout(TEST_TIMEOUT, reload).await.expect("a reload").unwrap();
     sleep(Duration::from_secs(1)).await;
     file.write_all(text(unused_address).as_bytes()).unwrap();
     drop(file);
     while status_of_read(address, call + 1, 0).await == 200 {
         call += 1;
-        assert!(signalled.elapsed() < PATIENCE, "the lease does not end");
+        assert!(signalled.elapsed() < TEST_TIMEOUT, "the lease does not end");
     }
     let last_sent_at = log.all().last().unwrap().at;
     child.kill().unwrap();
--- a/crates/scheduler/tests/net/endpoint_lease.rs
+++ b/crates/scheduler/tests/net/endpoint_lease.rs
@@ -87,7 +87,7 @@
 /// Returns how long after the last message the list was used.
 async fn list_used_for(mode: EndpointListMode, call_end: CallEnd) -> Duration {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let member = member("s0", node, 0, "in_service", 0);
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member).replacen(
         r#""safety":{"#,
--- a/crates/scheduler/tests/net/forwarding.rs
+++ b/crates/scheduler/tests/net/forwarding.rs
@@ -11,7 +11,7 @@
 
 #[tokio::test]
 async fn a_request_is_forwarded_unchanged_and_its_answer_returned() {
-    let OneNode { rig, log, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Serve]).await;
     for class in ["consulta", "pedido"] {
         let body = if class == "pedido" { "a write" } else { "" };
         assert_eq!(rig.ask(&request(class, 9, 0, 900, body)).await.2, b"hello", "{class}");
@@ -32,17 +32,17 @@
 /// client. Guards against a retry of a request that may have been executed, other than after
 /// an error, and against "refused" for a write that may have been executed.
 #[rstest]
-#[case::served("consulta", Does::Serve, AttemptEnd::Served, 1, 200)]
-#[case::error_read("consulta", Does::Error, AttemptEnd::Error, 3, 503)]
-#[case::error_write("pedido", Does::Error, AttemptEnd::Error, 3, 502)]
-#[case::rejected("pedido", Does::Reject, AttemptEnd::Rejected, 1, 503)]
-#[case::reset_read("consulta", Does::Reset, AttemptEnd::Reset, 3, 503)]
-#[case::reset_write("pedido", Does::Reset, AttemptEnd::Reset, 3, 502)]
-#[case::cut_short("consulta", Does::Cut, AttemptEnd::Reset, 3, 503)]
+#[case::served("consulta", NodeBehavior::Serve, AttemptEnd::Served, 1, 200)]
+#[case::error_read("consulta", NodeBehavior::Error, AttemptEnd::Error, 3, 503)]
+#[case::error_write("pedido", NodeBehavior::Error, AttemptEnd::Error, 3, 502)]
+#[case::rejected("pedido", NodeBehavior::Reject, AttemptEnd::Rejected, 1, 503)]
+#[case::reset_read("consulta", NodeBehavior::Reset, AttemptEnd::Reset, 3, 503)]
+#[case::reset_write("pedido", NodeBehavior::Reset, AttemptEnd::Reset, 3, 502)]
+#[case::cut_short("consulta", NodeBehavior::Cut, AttemptEnd::Reset, 3, 503)]
 #[tokio::test]
 async fn the_end_of_an_attempt_decides_on_retries_and_the_answer(
     #[case] class: &str,
-    #[case] does: Does,
+    #[case] does: NodeBehavior,
     #[case] end: AttemptEnd,
     #[case] attempts: u64,
     #[case] status: u16,
@@ -81,7 +81,9 @@
 #[case::protocol_switch("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")]
 #[tokio::test]
 async fn a_malformed_node_answer_is_not_forwarded(#[case] malformed: &'static str) {
-    let OneNode { rig, log, .. } = one_node(&[Does::Say(malformed), Does::Serve, Does::Say(malformed)]).await;
+    let OneNode { rig, log, .. } =
+        one_node(&[NodeBehavior::Reply(malformed), NodeBehavior::Serve, NodeBehavior::Reply(malformed)])
+            .await;
     let (status, _, body) = rig.ask(&request("consulta", 1, 0, 1000, "")).await;
     let counters = rig.counters().await;
     assert_eq!(
@@ -109,7 +111,7 @@
 async fn a_valid_node_answer_is_served_despite_surrounding_bytes(#[case] before: &str, #[case] after: &str) {
     let good = "HTTP/1.1 200 OK\r\nX-Volume-Use: TEXT \r\nContent-Length: 5\r\n\r\nfirst";
     let text: &'static str = Box::leak(format!("{before}{good}{after}").into_boxed_str());
-    let OneNode { rig, .. } = one_node(&[Does::Say(text), Does::Serve]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::Reply(text), NodeBehavior::Serve]).await;
     for (call, body) in [(1, "first"), (2, "hello")] {
         let answered = rig.ask(&request("consulta", call, 0, 900, "")).await;
         assert_eq!((answered.0, answered.2), (200, body.as_bytes().to_vec()));
@@ -120,8 +122,8 @@
 #[tokio::test]
 async fn a_retry_with_a_key_goes_to_its_shard_within_the_deduplication_window() {
     let log = Log::default();
-    let first = http_node(0, &[Does::Error, Does::Serve], &log).await;
-    let second = http_node(1, &[Does::Serve], &log).await;
+    let first = http_node(0, &[NodeBehavior::Error, NodeBehavior::Serve], &log).await;
+    let second = http_node(1, &[NodeBehavior::Serve], &log).await;
     let members = [member("s0", first, 0, "in_service", 0), member("s1", second, 1, "in_service", 0)];
     let rig = rig(&members, None).await;
     assert_eq!(rig.ask(&request("pedido", 5, 0, 1400, "w")).await.0, 200);
@@ -138,7 +140,7 @@
 #[tokio::test]
 async fn a_retry_with_a_key_is_not_sent_after_the_deduplication_window() {
     let log = Log::default();
-    let node = http_node(0, &[Does::LateError], &log).await;
+    let node = http_node(0, &[NodeBehavior::LateError], &log).await;
     let member = member("s0", node, 0, "in_service", 0);
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member).replace("2500.0", "100.0");
     let rig = rig_of(&text, None).await;
@@ -151,8 +153,8 @@
 #[tokio::test]
 async fn a_connection_lost_before_the_last_byte_means_not_executed() {
     let log = Log::default();
-    let node = http_node(0, &[Does::HangUp], &log).await;
-    let (_reserved_socket, unused_address) = nobody();
+    let node = http_node(0, &[NodeBehavior::HangUp], &log).await;
+    let (_reserved_socket, unused_address) = unused_address();
     let members = [member("s0", node, 0, "in_service", 0), member("s1", unused_address, 1, "in_service", 0)];
     let rig = rig(&members, None).await;
     let (status, ..) = rig.ask(&request("pedido", 2, 1, 900, "w")).await;
@@ -169,7 +171,7 @@
 /// Its time budget is shorter than the deadline of its class, which does not mean that it is a retry.
 #[tokio::test]
 async fn a_read_with_less_than_its_class_deadline_is_served_by_a_late_node() {
-    let OneNode { rig, .. } = one_node(&[Does::LateServe]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::LateServe]).await;
     assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
     assert_eq!(rig.counters().await.attempts_sent, 1);
 }
--- a/crates/scheduler/tests/net/fragmented_requests.rs
+++ b/crates/scheduler/tests/net/fragmented_requests.rs
@@ -38,7 +38,7 @@
     #[values(unchanged, with_capitals, chunked)] form: fn(String) -> String,
     #[values(1, 2, 7, 50)] piece: usize,
 ) {
-    let OneNode { rig, log, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Serve]).await;
     let mut other = TcpStream::connect(rig.front).await.unwrap();
     let mut client = TcpStream::connect(rig.front).await.unwrap();
     client.set_nodelay(true).unwrap();
--- a/crates/scheduler/tests/net/handover.rs
+++ b/crates/scheduler/tests/net/handover.rs
@@ -106,7 +106,7 @@
 #[tokio::test]
 async fn a_new_version_takes_over_under_load() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let members = [member("s0", node, 0, "in_service", 0), member("s1", node, 1, "in_service", 0)].join(",");
     let instance = SchedulerInstance::new(&members);
     let mut old = instance.start();
@@ -178,7 +178,7 @@
         }
     }
     let started = tokio::task::spawn_blocking(move || (instance.start(), instance));
-    let (process, instance) = timeout(PATIENCE, started).await.expect("a start").unwrap();
+    let (process, instance) = timeout(TEST_TIMEOUT, started).await.expect("a start").unwrap();
     let health = HEALTH_CHECK.as_bytes();
     let mut stream = TcpStream::connect(instance.listen).await.unwrap();
     stream.write_all(health).await.unwrap();
@@ -199,7 +199,7 @@
 #[tokio::test]
 async fn a_peer_process_that_dies_at_any_step_changes_nothing(#[case] sent: &str) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let instance = SchedulerInstance::new(&member("s0", node, 0, "in_service", 0));
     let mut running = instance.start();
     let mut stream = tokio::net::UnixStream::connect(instance.socket()).await.unwrap();
@@ -207,7 +207,7 @@
     sleep(Duration::from_millis(20)).await;
     drop(stream);
     running.until("peer process: exited");
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     while status_of_read(instance.listen, 1, 0).await != 200 {
         assert!(Instant::now() < deadline, "the running process does not serve");
     }
--- a/crates/scheduler/tests/net/incomplete_transfers.rs
+++ b/crates/scheduler/tests/net/incomplete_transfers.rs
@@ -50,7 +50,7 @@
 async fn a_read_without_all_its_data_is_repeated_and_not_served(
     #[values(0, SMALL, LARGE / 2, LARGE - 1)] sent_bytes: usize,
 ) {
-    let mixed = start_mixed(&[Does::ServeBytes(sent_bytes), Does::Serve], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::ServeBytes(sent_bytes), NodeBehavior::Serve], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let (completion, data) = host.read(1, TARGET, LARGE).await;
     assert_eq!(completion.status, Status::SUCCESS);
@@ -61,7 +61,7 @@
 /// Guards against success for a read that no attempt has completed.
 #[tokio::test]
 async fn a_read_that_never_gets_all_its_data_is_interrupted() {
-    let mixed = start_mixed(&[Does::ServeBytes(LARGE / 2)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::ServeBytes(LARGE / 2)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let (completion, data) = host.read(1, TARGET, LARGE).await;
     assert_eq!(Status { retry_delay: 0, ..completion.status }, Status::INTERRUPTED);
@@ -72,7 +72,7 @@
 /// Guards against an HTTP answer with a part of the data of a read from an NVMe target.
 #[tokio::test]
 async fn an_http_read_of_a_target_without_all_its_data_is_not_served() {
-    let mixed = start_mixed(&[Does::ServeBytes(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::ServeBytes(SMALL)], 0).await;
     let path = format!("/consulta/{:016x}/{TARGET:016x}", 1);
     let read = request("consulta", 1, 1, 900, "");
     let read = read.replace("/consulta/00000003b4d60021/7f3a9c21e0b4d655?v=1", &path);
@@ -90,7 +90,7 @@
 async fn a_write_without_all_its_data_is_not_served(
     #[values(0, SMALL, LARGE / 2, LARGE - SMALL)] requested_bytes: usize,
 ) {
-    let mixed = start_mixed(&[Does::RequestBytes(requested_bytes)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::RequestBytes(requested_bytes)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     assert_eq!(host.write(1, TARGET, vec![7; LARGE]).await, Status::INTERNAL.without_retry());
     check_attempts(&mixed, 3, 0).await;
@@ -100,7 +100,7 @@
 /// A write that a target has completed too early is repeated on another connection, with all its data.
 #[tokio::test]
 async fn a_write_that_a_target_completed_too_early_is_repeated_completely() {
-    let mixed = start_mixed(&[Does::RequestBytes(SMALL), Does::Serve], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::RequestBytes(SMALL), NodeBehavior::Serve], 0).await;
     let mut host = Host::connect(mixed.address).await;
     assert_eq!(host.write(1, TARGET, vec![7; LARGE]).await, Status::SUCCESS);
     check_attempts(&mixed, 1, 1).await;
@@ -125,7 +125,7 @@
     client.write_all(&[b'x'; SENT_BYTES]).await.unwrap();
     let (mut node, _) = listener.accept().await.unwrap();
     let mut received = vec![0; SENT_BYTES / 2];
-    timeout(PATIENCE, node.read_exact(&mut received)).await.expect("in time").unwrap();
+    timeout(TEST_TIMEOUT, node.read_exact(&mut received)).await.expect("in time").unwrap();
     node.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
     let (status, ..) = answer(&mut client).await;
     assert_eq!(status, 502);
@@ -142,7 +142,7 @@
     #[values(0, SMALL, LARGE - 1, LARGE + 1, 2 * LARGE, 3 * LARGE)] sent_bytes: usize,
     #[values(0, TARGET)] first: u64,
 ) {
-    let mixed = start_mixed(&[Does::ServeBytes(sent_bytes), Does::Store(LARGE)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::ServeBytes(sent_bytes), NodeBehavior::Store(LARGE)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let (completion, data) = host.read(1, first, LARGE).await;
     assert_eq!(completion.status, Status::SUCCESS);
@@ -154,7 +154,7 @@
 /// of each write as one object, so its reply to a longer read ends before those blocks.
 #[tokio::test]
 async fn a_read_across_two_objects_of_an_http_node_does_not_lose_the_second() {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     for first in [0, 1] {
         assert_eq!(host.write(1, first, vec![7; SMALL]).await, Status::SUCCESS);
@@ -170,13 +170,13 @@
 
 /// Draws what a node does with a request: in three of five cases it is sound. No length that it sends is that
 /// of an object.
-fn draw_step(random: &mut fastrand::Rng) -> Does {
+fn draw_step(random: &mut fastrand::Rng) -> NodeBehavior {
     let lengths = [0, 1, SMALL - 1, SMALL + 1, LARGE - 1, LARGE + 1, 3 * LARGE];
     match random.u32(..10) {
-        0 | 1 => Does::ServeBytes(lengths[random.usize(..lengths.len())]),
-        2 => Does::RequestBytes(SMALL * random.usize(..LARGE / SMALL)),
-        3 => Does::Error,
-        _ => Does::Store(SMALL),
+        0 | 1 => NodeBehavior::ServeBytes(lengths[random.usize(..lengths.len())]),
+        2 => NodeBehavior::RequestBytes(SMALL * random.usize(..LARGE / SMALL)),
+        3 => NodeBehavior::Error,
+        _ => NodeBehavior::Store(SMALL),
     }
 }
 
@@ -187,7 +187,7 @@
 async fn reads_that_succeed_return_what_was_written_last(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
     const COMMANDS: usize = 120;
     let mut random = fastrand::Rng::with_seed(seed);
-    let script: Vec<Does> = (0..4 * COMMANDS).map(|_| draw_step(&mut random)).collect();
+    let script: Vec<NodeBehavior> = (0..4 * COMMANDS).map(|_| draw_step(&mut random)).collect();
     let mixed = start_mixed(&script, 0).await;
     let mut host = Host::connect(mixed.address).await;
     let mut written: [Option<u8>; OBJECTS.len()] = [None; OBJECTS.len()];
--- a/crates/scheduler/tests/net/large_bodies.rs
+++ b/crates/scheduler/tests/net/large_bodies.rs
@@ -69,8 +69,9 @@
     stream.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
     let mut received_bytes = Vec::new();
     // Closed or reset.
-    let _ =
-        timeout(PATIENCE, stream.read_to_end(&mut received_bytes)).await.expect("the end of the connection");
+    let _ = timeout(TEST_TIMEOUT, stream.read_to_end(&mut received_bytes))
+        .await
+        .expect("the end of the connection");
     assert!(
         received_bytes.starts_with(b"HTTP/1.1 200 OK") && !received_bytes.ends_with(b"0\r\n\r\n"),
         "{} bytes",
@@ -119,7 +120,7 @@
 #[tokio::test]
 async fn a_streamed_body_is_not_sent_again() {
     let log = Log::default();
-    let address = http_node(0, &[Does::Error], &log).await;
+    let address = http_node(0, &[NodeBehavior::Error], &log).await;
     let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
     let body = "x".repeat(200_000);
     assert_eq!(rig.ask(&request("pedido", 1, 0, 900, &body)).await.0, 502);
@@ -157,7 +158,7 @@
     };
     let mut first_bytes = [0; 12];
     tokio::select! {
-        read = timeout(PATIENCE, read.read_exact(&mut first_bytes)) => {
+        read = timeout(TEST_TIMEOUT, read.read_exact(&mut first_bytes)) => {
             assert_eq!(read.expect("an answer").unwrap(), first_bytes.len());
         }
         () = writing => {}
--- a/crates/scheduler/tests/net/large_fleet.rs
+++ b/crates/scheduler/tests/net/large_fleet.rs
@@ -43,14 +43,14 @@
     #[values(true, false)] complete: bool,
 ) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let (discovery, address) = listen().await;
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
     command.env("GW_CONFIG", config(address));
     let program = Program::start(command);
     let (mut watch, _) = watched(&discovery).await;
     tell(&mut watch, &list(8, complete, NODES, node, "in_service")).await;
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     while status_of_read(program.listen, NODES, 0).await != 200 {
         assert!(Instant::now() < deadline, "the list is never applied");
         sleep(Duration::from_millis(20)).await;
@@ -66,7 +66,7 @@
     assert!(usage.peak_kb <= 32 << 10 && peak.descriptors <= 256, "{usage:?}, {peak:?}");
     tell(&mut watch, &list(9, false, NODES, node, "terminating")).await;
     while status_of_read(program.listen, NODES + 1, 0).await != 503 {
-        assert!(Instant::now() < deadline + PATIENCE, "the drain is never applied");
+        assert!(Instant::now() < deadline + TEST_TIMEOUT, "the drain is never applied");
         sleep(Duration::from_millis(20)).await;
     }
     let served = log.all().len();
--- a/crates/scheduler/tests/net/mixed_rig.rs
+++ b/crates/scheduler/tests/net/mixed_rig.rs
@@ -37,11 +37,11 @@
 }
 
 /// Starts the scheduler with both fronts. The HTTP node and the target both follow `script`.
-pub async fn start_mixed(script: &[Does], up_since_ms: u128) -> MixedRig {
+pub async fn start_mixed(script: &[NodeBehavior], up_since_ms: u128) -> MixedRig {
     let log = Log::default();
     let http = http_node(0, script, &log).await;
     let target = target(1, script, &log).await;
-    let (reserved_socket, unused_address) = nobody();
+    let (reserved_socket, unused_address) = unused_address();
     let members = [
         member("s0", http, 0, "in_service", up_since_ms),
         member("s1", target, 1, "in_service", up_since_ms),
--- a/crates/scheduler/tests/net/node_connections.rs
+++ b/crates/scheduler/tests/net/node_connections.rs
@@ -30,7 +30,7 @@
 /// Guards against a request that is still open when the program is killed.
 #[tokio::test]
 async fn no_request_gets_more_time_than_is_left_before_the_shutdown() {
-    let OneNode { rig, log, .. } = one_node(&[Does::Silent]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Silent]).await;
     rig.core.set_shutdown_deadline(Instant::now() + Duration::from_millis(100)).await;
     assert!(matches!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 503 | 504));
     let budget: u32 = header(&log.all()[0].head.to_lowercase(), "x-budget-ms").unwrap().parse().unwrap();
@@ -41,7 +41,7 @@
 /// limited as in slow start and get almost no requests.
 #[tokio::test]
 async fn a_connection_closed_while_idle_costs_no_attempt() {
-    let OneNode { rig, .. } = one_node(&[Does::ServeThenClose]).await;
+    let OneNode { rig, .. } = one_node(&[NodeBehavior::ServeThenClose]).await;
     for call in 0..20 {
         assert_eq!(rig.ask(&request("consulta", call, 0, 900, "")).await.0, 200);
         sleep(Duration::from_millis(call.into())).await;
@@ -56,14 +56,14 @@
 
 #[tokio::test]
 async fn an_unresponsive_node_times_out_and_the_answer_comes_by_the_deadline() {
-    let OneNode { rig, log, .. } = one_node(&[Does::Silent]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Silent]).await;
     let sent_at = Instant::now();
     let (status, ..) = rig.ask(&request("pedido", 2, 0, 300, "w")).await;
     // A write that may have been executed is never reported as refused.
     assert!(matches!(status, 502 | 504), "{status}");
     assert!(sent_at.elapsed() >= Duration::from_millis(250), "{:?}", sent_at.elapsed());
     rig.until(|counters| attempts_ended(counters, AttemptEnd::TimedOut) == 1).await;
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     while log.open.lock().unwrap().values().any(|n| *n > 0) {
         assert!(Instant::now() < deadline, "timed out, but its connection is still open");
         tokio::task::yield_now().await;
@@ -77,7 +77,7 @@
     let log = Log::default();
     let mut members = Vec::new();
     for number in 0..NODE_SOCKETS as u32 + 40 {
-        let node = http_node(number, &[Does::Serve], &log).await;
+        let node = http_node(number, &[NodeBehavior::Serve], &log).await;
         members.push(member(&format!("s{number}"), node, number, "in_service", 0));
     }
     let rig = rig(&members, None).await;
--- a/crates/scheduler/tests/net/node_states.rs
+++ b/crates/scheduler/tests/net/node_states.rs
@@ -14,7 +14,7 @@
 
 #[tokio::test]
 async fn a_draining_node_gets_no_new_requests() {
-    let OneNode { rig, log, node } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, log, node } = one_node(&[NodeBehavior::Serve]).await;
     assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
     let entry = member("s0", node, 0, "terminating", 0);
     let change = format!(r#"{{"revision":8,"complete":false,"members":[{entry}]}}"#);
@@ -34,7 +34,7 @@
 #[tokio::test]
 async fn a_node_in_slow_start_is_not_overloaded() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
     let rig = rig(&[member("s0", node, 0, "in_service", started_ms)], None).await;
     let clients_started_at = Instant::now();
--- a/crates/scheduler/tests/net/nvme.rs
+++ b/crates/scheduler/tests/net/nvme.rs
@@ -23,7 +23,7 @@
 
 #[tokio::test]
 async fn a_host_discovers_its_namespaces_and_reads_and_writes_on_both_kinds_of_node() {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     for (offset, wide, value) in
         [(0x00, true, 63 | 1 << 16 | 1 << 24 | 1 << 37), (0x08, false, 0x0001_0400), (0x1c, false, 1)]
@@ -63,12 +63,12 @@
 /// against a retry of a command that may have been executed, other than after an error, and against
 /// "interrupted" for a write that may have been executed.
 #[rstest]
-#[case::error_read(Does::Error, SMALL, false, AttemptEnd::Error, 3, Status::INTERRUPTED)]
-#[case::error_write(Does::Error, SMALL, true, AttemptEnd::Error, 3, Status::INTERNAL.without_retry())]
-#[case::error_large(Does::Error, LARGE, true, AttemptEnd::Error, 3, Status::INTERNAL.without_retry())]
-#[case::rejected(Does::Reject, SMALL, true, AttemptEnd::Rejected, 1, Status::INTERRUPTED)]
+#[case::error_read(NodeBehavior::Error, SMALL, false, AttemptEnd::Error, 3, Status::INTERRUPTED)]
+#[case::error_write(NodeBehavior::Error, SMALL, true, AttemptEnd::Error, 3, Status::INTERNAL.without_retry())]
+#[case::error_large(NodeBehavior::Error, LARGE, true, AttemptEnd::Error, 3, Status::INTERNAL.without_retry())]
+#[case::rejected(NodeBehavior::Reject, SMALL, true, AttemptEnd::Rejected, 1, Status::INTERRUPTED)]
 #[case::malformed_read(
-    Does::Say("no sense\r\n\r\n"),
+    NodeBehavior::Reply("no sense\r\n\r\n"),
     SMALL,
     false,
     AttemptEnd::Error,
@@ -76,18 +76,18 @@
     Status::INTERRUPTED
 )]
 #[case::malformed_write(
-    Does::Say("no sense\r\n\r\n"),
+    NodeBehavior::Reply("no sense\r\n\r\n"),
     SMALL,
     true,
     AttemptEnd::Error,
     3,
     Status::INTERNAL.without_retry(),
 )]
-#[case::reset_read(Does::Reset, SMALL, false, AttemptEnd::Reset, 3, Status::INTERRUPTED)]
-#[case::reset_write(Does::Reset, LARGE, true, AttemptEnd::Reset, 3, Status::INTERNAL.without_retry())]
+#[case::reset_read(NodeBehavior::Reset, SMALL, false, AttemptEnd::Reset, 3, Status::INTERRUPTED)]
+#[case::reset_write(NodeBehavior::Reset, LARGE, true, AttemptEnd::Reset, 3, Status::INTERNAL.without_retry())]
 #[tokio::test]
 async fn the_end_of_an_attempt_decides_the_command_status(
-    #[case] does: Does,
+    #[case] does: NodeBehavior,
     #[case] size: usize,
     #[case] write: bool,
     #[case] end: AttemptEnd,
@@ -123,12 +123,17 @@
 /// A target closes its queue during a command: before it had requested all data of a write, the write was not
 /// executed; after the last byte it may have been.
 #[rstest]
-#[case::before_its_data(Does::HangUp, LARGE, AttemptEnd::NotConnected, Status::INTERRUPTED)]
-#[case::after_its_data(Does::Reset, LARGE, AttemptEnd::Reset, Status::INTERNAL.without_retry())]
-#[case::after_a_complete_capsule(Does::HangUp, SMALL, AttemptEnd::Reset, Status::INTERNAL.without_retry())]
+#[case::before_its_data(NodeBehavior::HangUp, LARGE, AttemptEnd::NotConnected, Status::INTERRUPTED)]
+#[case::after_its_data(NodeBehavior::Reset, LARGE, AttemptEnd::Reset, Status::INTERNAL.without_retry())]
+#[case::after_a_complete_capsule(
+    NodeBehavior::HangUp,
+    SMALL,
+    AttemptEnd::Reset,
+    Status::INTERNAL.without_retry()
+)]
 #[tokio::test]
 async fn a_target_closes_a_queue_mid_command(
-    #[case] does: Does,
+    #[case] does: NodeBehavior,
     #[case] size: usize,
     #[case] end: AttemptEnd,
     #[case] expected_status: Status,
@@ -146,7 +151,7 @@
 #[rstest]
 #[tokio::test]
 async fn a_write_past_its_deadline_ends_with_command_abort_requested(#[values(0, 256)] first: u64) {
-    let mixed = start_mixed(&[Does::Silent], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Silent], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let sent_at = Instant::now();
     assert_eq!(host.write(1, first, vec![7; SMALL]).await, Status::ABORTED);
@@ -157,7 +162,7 @@
 
 #[tokio::test]
 async fn a_write_to_a_node_that_is_down_ends_as_interrupted_with_a_retry_delay() {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let status = host.write(2, 0, vec![7; SMALL]).await;
     assert!(
@@ -184,7 +189,7 @@
     #[case] sgl: Sgl,
     #[case] expected_status: Status,
 ) {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     assert_eq!(ask(&mut host.io, 8, body, sgl, Bytes::new()).await.0.status, expected_status);
     assert_eq!(host.read(1, 0, SMALL).await.0.status, Status::SUCCESS);
@@ -205,7 +210,7 @@
     #[case] body: Body,
     #[case] expected_status: Status,
 ) {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     assert_eq!(ask(&mut host.admin, 8, body, NONE, Bytes::new()).await.0.status, expected_status);
     assert_eq!(ask(&mut host.admin, 9, Body::KeepAlive, NONE, Bytes::new()).await.0.status, Status::SUCCESS);
@@ -213,7 +218,7 @@
 
 #[tokio::test]
 async fn a_queue_is_connected_first_and_to_a_controller_of_its_host() {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut early = wire(mixed.address).await;
     assert_eq!(ask(&mut early, 1, Body::KeepAlive, NONE, Bytes::new()).await.0.status, Status::SEQUENCE);
     assert_eq!(join(&mut early, 1, 77, 0).await.status, Status::CONNECT_PARAMETER, "no such controller");
@@ -224,7 +229,7 @@
 
 #[tokio::test]
 async fn an_abort_ends_a_command_and_reports_whether_it_did() {
-    let mixed = start_mixed(&[Does::Silent], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Silent], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let (body, sgl) = read_of(1, 256, SMALL);
     host.io.send(&[capsule(3, body, sgl, Bytes::new())]).await.unwrap();
@@ -244,7 +249,7 @@
 async fn commands_are_cancelled_when_their_queue_disconnects(
     #[values(true, false)] closes_admin_queue: bool,
 ) {
-    let mixed = start_mixed(&[Does::Silent], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Silent], 0).await;
     let Host { admin, mut io } = Host::connect(mixed.address).await;
     for cid in 3..6 {
         let (body, sgl) = read_of(1, 256, SMALL);
@@ -259,34 +264,34 @@
 
 #[tokio::test]
 async fn a_host_that_misses_its_keep_alive_loses_its_controller() {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut admin = wire(mixed.address).await;
     assert_eq!(join(&mut admin, 0, 0xffff, 300).await.status, Status::SUCCESS);
-    assert!(timeout(PATIENCE, admin.next()).await.expect("in time").is_err());
+    assert!(timeout(TEST_TIMEOUT, admin.next()).await.expect("in time").is_err());
 }
 
 /// At shutdown a queue closes once its commands are answered, and at once if it has none.
 #[tokio::test]
 async fn after_sigterm_queues_close_as_soon_as_nothing_is_open() {
-    let mixed = start_mixed(&[Does::Silent], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Silent], 0).await;
     let (mut idle, mut busy) = (Host::connect(mixed.address).await, Host::connect(mixed.address).await);
     let (body, sgl) = read_of(1, 256, SMALL);
     busy.io.send(&[capsule(3, body, sgl, Bytes::new())]).await.unwrap();
     mixed.rig.until(|counters| counters.attempts_sent == 1).await;
     mixed.stop.send_replace(true);
-    assert!(timeout(PATIENCE, idle.io.next()).await.expect("in time").is_err());
+    assert!(timeout(TEST_TIMEOUT, idle.io.next()).await.expect("in time").is_err());
     assert_eq!(mixed.rig.counters().await.total_answers().shed, 0, "the other command still waits");
     let status = finish(&mut busy.io, 3, Bytes::new()).await.0.status;
     assert_eq!(Status { retry_delay: 0, ..status }, Status::INTERRUPTED);
     for queue in [&mut busy.io, &mut busy.admin, &mut idle.admin] {
-        assert!(timeout(PATIENCE, queue.next()).await.expect("in time").is_err());
+        assert!(timeout(TEST_TIMEOUT, queue.next()).await.expect("in time").is_err());
     }
 }
 
 /// Guards against unbounded memory use by a host that sends more commands than its queue holds.
 #[tokio::test]
 async fn more_commands_than_the_queue_holds_end_the_connection() {
-    let mixed = start_mixed(&[Does::Silent], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Silent], 0).await;
     let mut host = Host::connect(mixed.address).await;
     let commands: Vec<Pdu> =
         (0..33).map(|cid| capsule(cid, WRITE, Sgl::Transport { length: 512 }, Bytes::new())).collect();
@@ -319,7 +324,7 @@
     #[case] fatal: FatalError,
 ) {
     use tokio::io::AsyncWriteExt;
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut stream = TcpStream::connect(mixed.address).await.unwrap();
     let mut initialization = vec![0, 0, 128, 0, 128, 0, 0, 0];
     initialization.resize(128, 0);
@@ -349,7 +354,7 @@
     #[case] size: usize,
     #[case] fatal: FatalError,
 ) {
-    let mixed = start_mixed(&[Does::Store(SMALL)], 0).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     let mut host = Host::connect(mixed.address).await;
     host.io.send(&[capsule(4, WRITE, Sgl::Transport { length: 512 }, Bytes::new())]).await.unwrap();
     let Pdu::R2t { ttag, .. } = next_pdu(&mut host.io).await else { panic!("not asked for data") };
@@ -366,7 +371,7 @@
 #[tokio::test]
 async fn nodes_of_both_kinds_in_slow_start_are_not_overloaded() {
     let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-    let mixed = start_mixed(&[Does::Store(LARGE)], started_ms).await;
+    let mixed = start_mixed(&[NodeBehavior::Store(LARGE)], started_ms).await;
     let first_sent_at = Instant::now();
     let mut hosts = tokio::task::JoinSet::new();
     for host in 0..16 {
--- a/crates/scheduler/tests/net/process.rs
+++ b/crates/scheduler/tests/net/process.rs
@@ -30,7 +30,7 @@
     let address = address_in_next_line(&mut lines, "NVMe front listening on ");
     let mut wire = PduStream::new(TcpStream::connect(address).await.unwrap()).unwrap();
     wire.send(&[Pdu::IcReq { pfv: 0, hpda: 0, digests: 3, max_r2t: 0 }]).await.unwrap();
-    let answer = timeout(PATIENCE, wire.next()).await.expect("in time").unwrap();
+    let answer = timeout(TEST_TIMEOUT, wire.next()).await.expect("in time").unwrap();
     child.kill().unwrap();
     for mut child in [without_front, child] {
         child.wait().unwrap();
@@ -66,12 +66,12 @@
 #[tokio::test]
 async fn after_sigterm_open_and_new_requests_are_answered_before_the_exit() {
     let log = Log::default();
-    let slow = http_node(0, &[Does::Silent], &log).await;
-    let quick = http_node(1, &[Does::Serve], &log).await;
+    let slow = http_node(0, &[NodeBehavior::Silent], &log).await;
+    let quick = http_node(1, &[NodeBehavior::Serve], &log).await;
     let members = [member("s0", slow, 0, "in_service", 0), member("s1", quick, 1, "in_service", 0)];
     let path = write_config("ends", &config_text("127.0.0.1:0", "127.0.0.1:1", &members.join(",")));
     let (mut child, mut log_lines, address) = wait_until_listening(start_program(&path, &[]));
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     let mut open = TcpStream::connect(address).await.unwrap();
     let mut idle = TcpStream::connect(address).await.unwrap();
     idle.write_all(request("consulta", 1, 1, 900, "").as_bytes()).await.unwrap();
@@ -91,7 +91,10 @@
     }
     assert!(matches!(answer(&mut open).await.0, 503 | 504));
     for stream in [&mut open, &mut idle, &mut new] {
-        assert!(timeout(PATIENCE, read_message(stream)).await.expect("the end of the connection").is_none());
+        assert!(timeout(TEST_TIMEOUT, read_message(stream))
+            .await
+            .expect("the end of the connection")
+            .is_none());
     }
     let mut output_text = String::new();
     log_lines.read_to_string(&mut output_text).unwrap();
@@ -106,14 +109,14 @@
 #[tokio::test]
 async fn requests_open_past_the_shutdown_deadline_are_answered_before_it() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Silent], &log).await;
+    let node = http_node(0, &[NodeBehavior::Silent], &log).await;
     let members = member("s0", node, 0, "in_service", 0);
     let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members);
     let text = text.replace("\"aimMs\":150,\"deadlineMs\":1000", "\"aimMs\":8000,\"deadlineMs\":9000");
     let (mut child, _lines, address) = wait_until_listening(start_program(&write_config("long", &text), &[]));
     let mut open = TcpStream::connect(address).await.unwrap();
     open.write_all(request("consulta", 1, 0, 9_000, "").as_bytes()).await.unwrap();
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     while log.all().is_empty() {
         assert!(Instant::now() < deadline, "no request is forwarded");
         sleep(Duration::from_millis(5)).await;
@@ -121,7 +124,7 @@
     send_signal(&child, "-TERM");
     let signalled_at = Instant::now();
     let answered =
-        timeout(PATIENCE, read_message(&mut open)).await.expect("an answer or the end of the connection");
+        timeout(TEST_TIMEOUT, read_message(&mut open)).await.expect("an answer or the end of the connection");
     let (head, ..) = answered.expect("an answer before the connection ends");
     assert!(head.starts_with("http/1.1 504"), "{head}");
     assert!(
@@ -143,7 +146,7 @@
 #[tokio::test]
 async fn sighup_reloads_the_configuration() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Silent, Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Silent, NodeBehavior::Serve], &log).await;
     let members = member("s0", node, 0, "in_service", 0).replace('\n', "");
     let ((old_agent, old_address), (new_agent, new_address)) = (listen().await, listen().await);
     let text = |discovery: SocketAddr| config_text("127.0.0.1:0", &discovery.to_string(), &members);
@@ -175,7 +178,7 @@
     let drained = members.replace("in_service", "terminating");
     tell(&mut watch, &format!("{{\"revision\":9,\"complete\":false,\"members\":[{drained}]}}\n")).await;
     assert!(matches!(answer(&mut open).await.0, 503 | 504), "the open request is answered");
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     let mut call = 2;
     loop {
         let mut client = TcpStream::connect(address).await.unwrap();
--- a/crates/scheduler/tests/net/rejected_requests.rs
+++ b/crates/scheduler/tests/net/rejected_requests.rs
@@ -36,7 +36,7 @@
 #[case::request_line(("GET /consulta", "GET  /consulta"))]
 #[tokio::test]
 async fn a_malformed_request_is_rejected_at_once_and_counted(#[case] (from, to): (&str, &str)) {
-    let OneNode { rig, log, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Serve]).await;
     let text = request("consulta", 1, 0, 900, "");
     assert!(text.contains(from));
     let (status, head, _) = rig.ask(&(text.replacen(from, to, 1) + "xy")).await;
@@ -56,21 +56,24 @@
 #[case::chunked_first("Transfer-Encoding: chunked\r\nContent-Length: 5")]
 #[tokio::test]
 async fn a_body_with_two_lengths_is_rejected(#[case] lengths: &str) {
-    let OneNode { rig, log, .. } = one_node(&[Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Serve]).await;
     let text = request("pedido", 1, 0, 900, "0\r\n\r\n").replace("Content-Length: 5", lengths);
     let hidden = request("consulta", 2, 0, 900, "");
     let mut stream = TcpStream::connect(rig.front).await.unwrap();
     stream.write_all((text + &hidden).as_bytes()).await.unwrap();
     let (status, head, _) = answer(&mut stream).await;
     assert_eq!((status, header(&head, "connection")), (400, Some("close")));
-    assert!(timeout(PATIENCE, read_message(&mut stream)).await.expect("the end of the connection").is_none());
+    assert!(timeout(TEST_TIMEOUT, read_message(&mut stream))
+        .await
+        .expect("the end of the connection")
+        .is_none());
     assert_eq!((rig.counters().await.requests_received, log.all().len()), (0, 0));
 }
 
 /// Guards against two concurrent attempts that a node takes for the same request.
 #[tokio::test]
 async fn the_id_of_an_open_request_is_rejected() {
-    let OneNode { rig, log, .. } = one_node(&[Does::Silent, Does::Serve]).await;
+    let OneNode { rig, log, .. } = one_node(&[NodeBehavior::Silent, NodeBehavior::Serve]).await;
     let mut first = TcpStream::connect(rig.front).await.unwrap();
     first.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
     rig.until(|counters| counters.attempts_sent == 1).await;
@@ -94,8 +97,9 @@
     let rig = rig(&[], None).await;
     let mut stream = TcpStream::connect(rig.front).await.unwrap();
     stream.write_all(text.as_bytes()).await.unwrap();
-    let message =
-        timeout(PATIENCE, read_message(&mut stream)).await.expect("an answer or the end of the connection");
+    let message = timeout(TEST_TIMEOUT, read_message(&mut stream))
+        .await
+        .expect("an answer or the end of the connection");
     assert_eq!(message.map(|(head, ..)| head[9..12].parse().unwrap()), status);
 }
 
--- a/crates/scheduler/tests/net/request_writer.rs
+++ b/crates/scheduler/tests/net/request_writer.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use heathward_core::{endpoint_lease::LeaseExpiry, CoreMessage, SendGate};
-use heathward_fakes::{attempt, config_text, listen, PATIENCE};
+use heathward_fakes::{attempt, config_text, listen, TEST_TIMEOUT};
 use heathward_policy::AttemptEnd;
 use heathward_transport::node::{
     self, Connection, ConnectionPool, LinkRequest, LinkResponse, PoolLimits, TrackedStream, WriteProgress,
@@ -54,7 +54,7 @@
     let (lease_expiry, close_at) =
         (LeaseExpiry::new(Instant::now()), Instant::now() + Duration::from_millis(20));
     let gate = SendGate::new(lease_expiry.clone());
-    let deadline = if closing == Closing::Deadline { close_at } else { close_at + PATIENCE };
+    let deadline = if closing == Closing::Deadline { close_at } else { close_at + TEST_TIMEOUT };
     let attempt = attempt(gate.clone(), deadline);
     written.begin(0, attempt.clone());
     client.write_all(&HEAD[..before]).await.unwrap();
@@ -91,7 +91,7 @@
     let request = [HEAD, chunks.as_bytes(), b"0\r\n\r\n"].concat();
     for split in 1..request.len() {
         let (mut client, written, _server) = connected_pair().await;
-        written.begin(None, attempt(SendGate::default(), Instant::now() + PATIENCE));
+        written.begin(None, attempt(SendGate::default(), Instant::now() + TEST_TIMEOUT));
         written.mark_body_end();
         client.write_all(&request[..split]).await.unwrap();
         client.write_all(&request[split..]).await.unwrap();
@@ -119,7 +119,7 @@
     node_event: NodeEvent,
 ) {
     let (mut client, written, mut server) = connected_pair().await;
-    let attempt = attempt(SendGate::default(), Instant::now() + PATIENCE);
+    let attempt = attempt(SendGate::default(), Instant::now() + TEST_TIMEOUT);
     written.begin(0, attempt.clone());
     client.write_all(HEAD).await.unwrap();
     server.write_all(b"first").await.unwrap();
@@ -190,7 +190,7 @@
         [(0, false), (0, false), (4, false), (1, true), (5, true), (1, true), (1, true), (1, false)]
     {
         tokio::time::sleep(Duration::from_millis(pause)).await;
-        node.send(attempt(SendGate::default(), Instant::now() + PATIENCE)).await.unwrap();
+        node.send(attempt(SendGate::default(), Instant::now() + TEST_TIMEOUT)).await.unwrap();
         let message = ended.recv().await;
         assert!(matches!(message, Some(CoreMessage::AttemptEnded(ended)) if ended.end == AttemptEnd::Served));
         assert_eq!(reused_flags.recv().await, Some(reused), "after {pause} ms");
--- a/crates/scheduler/tests/net/shutdown.rs
+++ b/crates/scheduler/tests/net/shutdown.rs
@@ -24,9 +24,12 @@
 
 async fn read_outcome(stream: &mut TcpStream) -> Outcome {
     let mut first = [0];
-    match timeout(PATIENCE, stream.peek(&mut first)).await.expect("an answer or the end of the connection") {
+    match timeout(TEST_TIMEOUT, stream.peek(&mut first))
+        .await
+        .expect("an answer or the end of the connection")
+    {
         Ok(0) => Outcome::Nothing,
-        Ok(_) => match timeout(PATIENCE, read_message(stream)).await.expect("the rest of the answer") {
+        Ok(_) => match timeout(TEST_TIMEOUT, read_message(stream)).await.expect("the rest of the answer") {
             Some((head, ..)) => Outcome::Answer(head[9..12].parse().unwrap()),
             None => Outcome::Broken,
         },
@@ -74,7 +77,7 @@
 #[tokio::test]
 async fn requests_that_cross_the_shutdown_are_answered_or_never_read(#[values(1, 2)] times: usize) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let members = member("s0", node, 0, "in_service", 0);
     let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members);
     let (mut child, _lines, address) =
@@ -149,8 +152,8 @@
 
 async fn check_connections_waiting_to_be_accepted(handled: bool, objective_ms: &str) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
-    let hanging_node = http_node(1, &[Does::Silent], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
+    let hanging_node = http_node(1, &[NodeBehavior::Silent], &log).await;
     let members =
         [member("s0", node, 0, "in_service", 0), member("s1", hanging_node, 1, "in_service", 0)].join(",");
     let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members)
@@ -202,7 +205,7 @@
 #[tokio::test]
 async fn requests_pending_at_a_node_are_answered_before_the_exit(#[case] budget: u32) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Silent], &log).await;
+    let node = http_node(0, &[NodeBehavior::Silent], &log).await;
     let members = member("s0", node, 0, "in_service", 0);
     let text = config_text("127.0.0.1:0", "127.0.0.1:1", &members)
         .replace("\"aimMs\":150,\"deadlineMs\":1000", "\"aimMs\":9000,\"deadlineMs\":10000");
@@ -215,7 +218,7 @@
         open.push(stream);
     }
     // The first request is at the node; the others are there too, or queued behind it.
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + TEST_TIMEOUT;
     while log.all().is_empty() {
         assert!(Instant::now() < deadline, "no request is forwarded");
         tokio::task::yield_now().await;
@@ -224,7 +227,7 @@
     for stream in &mut open {
         assert!(matches!(read_outcome(stream).await, Outcome::Answer(503 | 504)));
         let mut rest = Vec::new();
-        assert!(timeout(PATIENCE, stream.read_to_end(&mut rest))
+        assert!(timeout(TEST_TIMEOUT, stream.read_to_end(&mut rest))
             .await
             .expect("the end of the connection")
             .is_ok());
@@ -240,7 +243,7 @@
 #[tokio::test]
 async fn requests_during_a_shutdown_keep_their_priority(#[values(false, true)] clients_mark_retries: bool) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Silent], &log).await;
+    let node = http_node(0, &[NodeBehavior::Silent], &log).await;
     let clients_setting = format!("\"clients\":{{\"marksRetry\":{clients_mark_retries}}},\"balancers\"");
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0))
         .replace("\"deadlineMs\":1000", "\"deadlineMs\":10000")
@@ -308,9 +311,9 @@
     #[values(false, true)] ends_before_ready: bool,
 ) {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let members = member("s0", node, 0, "in_service", 0);
-    let (_reserved_socket, unused_address) = nobody();
+    let (_reserved_socket, unused_address) = unused_address();
     let (listener, silent) = listen().await;
     let discovery = if agent == Agent::Down { unused_address } else { silent };
     let text = config_text("127.0.0.1:0", &discovery.to_string(), &members).replacen(
--- a/crates/scheduler/tests/net/shutdown_stall.rs
+++ b/crates/scheduler/tests/net/shutdown_stall.rs
@@ -40,7 +40,7 @@
 impl HangingNode {
     async fn start(name: &str, arguments: &[&str]) -> Self {
         let log = Log::default();
-        let node = http_node(0, &[Does::Silent], &log).await;
+        let node = http_node(0, &[NodeBehavior::Silent], &log).await;
         let members = member("s0", node, 0, "in_service", 0);
         // An attempt lasts as long as its client waits.
         let text =
@@ -123,7 +123,7 @@
     let mut program = HangingNode::start("reload-hangs", &["--operator", operator.to_str().unwrap()]).await;
     let reload = replace_by_pipe(&program.config);
     kill_process(program.process, Signal::HUP).unwrap();
-    let _write_end = timeout(PATIENCE, reload).await.expect("a reload").unwrap();
+    let _write_end = timeout(TEST_TIMEOUT, reload).await.expect("a reload").unwrap();
     let signalled = Instant::now();
     kill_process(program.process, Signal::TERM).unwrap();
     let answers = program.send_requests(signalled).await;
--- a/crates/scheduler/tests/net/support.rs
+++ b/crates/scheduler/tests/net/support.rs
@@ -32,7 +32,7 @@
 }
 
 /// Starts a scheduler with one node in service, which holds shard 0 and follows the script.
-pub async fn one_node(script: &[Does]) -> OneNode {
+pub async fn one_node(script: &[NodeBehavior]) -> OneNode {
     let log = Log::default();
     let node = http_node(0, script, &log).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
--- a/crates/scheduler/tests/pinned/http_answers.rs
+++ b/crates/scheduler/tests/pinned/http_answers.rs
@@ -49,7 +49,7 @@
         };
         masked(&head, "date") + &body
     };
-    timeout(PATIENCE, read).await.expect("an answer")
+    timeout(TEST_TIMEOUT, read).await.expect("an answer")
 }
 
 async fn answer_to(rig: &Rig, request: &str) -> String {
@@ -59,18 +59,18 @@
 }
 
 /// Starts a scheduler with one node, which follows the script.
-async fn rig_with_node(does: &[Does]) -> Rig {
+async fn rig_with_node(does: &[NodeBehavior]) -> Rig {
     let node = http_node(0, does, &Log::default()).await;
     rig(&[member("s0", node, 0, "in_service", 0)], None).await
 }
 
-fn node_answer(text: String) -> Does {
-    Does::Say(Box::leak(text.into_boxed_str()))
+fn node_answer(text: String) -> NodeBehavior {
+    NodeBehavior::Reply(Box::leak(text.into_boxed_str()))
 }
 
 #[rstest]
-#[case::buffered("served", Does::Serve)]
-#[case::empty("served_empty", Does::Say("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"))]
+#[case::buffered("served", NodeBehavior::Serve)]
+#[case::empty("served_empty", NodeBehavior::Reply("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"))]
 #[case::long(
     "served_long_with_length",
     node_answer(format!("HTTP/1.1 200 OK\r\ncontent-length: {LONG_BODY}\r\n\r\n{}", "x".repeat(LONG_BODY)))
@@ -83,7 +83,7 @@
     ))
 )]
 #[tokio::test]
-async fn served_answers_are_as_pinned(#[case] name: &str, #[case] does: Does) {
+async fn served_answers_are_as_pinned(#[case] name: &str, #[case] does: NodeBehavior) {
     let rig = rig_with_node(&[does]).await;
     let answer = answer_to(&rig, &request("consulta", 1, 0, 900, "")).await;
     assert_matches_fixture(&format!("answer_{name}.txt"), &answer);
@@ -94,7 +94,7 @@
 #[case::without_hint("shed_without_hint", false)]
 #[tokio::test]
 async fn shed_answers_are_as_pinned(#[case] name: &str, #[case] hints: bool) {
-    let node = http_node(0, &[Does::Reject], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Reject], &Log::default()).await;
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0));
     let hints = format!("\"retryAfter\":{hints}");
     let rig = rig_of(&text.replace("\"retryAfter\":true", &hints), None).await;
@@ -108,7 +108,7 @@
 
 #[tokio::test]
 async fn a_duplicates_answer_is_as_pinned() {
-    let rig = rig_with_node(&[Does::Silent]).await;
+    let rig = rig_with_node(&[NodeBehavior::Silent]).await;
     let mut first = TcpStream::connect(rig.front).await.unwrap();
     first.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
     rig.until(|counters| counters.attempts_sent == 1).await;
@@ -118,7 +118,7 @@
 
 #[tokio::test]
 async fn a_failed_writes_answer_is_as_pinned() {
-    let rig = rig_with_node(&[Does::Error]).await;
+    let rig = rig_with_node(&[NodeBehavior::Error]).await;
     let answer = answer_to(&rig, &request("pedido", 1, 0, 1400, "w")).await;
     assert_matches_fixture("answer_failed.txt", &answer);
 }
@@ -126,7 +126,7 @@
 /// A request is still at a node when the shutdown deadline of the program passes.
 #[tokio::test]
 async fn the_answer_of_a_request_past_its_deadline_is_as_pinned() {
-    let node = http_node(0, &[Does::Silent], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Silent], &Log::default()).await;
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0));
     let text = text.replace("\"aimMs\":150,\"deadlineMs\":1000", "\"aimMs\":8000,\"deadlineMs\":9000");
     let rig = rig_of(&text, None).await;
@@ -173,7 +173,7 @@
 
 #[tokio::test]
 async fn answers_to_malformed_requests_are_as_pinned() {
-    let rig = rig_with_node(&[Does::Serve]).await;
+    let rig = rig_with_node(&[NodeBehavior::Serve]).await;
     let valid = request("consulta", 1, 0, 900, "");
     let mut answers = String::new();
     for (name, from, to) in MALFORMED {
@@ -209,7 +209,7 @@
 
 #[tokio::test]
 async fn health_answers_are_as_pinned() {
-    let rig = rig_with_node(&[Does::Serve]).await;
+    let rig = rig_with_node(&[NodeBehavior::Serve]).await;
     rig.until_ready(true).await;
     let ready = answer_to(&rig, HEALTH).await;
     rig.core.run_command(OperatorCommand::Pause, false).await.unwrap().unwrap();
@@ -235,7 +235,7 @@
 /// the elapsed milliseconds in it have.
 #[tokio::test]
 async fn the_health_answer_without_discovery_is_as_pinned() {
-    let member = member("s0", nobody().1, 0, "in_service", 0);
+    let member = member("s0", unused_address().1, 0, "in_service", 0);
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member);
     let text = text.replacen(r#""safety":{"#, r#""safety":{"stopSendingWithinMs":250,"#, 1);
     let rig = rig_of(&text, None).await;
@@ -254,7 +254,7 @@
 /// that process.
 #[tokio::test]
 async fn answers_of_a_replaced_scheduler_are_as_pinned() {
-    let rig = rig_with_node(&[Does::Serve]).await;
+    let rig = rig_with_node(&[NodeBehavior::Serve]).await;
     rig.core.set_replaced(true);
     let answer = answer_to(&rig, &request("consulta", 1, 0, 900, "")).await;
     assert_matches_fixture("answer_served_and_closed.txt", &answer);
--- a/crates/scheduler/tests/pinned/node_requests.rs
+++ b/crates/scheduler/tests/pinned/node_requests.rs
@@ -24,7 +24,7 @@
 }
 
 /// Returns the requests that the node receives for one request of a client, if it answers as the script says.
-async fn requests_received_for(request: &str, script: &[Does]) -> String {
+async fn requests_received_for(request: &str, script: &[NodeBehavior]) -> String {
     let log = Log::default();
     let node = http_node(0, script, &log).await;
     let text = config_text("127.0.0.1:1", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0));
@@ -47,15 +47,15 @@
     let length = format!("Content-Length: {LONG_BODY}\r\n");
     let chunked = streamed.replace(&length, "Transfer-Encoding: chunked\r\n");
     let chunked = chunked.replace(&long, &format!("{LONG_BODY:x}\r\n{long}\r\n0\r\n\r\n"));
-    let retried = [Does::Error, Does::Serve];
+    let retried = [NodeBehavior::Error, NodeBehavior::Serve];
     let mut all = String::new();
     for (name, request, script) in [
-        ("read", request("consulta", 1, 0, 900, ""), &[Does::Serve][..]),
-        ("write", keyless, &[Does::Serve]),
-        ("keyed write", write.clone(), &[Does::Serve]),
-        ("keyed write without a body", request("pedido", 2, 0, 1400, ""), &[Does::Serve]),
-        ("streamed write", streamed, &[Does::Serve]),
-        ("streamed write without a length", chunked, &[Does::Serve]),
+        ("read", request("consulta", 1, 0, 900, ""), &[NodeBehavior::Serve][..]),
+        ("write", keyless, &[NodeBehavior::Serve]),
+        ("keyed write", write.clone(), &[NodeBehavior::Serve]),
+        ("keyed write without a body", request("pedido", 2, 0, 1400, ""), &[NodeBehavior::Serve]),
+        ("streamed write", streamed, &[NodeBehavior::Serve]),
+        ("streamed write without a length", chunked, &[NodeBehavior::Serve]),
         ("read and its retry", request("consulta", 1, 0, 900, ""), &retried),
         ("keyed write and its retry", write, &retried),
     ] {
@@ -68,7 +68,7 @@
 #[tokio::test]
 async fn the_budget_header_is_in_whole_milliseconds() {
     let log = Log::default();
-    let node = http_node(0, &[Does::Serve], &log).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     assert_eq!(rig.ask(&request("consulta", 1, 0, 900, "")).await.0, 200);
     let head = log.all()[0].head.to_lowercase();
--- a/testing/fakes/src/discovery.rs
+++ b/testing/fakes/src/discovery.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::message::{listen, read_message};
-use crate::PATIENCE;
+use crate::TEST_TIMEOUT;
 
 /// A storage node's entry in the list.
 pub fn member(id: &str, address: SocketAddr, shard: u32, phase: &str, up_since_ms: u128) -> String {
@@ -26,7 +26,8 @@
 /// # Panics
 /// If no watch comes in time, or it breaks before its request is complete.
 pub async fn watched(listener: &TcpListener) -> (TcpStream, String) {
-    let (mut watch, _) = timeout(PATIENCE, listener.accept()).await.expect("a watch").expect("a connection");
+    let (mut watch, _) =
+        timeout(TEST_TIMEOUT, listener.accept()).await.expect("a watch").expect("a connection");
     let (head, ..) = read_message(&mut watch).await.expect("a request");
     watch
         .write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
--- a/testing/fakes/src/lib.rs
+++ b/testing/fakes/src/lib.rs
@@ -1,6 +1,6 @@
-//! Stand-ins on loopback that all tests and tools share: storage nodes that do as a script says, on HTTP and
-//! on NVMe over TCP, discovery, clients, and the scheduler before them. Ports are chosen by the system. What
-//! goes wrong here panics: it is a fault of the test.
+//! Fakes on loopback that all tests and tools share: storage nodes that follow a script, over HTTP and NVMe
+//! over TCP, discovery, clients, and a scheduler in front of them. The operating system chooses the ports. A
+//! fake that fails panics, as that is a fault of the test.
 
 mod attempt_ledger;
 mod discovery;
@@ -17,10 +17,14 @@
 
 pub use attempt_ledger::AttemptLedger;
 pub use discovery::{member, tell, watched, Discovery, Listed};
-pub use message::{answer, full_node, header, listen, nobody, read_message, request, reserved, FullNode};
-pub use node::{attempt, http_node, scripted_node, Does, Log, Script, Seen, LATE};
+pub use message::{
+    answer, full_node, header, listen, read_message, request, reserved, unused_address, FullNode,
+};
+pub use node::{
+    attempt, http_node, scripted_node, Log, NodeBehavior, ReceivedRequest, Script, LATE_ANSWER_DELAY,
+};
 pub use program::{Held, Program};
 pub use rig::{config_text, rig, rig_of, Rig, CONNECTIONS, NODE_SOCKETS};
 
-/// Nothing here takes longer, however loaded the machine.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+/// The most time that any step of a test takes, even on a busy machine.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
--- a/testing/fakes/src/message.rs
+++ b/testing/fakes/src/message.rs
@@ -6,9 +6,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use crate::PATIENCE;
+use crate::TEST_TIMEOUT;
 
-/// A listener at a port that the system chooses.
+/// Listens at a port that the operating system chooses.
 ///
 /// # Panics
 /// If there is no free port.
@@ -18,16 +18,17 @@
     (listener, address)
 }
 
-/// A node whose machine has a full queue of connections: none comes up until those that wait are taken.
+/// A node whose queue of connections is full: no further connection is established until those in the queue
+/// are accepted.
 pub struct FullNode {
-    /// Where it listens.
+    /// The address at which it listens.
     pub address: SocketAddr,
     listener: TcpListener,
     waiting: Vec<TcpStream>,
 }
 
 impl FullNode {
-    /// From now on its connections come up.
+    /// Lets connections be established from now on.
     pub fn take_connections(self) -> TcpListener {
         drop(self.waiting);
         self.listener
@@ -51,19 +52,19 @@
     FullNode { address, listener, waiting }
 }
 
-/// An address that nobody listens at, and that nobody else is given while the socket is kept.
+/// Returns an address at which nothing listens, and which no other process gets while the socket is kept.
 ///
 /// # Panics
 /// If there is no free port.
-pub fn nobody() -> (TcpSocket, SocketAddr) {
+pub fn unused_address() -> (TcpSocket, SocketAddr) {
     let socket = TcpSocket::new_v4().expect("a descriptor");
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
     let address = socket.local_addr().expect("a bound socket");
     (socket, address)
 }
 
-/// An address that the system has chosen, and that nobody else is given while the socket is kept: for a
-/// program that listens there, ends and comes again, or beside another of its name.
+/// Returns an address that no other test gets while the socket is kept: for a program that listens there and
+/// is restarted, or for two processes that listen at the same address.
 ///
 /// # Panics
 /// If there is no free port, or the platform does not let sockets share one.
@@ -137,7 +138,8 @@
 /// # Panics
 /// If no complete answer comes in time, or its status is not a number.
 pub async fn answer(stream: &mut TcpStream) -> (u16, String, Vec<u8>) {
-    let (small, _, body) = timeout(PATIENCE, read_message(stream)).await.expect("in time").expect("whole");
+    let (small, _, body) =
+        timeout(TEST_TIMEOUT, read_message(stream)).await.expect("in time").expect("whole");
     (small[9..12].parse().expect("a status"), small, body)
 }
 
--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -1,4 +1,4 @@
-//! A storage node that does as a script says, and the log of what it saw.
+//! A storage node that follows a script, and the log of the requests that it received.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,45 +14,46 @@
 
 use crate::message::{header, listen, read_message};
 
-/// How late [`Does::LateServe`] and [`Does::LateError`] are.
-pub const LATE: Duration = Duration::from_millis(200);
+/// Delay of the answers of [`NodeBehavior::LateServe`] and [`NodeBehavior::LateError`].
+pub const LATE_ANSWER_DELAY: Duration = Duration::from_millis(200);
 
-/// What a node does with a request.
+/// How a node handles a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Does {
-    /// Answers well.
+pub enum NodeBehavior {
+    /// Answers with success.
     Serve,
-    /// Answers well after [`LATE`].
+    /// Answers with success after [`LATE_ANSWER_DELAY`].
     LateServe,
-    /// Answers well and closes.
+    /// Answers with success and closes the connection.
     ServeThenClose,
-    /// An error.
+    /// Answers with an error.
     Error,
-    /// An error after [`LATE`].
+    /// Answers with an error after [`LATE_ANSWER_DELAY`].
     LateError,
-    /// Turns it away unseen.
+    /// Rejects the request without executing it.
     Reject,
-    /// Reads it all and never answers.
+    /// Reads the request and never answers.
     Silent,
-    /// Reads it all and closes.
+    /// Reads the request and closes the connection.
     Reset,
-    /// Closes with the request unread.
+    /// Closes the connection without reading the request.
     HangUp,
-    /// Promises more of a body than it sends.
+    /// Announces a longer body than it sends, and closes the connection.
     Cut,
-    /// Answers that, and keeps the connection.
-    Say(&'static str),
+    /// Answers with this text, and keeps the connection open.
+    Reply(&'static str),
     /// Keeps the body of each write, and answers a read of the same object with it. An object that was never
     /// written has this many zero bytes.
     Store(usize),
     /// Keeps the body of each write, but answers a read with this many bytes of data, whatever was requested.
     ServeBytes(usize),
     /// An NVMe target requests only this many bytes of the data of a write that is not in its capsule, and
-    /// completes it with success; an HTTP node does as for [`Does::Store`].
+    /// completes it with success; an HTTP node handles it as [`NodeBehavior::Store`].
     RequestBytes(usize),
 }
 
-/// An attempt of a read that nobody has decided on, given up then: for tests of what writes and what dials.
+/// Returns an attempt of a read that no policy has decided on, with this deadline: for tests of writers and
+/// connections.
 pub fn attempt(gate: SendGate, until: Instant) -> Attempt {
     let work = NodeRequest {
         client_request_id: "0000000000000001".into(),
@@ -81,48 +82,48 @@
     }
 }
 
-/// What nodes have seen, all together.
+/// A request that a node has received.
 #[derive(Clone, Debug)]
-pub struct Seen {
-    /// The node's number.
+pub struct ReceivedRequest {
+    /// Number of the node.
     pub node: u32,
-    /// The request's head.
+    /// Head of the request; empty for an NVMe command.
     pub head: String,
-    /// Its id.
+    /// Id of the request; for an NVMe command, its block.
     pub call: String,
-    /// Its body.
+    /// Body of the request.
     pub body: Vec<u8>,
-    /// When it was read whole.
+    /// When its last byte was read.
     pub at: Instant,
-    /// Attempts with this call's id whose connection was open at some node, this one included.
-    pub beside: usize,
+    /// Number of attempts with this id that were open at any node, including this one.
+    pub open_attempts: usize,
 }
 
-/// The nodes' common log.
+/// The log of the requests at all nodes of a test; clones share it.
 #[derive(Clone, Default)]
 pub struct Log {
-    /// What came, in order.
-    pub seen: Arc<Mutex<Vec<Seen>>>,
-    /// Attempts that are open, by call.
+    /// The requests, in the order in which they were received.
+    pub seen: Arc<Mutex<Vec<ReceivedRequest>>>,
+    /// Number of open attempts, by request id.
     pub open: Arc<Mutex<HashMap<String, usize>>>,
 }
 
 impl Log {
-    /// What came so far.
+    /// Returns the requests that were received so far.
     ///
     /// # Panics
     /// If a holder of the log panicked.
-    pub fn all(&self) -> Vec<Seen> {
+    pub fn all(&self) -> Vec<ReceivedRequest> {
         self.seen.lock().expect("no holder of the lock panics").clone()
     }
 
-    /// A request was read whole.
+    /// Records a request whose last byte was read.
     ///
     /// # Panics
     /// If a holder of the log panicked.
-    pub fn note(&self, node: u32, head: &str, call: &str, body: &[u8]) {
+    pub fn record_request(&self, node: u32, head: &str, call: &str, body: &[u8]) {
         let (head, call, at) = (head.to_owned(), call.to_owned(), Instant::now());
-        let beside = self
+        let open_attempts = self
             .open
             .lock()
             .expect("no holder of the lock panics")
@@ -130,21 +131,21 @@
             .and_modify(|n| *n += 1)
             .or_insert(1)
             .to_owned();
-        self.seen.lock().expect("no holder of the lock panics").push(Seen {
+        self.seen.lock().expect("no holder of the lock panics").push(ReceivedRequest {
             node,
             head,
             call,
             body: body.to_vec(),
             at,
-            beside,
+            open_attempts,
         });
     }
 
-    /// It is answered, or broken off.
+    /// Records that a request was answered or its connection was closed.
     ///
     /// # Panics
-    /// If that request was not begun, or a holder of the log panicked.
-    pub fn over(&self, call: &str) {
+    /// If that request was not recorded, or a holder of the log panicked.
+    pub fn record_end(&self, call: &str) {
         *self
             .open
             .lock()
@@ -153,53 +154,58 @@
             .expect("a request that was begun") -= 1;
     }
 
-    /// No attempt began beside another of its call.
+    /// Checks that no attempt began while another one with its id was open.
     ///
     /// # Panics
-    /// If two attempts of a request were in flight at once.
+    /// If two attempts of a request were open at once.
     pub fn check_one_at_a_time(&self) {
-        assert!(self.all().iter().all(|s| s.beside == 1), "two attempts at once: {:?}", self.all());
+        assert!(
+            self.all().iter().all(|request| request.open_attempts == 1),
+            "two attempts at once: {:?}",
+            self.all()
+        );
     }
 }
 
-/// What a node does with one request after another, the last step for ever; all its clones are one.
+/// The behaviors of a node for one request after the other; the last one is repeated. Clones share their
+/// position.
 #[derive(Clone, Debug)]
-pub struct Script(Arc<Mutex<(Vec<Does>, usize)>>);
+pub struct Script(Arc<Mutex<(Vec<NodeBehavior>, usize)>>);
 
 impl Script {
-    /// These steps.
-    pub fn new(steps: &[Does]) -> Self {
+    /// Creates a script of these steps.
+    pub fn new(steps: &[NodeBehavior]) -> Self {
         Self(Arc::new(Mutex::new((steps.to_vec(), 0))))
     }
 
-    /// The next step.
+    /// Returns the next step.
     ///
     /// # Panics
     /// If a holder of the script panicked.
-    pub fn next(&self) -> Does {
+    pub fn next(&self) -> NodeBehavior {
         let (steps, at) = &mut *self.0.lock().expect("no holder of the lock panics");
         *at += 1;
         steps[(*at - 1).min(steps.len() - 1)]
     }
 
-    /// From now on this, for ever.
+    /// Replaces all further steps by one.
     ///
     /// # Panics
     /// If a holder of the script panicked.
-    pub fn set(&self, does: Does) {
-        *self.0.lock().expect("no holder of the lock panics") = (vec![does], 0);
+    pub fn set(&self, behavior: NodeBehavior) {
+        *self.0.lock().expect("no holder of the lock panics") = (vec![behavior], 0);
     }
 }
 
 /// The objects that a node keeps, by volume and object id.
 type Objects = Arc<Mutex<HashMap<String, Vec<u8>>>>;
 
-/// An HTTP node that does `script` in turn, the last of it for ever.
-pub async fn http_node(number: u32, script: &[Does], log: &Log) -> SocketAddr {
+/// Starts an HTTP node that follows `script`, and returns its address.
+pub async fn http_node(number: u32, script: &[NodeBehavior], log: &Log) -> SocketAddr {
     scripted_node(number, Script::new(script), log).await
 }
 
-/// The same, by a script that may be changed meanwhile.
+/// Starts an HTTP node that follows a script which the test may change, and returns its address.
 ///
 /// # Panics
 /// If there is no free port.
@@ -222,46 +228,48 @@
         if stream.peek(&mut first).await.unwrap_or(0) == 0 {
             return;
         }
-        let does = script.next();
-        if does == Does::HangUp {
+        let behavior = script.next();
+        if behavior == NodeBehavior::HangUp {
             return;
         }
-        let Some((small, head, body)) = read_message(&mut stream).await else { return };
-        let call = header(&small, "x-call-id").expect("a request id").to_owned();
-        log.note(number, &head, &call, &body);
-        if matches!(does, Does::LateServe | Does::LateError) {
-            sleep(LATE).await;
+        let Some((lower_case_head, head, body)) = read_message(&mut stream).await else { return };
+        let call = header(&lower_case_head, "x-call-id").expect("a request id").to_owned();
+        log.record_request(number, &head, &call, &body);
+        if matches!(behavior, NodeBehavior::LateServe | NodeBehavior::LateError) {
+            sleep(LATE_ANSWER_DELAY).await;
         }
         let stored_answer;
-        let answer = match does {
-            Does::ServeBytes(length) if head.starts_with("GET ") => {
+        let answer = match behavior {
+            NodeBehavior::ServeBytes(length) if head.starts_with("GET ") => {
                 stored_answer = served(&vec![7; length]);
                 stored_answer.as_slice()
             }
-            Does::Store(unwritten_bytes)
-            | Does::ServeBytes(unwritten_bytes)
-            | Does::RequestBytes(unwritten_bytes) => {
+            NodeBehavior::Store(unwritten_bytes)
+            | NodeBehavior::ServeBytes(unwritten_bytes)
+            | NodeBehavior::RequestBytes(unwritten_bytes) => {
                 stored_answer = store_or_load(&objects, &head, body, unwritten_bytes);
                 stored_answer.as_slice()
             }
-            Does::Serve | Does::LateServe | Does::ServeThenClose => {
+            NodeBehavior::Serve | NodeBehavior::LateServe | NodeBehavior::ServeThenClose => {
                 b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello".as_slice()
             }
-            Does::Error | Does::LateError => b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
-            Does::Reject => b"HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
-            Does::Cut => b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
-            Does::Silent => {
+            NodeBehavior::Error | NodeBehavior::LateError => {
+                b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"
+            }
+            NodeBehavior::Reject => b"HTTP/1.1 503 Full\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n",
+            NodeBehavior::Cut => b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
+            NodeBehavior::Silent => {
                 // Until the scheduler closes.
                 let _ = stream.read(&mut first).await;
-                log.over(&call);
+                log.record_end(&call);
                 return;
             }
-            Does::Say(this) => this.as_bytes(),
-            Does::Reset | Does::HangUp => b"",
+            NodeBehavior::Reply(this) => this.as_bytes(),
+            NodeBehavior::Reset | NodeBehavior::HangUp => b"",
         };
-        log.over(&call);
+        log.record_end(&call);
         stream.write_all(answer).await.expect("the scheduler reads");
-        if matches!(does, Does::Reset | Does::Cut | Does::ServeThenClose) {
+        if matches!(behavior, NodeBehavior::Reset | NodeBehavior::Cut | NodeBehavior::ServeThenClose) {
             return;
         }
     }
--- a/testing/fakes/src/nvme.rs
+++ b/testing/fakes/src/nvme.rs
@@ -12,22 +12,23 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::{listen, Does, Log, Script, LATE, PATIENCE};
+use crate::{listen, Log, NodeBehavior, Script, LATE_ANSWER_DELAY, TEST_TIMEOUT};
 
 /// Name of the subsystem that a scheduler's front offers.
 pub const FRONT: &str = "nqn.2026-12.org.heathward:test";
 /// Name of the subsystem that a target offers.
 pub const NODE: &str = "nqn.2026-12.org.heathward:node";
-/// Bytes of a block.
+/// Length of a block, in bytes.
 pub const SMALL: usize = 512;
 /// No data.
 pub const NONE: Sgl = Sgl::Transport { length: 0 };
 
-/// A target that keeps what is written to it. The call's id is not on this wire; the block stands for it.
+/// Starts a target that follows `script` and keeps what is written to it, and returns its address. Its log has
+/// the first block of a command in place of a request id, which this protocol behavior not transfer.
 ///
 /// # Panics
 /// If there is no free port.
-pub async fn target(number: u32, script: &[Does], log: &Log) -> SocketAddr {
+pub async fn target(number: u32, script: &[NodeBehavior], log: &Log) -> SocketAddr {
     let (listener, address) = listen().await;
     let (script, log) = (Script::new(script), log.clone());
     let disk = Arc::new(Mutex::new(HashMap::new()));
@@ -44,7 +45,7 @@
     address
 }
 
-/// One queue of it; `None` once it has ended.
+/// Serves one queue of a target; returns `None` once it has ended.
 async fn target_queue(
     mut wire: PduStream,
     number: u32,
@@ -74,15 +75,15 @@
                 out.push(Pdu::C2hData { cid: command.cid, offset: 0, last: true, data });
             }
             Body::Read(blocks) | Body::Write(blocks) => {
-                let does = script.next();
-                if does == Does::HangUp {
+                let behavior = script.next();
+                if behavior == NodeBehavior::HangUp {
                     return None;
                 }
                 let write = matches!(command.body, Body::Write(_));
                 let mut body = BytesMut::from(&*data);
                 if write && body.is_empty() {
-                    let length = match does {
-                        Does::RequestBytes(length) => length as u32,
+                    let length = match behavior {
+                        NodeBehavior::RequestBytes(length) => length as u32,
                         _ => command.sgl.length(),
                     };
                     let ask = Pdu::R2t { cid: command.cid, ttag: 9, offset: 0, length };
@@ -95,9 +96,9 @@
                     }
                 }
                 let call = format!("block {}", blocks.first);
-                log.note(number, "", &call, &body);
-                let end = answer_io(&mut wire, does, command, blocks, write, body.freeze(), disk).await;
-                log.over(&call);
+                log.record_request(number, "", &call, &body);
+                let end = answer_io(&mut wire, behavior, command, blocks, write, body.freeze(), disk).await;
+                log.record_end(&call);
                 let (ended, data) = end?;
                 status = ended;
                 out.extend(data);
@@ -111,7 +112,7 @@
 
 async fn answer_io(
     wire: &mut PduStream,
-    does: Does,
+    behavior: NodeBehavior,
     command: Command,
     BlockRange { first, count, .. }: BlockRange,
     write: bool,
@@ -119,51 +120,55 @@
     disk: &Mutex<HashMap<u64, Bytes>>,
 ) -> Option<(Status, Option<Pdu>)> {
     let (cid, size) = (command.cid, count as usize * SMALL);
-    if does == Does::LateServe {
-        tokio::time::sleep(LATE).await;
+    if behavior == NodeBehavior::LateServe {
+        tokio::time::sleep(LATE_ANSWER_DELAY).await;
     }
-    match does {
-        Does::Serve
-        | Does::LateServe
-        | Does::ServeThenClose
-        | Does::Store(_)
-        | Does::ServeBytes(_)
-        | Does::RequestBytes(_)
+    match behavior {
+        NodeBehavior::Serve
+        | NodeBehavior::LateServe
+        | NodeBehavior::ServeThenClose
+        | NodeBehavior::Store(_)
+        | NodeBehavior::ServeBytes(_)
+        | NodeBehavior::RequestBytes(_)
             if write =>
         {
             disk.lock().expect("no holder of the lock panics").insert(first, body);
             Some((Status::SUCCESS, None))
         }
         // A success without data.
-        Does::ServeBytes(0) => Some((Status::SUCCESS, None)),
-        Does::ServeBytes(length) => {
+        NodeBehavior::ServeBytes(0) => Some((Status::SUCCESS, None)),
+        NodeBehavior::ServeBytes(length) => {
             let data = Bytes::from(vec![7; length]);
             Some((Status::SUCCESS, Some(Pdu::C2hData { cid, offset: 0, last: true, data })))
         }
-        Does::Serve | Does::LateServe | Does::ServeThenClose | Does::Store(_) | Does::RequestBytes(_) => {
+        NodeBehavior::Serve
+        | NodeBehavior::LateServe
+        | NodeBehavior::ServeThenClose
+        | NodeBehavior::Store(_)
+        | NodeBehavior::RequestBytes(_) => {
             let kept =
                 disk.lock().expect("no holder of the lock panics").get(&first).cloned().unwrap_or_default();
             let mut data = BytesMut::from(&*kept);
             data.resize(size, 0);
             Some((Status::SUCCESS, Some(Pdu::C2hData { cid, offset: 0, last: true, data: data.freeze() })))
         }
-        Does::Error | Does::LateError => Some((Status::INTERNAL, None)),
-        Does::Reject => Some((Status::NOT_READY, None)),
-        Does::Silent => {
-            // Until the scheduler closes.
+        NodeBehavior::Error | NodeBehavior::LateError => Some((Status::INTERNAL, None)),
+        NodeBehavior::Reject => Some((Status::NOT_READY, None)),
+        NodeBehavior::Silent => {
+            // Waits until the scheduler closes the connection.
             let _ = wire.next().await;
             None
         }
-        // Data that nobody asked for.
-        Does::Say(_) => Some((
+        // Data that the command did not request.
+        NodeBehavior::Reply(_) => Some((
             Status::SUCCESS,
             Some(Pdu::C2hData { cid, offset: 8, last: true, data: Bytes::from_static(&[0; 8]) }),
         )),
-        Does::Reset | Does::HangUp | Does::Cut => None,
+        NodeBehavior::Reset | NodeBehavior::HangUp | NodeBehavior::Cut => None,
     }
 }
 
-/// A host: an admin queue and an I/O queue.
+/// A host with an admin queue and an I/O queue.
 pub struct Host {
     /// The admin queue.
     pub admin: PduStream,
@@ -171,10 +176,10 @@
     pub io: PduStream,
 }
 
-/// A connection on which the handshake of the transport is done.
+/// Opens a connection and initializes it.
 ///
 /// # Panics
-/// If nobody listens there, or the connection breaks.
+/// If the connection is refused or fails.
 pub async fn wire(address: SocketAddr) -> PduStream {
     let mut wire =
         PduStream::new(TcpStream::connect(address).await.expect("a listener")).expect("a connection");
@@ -185,32 +190,32 @@
     wire
 }
 
-/// The next PDU; the peer must send a sound one.
+/// Receives the next PDU.
 ///
 /// # Panics
-/// If no valid PDU comes in time.
+/// If no valid PDU arrives in time.
 pub async fn next_pdu(wire: &mut PduStream) -> Pdu {
-    timeout(PATIENCE, wire.next()).await.expect("in time").expect("a sound PDU")
+    timeout(TEST_TIMEOUT, wire.next()).await.expect("in time").expect("a sound PDU")
 }
 
-/// A command as it is sent.
+/// Returns the capsule of a command.
 pub fn capsule(cid: u16, body: Body, sgl: Sgl, data: Bytes) -> Pdu {
     Pdu::Capsule { command: Command::new(cid, sgl, body), data }
 }
 
-/// Sends a command and gives back its completion, and data that came before.
+/// Sends a command, and returns its completion and its data.
 ///
 /// # Panics
-/// If the connection breaks, or the answer is not one to that command.
+/// If the connection fails, or the completion is that of another command.
 pub async fn ask(wire: &mut PduStream, cid: u16, body: Body, sgl: Sgl, data: Bytes) -> (Completion, Vec<u8>) {
     wire.send(&[capsule(cid, body, sgl, data.clone())]).await.expect("the connection is open");
     finish(wire, cid, data).await
 }
 
-/// Sees a command through: its completion, and the data that came before.
+/// Sends the data that a command requests, and returns its completion and its data.
 ///
 /// # Panics
-/// If the connection breaks, or the answer is not one to that command.
+/// If the connection fails, or the completion is that of another command.
 pub async fn finish(wire: &mut PduStream, cid: u16, data: Bytes) -> (Completion, Vec<u8>) {
     let mut page = Vec::new();
     loop {
@@ -234,7 +239,7 @@
     }
 }
 
-/// A Connect command and its data.
+/// Returns a Connect command and its data.
 pub fn connect(queue: u16, controller: u16, keep_alive: u32) -> (Body, Bytes) {
     let body = Body::Connect(Connect { format: 0, queue, size: 31, keep_alive });
     let names = ConnectData { controller, subsystem: FRONT.to_owned(), host: "nqn.host".to_owned() };
@@ -251,7 +256,7 @@
     /// Connects both queues and enables the controller.
     ///
     /// # Panics
-    /// If the controller refuses a step of the set-up.
+    /// If the controller refuses a step of the setup.
     pub async fn connect(address: SocketAddr) -> Self {
         let mut admin = wire(address).await;
         let id = join(&mut admin, 0, 0xffff, 0).await.result as u16;
@@ -271,7 +276,7 @@
     /// Writes blocks.
     ///
     /// # Panics
-    /// If the connection breaks.
+    /// If the connection fails.
     pub async fn write(&mut self, nsid: u32, first: u64, data: Vec<u8>) -> Status {
         let (length, count) = (data.len() as u32, (data.len() / SMALL) as u32);
         let small = data.len() <= 8192;
@@ -284,7 +289,7 @@
     }
 }
 
-/// A read of that many bytes.
+/// Returns a read of this many bytes.
 pub fn read_of(nsid: u32, first: u64, size: usize) -> (Body, Sgl) {
     let blocks = BlockRange { nsid, first, count: (size / SMALL) as u32 };
     (Body::Read(blocks), Sgl::Transport { length: size as u32 })
--- a/testing/fakes/src/program.rs
+++ b/testing/fakes/src/program.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
-use crate::PATIENCE;
+use crate::TEST_TIMEOUT;
 
 /// What a process holds.
 #[derive(Clone, Copy, Debug)]
@@ -68,7 +68,7 @@
     /// If the program does not write that in time.
     pub fn until(&mut self, what: &str) -> String {
         loop {
-            let line = self.log.recv_timeout(PATIENCE);
+            let line = self.log.recv_timeout(TEST_TIMEOUT);
             let line = line.unwrap_or_else(|_| panic!("it never said {what:?}"));
             if line.contains(what) {
                 return line;
@@ -85,7 +85,7 @@
             TcpStream::connect(self.ops.expect("an admin address")).await.expect("the program listens");
         stream.write_all(format!("{line}\n").as_bytes()).await.expect("the connection is open");
         let mut told = String::new();
-        timeout(PATIENCE, stream.read_to_string(&mut told)).await.expect("an answer").expect("text");
+        timeout(TEST_TIMEOUT, stream.read_to_string(&mut told)).await.expect("an answer").expect("text");
         told
     }
 
@@ -94,7 +94,7 @@
     /// # Panics
     /// If the program has no admin address, or refuses the command.
     pub async fn command(&self, command: heathward_core::OperatorCommand) {
-        let deadline = Instant::now() + PATIENCE;
+        let deadline = Instant::now() + TEST_TIMEOUT;
         admin::call(self.ops.expect("an admin address"), &admin::Request::Command(command), deadline)
             .await
             .expect("done");
--- a/testing/fakes/src/rig.rs
+++ b/testing/fakes/src/rig.rs
@@ -16,7 +16,7 @@
 
 use crate::attempt_ledger::AttemptLedger;
 use crate::message::{answer, listen};
-use crate::PATIENCE;
+use crate::TEST_TIMEOUT;
 
 /// Clients' connections that the front holds.
 pub const CONNECTIONS: usize = 32;
@@ -118,7 +118,7 @@
     /// # Panics
     /// If they are not in time.
     pub async fn until(&self, so: impl Fn(&Counters) -> bool) -> Counters {
-        let by = Instant::now() + PATIENCE;
+        let by = Instant::now() + TEST_TIMEOUT;
         loop {
             let counters = self.counters().await;
             if so(&counters) {
@@ -132,9 +132,9 @@
     /// Waits until no attempt is in flight.
     ///
     /// # Panics
-    /// If one still is after [`PATIENCE`].
+    /// If one still is after [`TEST_TIMEOUT`].
     pub async fn until_at_rest(&self) {
-        let by = Instant::now() + PATIENCE;
+        let by = Instant::now() + TEST_TIMEOUT;
         while self.attempts.in_flight_count() > 0 {
             assert!(Instant::now() < by, "in flight at rest: {:?}", self.attempts);
             sleep(Duration::from_millis(5)).await;
@@ -146,7 +146,7 @@
     /// # Panics
     /// If that does not come in time.
     pub async fn until_ready(&self, ready: bool) {
-        let by = Instant::now() + PATIENCE;
+        let by = Instant::now() + TEST_TIMEOUT;
         while self.core.status().ready != ready {
             assert!(Instant::now() < by, "never came: ready {ready}");
             sleep(Duration::from_millis(5)).await;
--- a/testing/fakes/src/staged.rs
+++ b/testing/fakes/src/staged.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use crate::message::{read_message, request, reserved};
-use crate::{config_text, scripted_node, Discovery, Does, Listed, Log, Program, Script};
+use crate::{config_text, scripted_node, Discovery, Listed, Log, NodeBehavior, Program, Script};
 
 /// Nodes, each with a shard of its own.
 pub const NODES: u32 = 6;
@@ -157,7 +157,7 @@
     let mut nodes = Vec::new();
     let mut scripts = Vec::new();
     for number in 0..NODES {
-        let script = Script::new(&[Does::Serve]);
+        let script = Script::new(&[NodeBehavior::Serve]);
         scripts.push(script.clone());
         let address = scripted_node(number, script, &log).await;
         let id = format!("s{number}");
@@ -184,11 +184,11 @@
 
     sleep_until(at(2500)).await;
     truth.silent.0 = now();
-    scripts[2].set(Does::Silent);
+    scripts[2].set(NodeBehavior::Silent);
 
     sleep_until(at(5000)).await;
     let started = now();
-    scripts[2].set(Does::Serve);
+    scripts[2].set(NodeBehavior::Serve);
     truth.silent.1 = started;
     truth.restarted = started;
     discovery.change("s2", |node| node.up_since_ms = u128::from(started / 1000));
--- a/testing/fault-injection/src/shutdown_soak/plan.rs
+++ b/testing/fault-injection/src/shutdown_soak/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use heathward_fakes::Does;
+use heathward_fakes::NodeBehavior;
 use serde::{Deserialize, Serialize};
 
 /// Deadlines of the class that clients use.
@@ -40,12 +40,12 @@
 
 impl NodeFault {
     /// What a fake node does then.
-    pub fn script(self) -> Does {
+    pub fn script(self) -> NodeBehavior {
         match self {
-            Self::None => Does::Serve,
-            Self::Hangs => Does::Silent,
-            Self::Resets => Does::Reset,
-            Self::Rejects => Does::Reject,
+            Self::None => NodeBehavior::Serve,
+            Self::Hangs => NodeBehavior::Silent,
+            Self::Resets => NodeBehavior::Reset,
+            Self::Rejects => NodeBehavior::Reject,
         }
     }
 }
--- a/testing/fault-injection/src/shutdown_soak/verdict.rs
+++ b/testing/fault-injection/src/shutdown_soak/verdict.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use heathward_fakes::Seen;
+use heathward_fakes::ReceivedRequest;
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -110,7 +110,7 @@
     /// Of all clients and the crowd.
     pub asked: Vec<Asked>,
     /// Of all nodes.
-    pub seen: Vec<Seen>,
+    pub seen: Vec<ReceivedRequest>,
     /// How the process ended.
     pub exit: Exit,
     /// When the next process was ready after its start, if it was.
@@ -161,13 +161,13 @@
 }
 
 fn request_breaches(observed: &Observed) -> Vec<Breach> {
-    let mut sent: HashMap<u32, Vec<&Seen>> = HashMap::new();
+    let mut sent: HashMap<u32, Vec<&ReceivedRequest>> = HashMap::new();
     let mut breaches = Vec::new();
     for seen in &observed.seen {
         if let Ok(id) = u32::from_str_radix(&seen.call, 16) {
             sent.entry(id).or_default().push(seen);
         }
-        if seen.beside != 1 {
+        if seen.open_attempts != 1 {
             breaches.push(Breach::Doubled(seen.call.clone()));
         }
     }
--- a/testing/fault-injection/tests/soak_verdict.rs
+++ b/testing/fault-injection/tests/soak_verdict.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use heathward_fakes::Seen;
+use heathward_fakes::ReceivedRequest;
 use heathward_fault_injection::shutdown_soak::clients::{Asked, Came};
 use heathward_fault_injection::shutdown_soak::plan::Stall;
 use heathward_fault_injection::shutdown_soak::verdict::{Exit, Observed};
@@ -24,8 +24,15 @@
     plan
 }
 
-fn seen(at: Instant) -> Seen {
-    Seen { node: 0, head: String::new(), call: format!("{ID:016x}"), body: Vec::new(), at, beside: 1 }
+fn seen(at: Instant) -> ReceivedRequest {
+    ReceivedRequest {
+        node: 0,
+        head: String::new(),
+        call: format!("{ID:016x}"),
+        body: Vec::new(),
+        at,
+        open_attempts: 1,
+    }
 }
 
 /// Guards against a stop that excuses what SIGKILL finds unanswered, where it may excuse the late exit alone;
--- a/testing/measure/src/fleet.rs
+++ b/testing/measure/src/fleet.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 use std::process::Command;
 
-use heathward_fakes::{answer, config_text, http_node, member, request, Does, Held, Log, Program, PATIENCE};
+use heathward_fakes::{
+    answer, config_text, http_node, member, request, Held, Log, NodeBehavior, Program, TEST_TIMEOUT,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Duration};
@@ -68,7 +70,7 @@
 
 /// What it holds idle, and at most after a load that reaches each node.
 async fn one(folder: &Path, nodes: u32) -> (Held, Held) {
-    let node = http_node(0, &[Does::Serve], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
     let program = start(folder, nodes, node);
     sleep(Duration::from_millis(100)).await;
     let idle = program.held();
@@ -80,7 +82,7 @@
             tokio::spawn(async move {
                 let mut stream = TcpStream::connect(front).await.expect("a front that listens");
                 stream.write_all(text.as_bytes()).await.expect("a request that is taken");
-                timeout(PATIENCE, answer(&mut stream)).await.expect("an answer").0
+                timeout(TEST_TIMEOUT, answer(&mut stream)).await.expect("an answer").0
             })
         });
         for ask in asks.collect::<Vec<_>>() {
--- a/testing/measure/src/report.rs
+++ b/testing/measure/src/report.rs
@@ -12,7 +12,7 @@
 use heathward_event_recorder::{ClockSkew, Recorder};
 use heathward_fakes::staged::{stage, unaccounted, untrue, SCHEDULERS};
 use heathward_fakes::{
-    answer, config_text, hour, http_node, member, request, rig, Does, Log, Program, PATIENCE,
+    answer, config_text, hour, http_node, member, request, rig, Log, NodeBehavior, Program, TEST_TIMEOUT,
 };
 use heathward_incident::{Incident, Missing, Window};
 use heathward_policy::settings::Deployment;
@@ -108,7 +108,7 @@
 
 /// Nanoseconds a request without and with records, of two schedulers in turn, round by round.
 async fn rounds_of_a_pair(folder: &Path) -> Vec<(f64, f64)> {
-    let node = http_node(0, &[Does::Serve], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
     let members = member("s0", node, 0, "in_service", 0);
     let start = |name: &str, operator: &str| {
         // Each has a place of its own: they are no two processes of one scheduler.
@@ -168,7 +168,7 @@
     });
     let mut served = 0;
     for client in clients.collect::<Vec<_>>() {
-        served += timeout(PATIENCE, client).await.expect("in time").expect("a client that ends");
+        served += timeout(TEST_TIMEOUT, client).await.expect("in time").expect("a client that ends");
     }
     assert!(served > 0, "nothing was served");
     (cpu(scheduler.id()) - before) as f64 / f64::from(served)
@@ -279,7 +279,7 @@
 
 /// Milliseconds that the core was held up at most, with a disk that is stuck and a queue that is soon full.
 async fn held_up() -> f64 {
-    let node = http_node(0, &[Does::Serve], &Log::default()).await;
+    let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
     let rig = rig(&[member("s0", node, 0, "in_service", 0)], None).await;
     let (disk, longest) = (Stuck::default(), Arc::new(Mutex::new(Duration::ZERO)));
     let (sender, waiting) = event_channel(64);
@@ -296,7 +296,7 @@
     }
     rig.core.set_observer(None).await;
     disk.release();
-    assert!(writer.finish(Instant::now() + PATIENCE), "the writer did not end");
+    assert!(writer.finish(Instant::now() + TEST_TIMEOUT), "the writer did not end");
     let longest = *longest.lock().expect("no holder panics");
     longest.as_secs_f64() * 1000.0
 }
--- a/testing/scale-tests/src/processes/fleet.rs
+++ b/testing/scale-tests/src/processes/fleet.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use heathward_fakes::{Program, PATIENCE};
+use heathward_fakes::{Program, TEST_TIMEOUT};
 use tokio::time::{sleep, Instant};
 
 use super::load::micros;
@@ -72,7 +72,7 @@
 /// Until each scheduler has been told the whole list.
 async fn told(services: &Services, schedulers: usize) {
     let whole = services.discovery.whole().len() * schedulers;
-    let by = Instant::now() + PATIENCE;
+    let by = Instant::now() + TEST_TIMEOUT;
     while services.discovery.bytes_sent() < whole as u64 {
         assert!(Instant::now() < by, "the list is never asked for");
         sleep(Duration::from_millis(10)).await;
--- a/testing/scale-tests/src/processes/lists.rs
+++ b/testing/scale-tests/src/processes/lists.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use heathward_fakes::{Program, PATIENCE};
+use heathward_fakes::{Program, TEST_TIMEOUT};
 use tokio::time::{sleep, Instant};
 
 use super::load::{load, micros, Placement};
@@ -68,7 +68,7 @@
 
     /// Until each has been told the whole list.
     async fn told(&self) {
-        let (whole, by) = (self.services.discovery.whole().len() as f64, Instant::now() + PATIENCE);
+        let (whole, by) = (self.services.discovery.whole().len() as f64, Instant::now() + TEST_TIMEOUT);
         while self.bytes() < whole {
             assert!(Instant::now() < by, "the list is never asked for");
             sleep(Duration::from_millis(10)).await;
--- a/testing/scale-tests/src/processes/services.rs
+++ b/testing/scale-tests/src/processes/services.rs
@@ -6,7 +6,7 @@
 use std::process::Command;
 use std::thread::{self, JoinHandle};
 
-use heathward_fakes::{config_text, http_node, member, Discovery, Does, Listed, Log, Program};
+use heathward_fakes::{config_text, http_node, member, Discovery, Listed, Log, NodeBehavior, Program};
 use tokio::sync::oneshot;
 
 /// Listeners behind all listed storage nodes: a system has fewer ports than the largest list has entries.
@@ -33,7 +33,7 @@
             super::run(async move {
                 let mut addresses = Vec::new();
                 for number in 0..LISTENERS {
-                    addresses.push(http_node(number, &[Does::Serve], &Log::default()).await);
+                    addresses.push(http_node(number, &[NodeBehavior::Serve], &Log::default()).await);
                 }
                 let listed: Vec<Listed> = (0..nodes).map(|number| entry(number, &addresses)).collect();
                 let discovery = Discovery::start(listed.clone()).await;
