--- a/crates/core/src/body.rs
+++ b/crates/core/src/body.rs
@@ -131,8 +131,8 @@
 }
 
 impl NodeReply {
-    /// Returns the length of the complete body in bytes; `None` if it is still being received and the node has
-    /// not announced it.
+    /// Returns the length of the complete body in bytes; `None` if it is still being received and the node
+    /// has not announced it.
     pub fn length(&self) -> Option<u64> {
         match self {
             Self::Buffered(body) => Some(body.len() as u64),
--- a/testing/fakes/src/nvme.rs
+++ b/testing/fakes/src/nvme.rs
@@ -23,8 +23,8 @@
 /// No data.
 pub const NONE: Sgl = Sgl::Transport { length: 0 };
 
-/// Starts a target that follows `script` and keeps what is written to it, and returns its address. Its log has
-/// the first block of a command in place of a request id, which this protocol behavior not transfer.
+/// Starts a target that follows `script` and keeps what is written to it, and returns its address. Its log
+/// has the first block of a command in place of a request id, which this protocol behavior not transfer.
 ///
 /// # Panics
 /// If there is no free port.
