--- a/testing/fakes/src/nvme.rs
+++ b/testing/fakes/src/nvme.rs
@@ -24,7 +24,7 @@
 pub const NONE: Sgl = Sgl::Transport { length: 0 };
 
 /// Starts a target that follows `script` and keeps what is written to it, and returns its address. Its log
-/// has the first block of a command in place of a request id, which this protocol behavior not transfer.
+/// has the first block of a command in place of a request id, which this protocol does not transfer.
 ///
 /// # Panics
 /// If there is no free port.
