Stand-ins: comments of the rig, discovery, the program and the ledger in the usual terms

Change: comments only. Measured: a comparison of the tokens without comments finds no changed place of code.

--- a/testing/fakes/src/attempt_ledger.rs
+++ b/testing/fakes/src/attempt_ledger.rs
@@ -1,5 +1,5 @@
-//! Holds the core to its rule on attempts: each one that was handed to the connections of a node has one end,
-//! and a request has one in flight at most.
+//! Checks the core's invariants on attempts: each attempt that was passed to the connections of a node ends
+//! once, and a request has at most one attempt in flight.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,7 +9,7 @@
 use heathward_policy::RequestId;
 use tokio::time::Instant;
 
-/// Follows the attempts in flight, as an observer of the core. All clones are one.
+/// Tracks the attempts in flight, as an observer of the core. Clones share their state.
 #[derive(Clone, Debug, Default)]
 pub struct AttemptLedger {
     /// The node of each attempt in flight.
@@ -17,7 +17,7 @@
 }
 
 impl AttemptLedger {
-    /// How many attempts are in flight.
+    /// Returns the number of attempts in flight.
     pub fn in_flight_count(&self) -> usize {
         self.lock().len()
     }
@@ -29,8 +29,8 @@
 
 impl Observer for AttemptLedger {
     /// # Panics
-    /// If an attempt begins while another one of its request is in flight, or has an end that is not its
-    /// first: the core ends with it, and so no test passes.
+    /// If an attempt begins while another one of its request is in flight, or ends twice. The core stops with
+    /// the panic, so that the test fails.
     fn observe(&mut self, _: Instant, observation: Observation<'_>) {
         match observation {
             Observation::AttemptSent { request, node, .. } => {
--- a/testing/fakes/src/discovery.rs
+++ b/testing/fakes/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: a list of nodes, and the watches at it.
+//! Fake discovery: an endpoint list and its watches.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,7 +13,7 @@
 use crate::message::{listen, read_message};
 use crate::TEST_TIMEOUT;
 
-/// A storage node's entry in the list.
+/// Returns the entry of a storage node in the endpoint list.
 pub fn member(id: &str, address: SocketAddr, shard: u32, phase: &str, up_since_ms: u128) -> String {
     format!(
         r#"{{"id":"{id}","host_port":"{address}","locality":"a","flavor":"m","cell":{shard},
@@ -21,10 +21,11 @@
     )
 }
 
-/// The next watch at a discovery of the test's own, and the head that asked for it.
+/// Accepts the next watch at a discovery address of the test; returns its connection and the head of its
+/// request.
 ///
 /// # Panics
-/// If no watch comes in time, or it breaks before its request is complete.
+/// If no watch is opened in time, or its connection fails before the request is complete.
 pub async fn watched(listener: &TcpListener) -> (TcpStream, String) {
     let (mut watch, _) =
         timeout(TEST_TIMEOUT, listener.accept()).await.expect("a watch").expect("a connection");
@@ -36,7 +37,7 @@
     (watch, head)
 }
 
-/// Tells something on a watch.
+/// Sends a line on a watch.
 ///
 /// # Panics
 /// If the watch is closed.
@@ -45,18 +46,18 @@
     watch.write_all(chunk.as_bytes()).await.expect("the watch is open");
 }
 
-/// A node as the list has it.
+/// A node in the endpoint list.
 #[derive(Clone, Debug)]
 pub struct Listed {
-    /// Its id.
+    /// Id of the node.
     pub id: String,
-    /// Where it is.
+    /// Address of the node.
     pub address: SocketAddr,
-    /// Its shard.
+    /// Shard of the node.
     pub shard: u32,
     /// `in_service`, `terminating` or `terminated`.
     pub phase: &'static str,
-    /// When it started, Unix time in milliseconds; 0 where that is long ago.
+    /// Time of its last start as Unix time in milliseconds; 0 if that is long ago.
     pub up_since_ms: u128,
 }
 
@@ -71,10 +72,10 @@
     nodes: Vec<Listed>,
 }
 
-/// Discovery for a fleet: the list, and each change of it to all that watch; an empty line every second.
+/// Discovery for a fleet: sends the list and each change to all watches, and an empty line every second.
 #[derive(Clone)]
 pub struct Discovery {
-    /// Where it is.
+    /// Address of the node.
     pub address: SocketAddr,
     book: Arc<Mutex<Book>>,
     changes: broadcast::Sender<String>,
@@ -83,17 +84,17 @@
 }
 
 impl Discovery {
-    /// Bytes sent on all watches so far, heads and chunk framing included.
+    /// Number of bytes sent on all watches so far, including heads and chunk framing.
     pub fn bytes_sent(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
     }
 
-    /// Calls that were taken so far; each is answered by a watch.
+    /// Number of calls accepted so far; each opens a watch.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
     }
 
-    /// Lists these nodes.
+    /// Starts discovery with these nodes.
     ///
     /// # Panics
     /// If there is no free port.
@@ -112,7 +113,7 @@
         new
     }
 
-    /// The list as it stands, on one line.
+    /// Returns the current list on one line.
     ///
     /// # Panics
     /// If a holder of the list panicked.
@@ -122,7 +123,7 @@
         format!(r#"{{"revision":{},"complete":true,"members":[{}]}}"#, book.revision, members.join(","))
     }
 
-    /// A node changes; all that watch are told.
+    /// Changes a node, and sends the change on all watches.
     ///
     /// # Panics
     /// If no such node is listed, or a holder of the list panicked.
@@ -133,7 +134,7 @@
         let node = book.nodes.iter_mut().find(|node| node.id == id).expect("a listed node");
         change(node);
         let line = format!(r#"{{"revision":{revision},"complete":false,"members":[{}]}}"#, node.line());
-        // Nobody may be watching.
+        // No watch may be open.
         let _ = self.changes.send(line);
     }
 
--- a/testing/fakes/src/message.rs
+++ b/testing/fakes/src/message.rs
@@ -1,4 +1,4 @@
-//! HTTP messages as a client and a storage node read and write them.
+//! HTTP messages of clients and storage nodes.
 
 use std::net::SocketAddr;
 
@@ -35,7 +35,7 @@
     }
 }
 
-/// A node with a full queue of connections.
+/// Starts a node whose queue of connections is full.
 ///
 /// # Panics
 /// If there is no free port.
@@ -44,7 +44,7 @@
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
     let address = socket.local_addr().expect("a bound socket");
     let listener = socket.listen(1).expect("a bound socket");
-    // A queue of one takes two.
+    // A queue of length one holds two connections.
     let mut waiting = Vec::new();
     for _ in 0..2 {
         waiting.push(TcpStream::connect(address).await.expect("a place in the queue"));
@@ -76,7 +76,7 @@
     (socket, address)
 }
 
-/// Reads one HTTP message: its head in lower case, its head as it came, and its body.
+/// Reads one HTTP message; returns its head in lower case, its head as received, and its body.
 ///
 /// # Panics
 /// If the length or the size of a chunk is not a number.
@@ -113,7 +113,7 @@
     Some((small, head, body))
 }
 
-/// What chunks hold, once the last of them is there.
+/// Decodes a chunked body; `None` if its last chunk has not been received.
 fn unchunk(mut bytes: &[u8]) -> Option<Vec<u8>> {
     let mut whole = Vec::new();
     loop {
@@ -128,22 +128,22 @@
     }
 }
 
-/// The value of a header in a head of lower case.
+/// Returns the value of a header in a head in lower case.
 pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
 }
 
-/// Status, head and body of the answer that comes.
+/// Receives an answer; returns its status, its head in lower case and its body.
 ///
 /// # Panics
-/// If no complete answer comes in time, or its status is not a number.
+/// If no complete answer arrives in time, or its status is not a number.
 pub async fn answer(stream: &mut TcpStream) -> (u16, String, Vec<u8>) {
     let (small, _, body) =
         timeout(TEST_TIMEOUT, read_message(stream)).await.expect("in time").expect("whole");
     (small[9..12].parse().expect("a status"), small, body)
 }
 
-/// A client's request of two units.
+/// Returns a client's request of two units.
 pub fn request(class: &str, call: u32, shard: i32, budget: u32, body: &str) -> String {
     let method = if class == "pedido" { "PUT" } else { "GET" };
     let once = if class == "pedido" { format!("Idempotency-Key: k{call}\r\n") } else { String::new() };
--- a/testing/fakes/src/program.rs
+++ b/testing/fakes/src/program.rs
@@ -1,4 +1,4 @@
-//! The program itself, in a process of its own.
+//! The program as a separate process.
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -12,32 +12,32 @@
 
 use crate::TEST_TIMEOUT;
 
-/// What a process holds.
+/// The resources that a process uses.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
-    /// Memory now, kilobytes.
+    /// Current memory, in kilobytes.
     pub resident_kb: usize,
-    /// The same at most.
+    /// Peak memory, in kilobytes.
     pub peak_kb: usize,
-    /// Its threads.
+    /// Number of threads.
     pub threads: usize,
-    /// Its descriptors.
+    /// Number of open file descriptors.
     pub descriptors: usize,
 }
 
-/// A scheduler that runs; killed when dropped.
+/// A running scheduler; it is killed when this is dropped.
 pub struct Program {
     child: Child,
-    /// Lines of its log, read as they come, so that it never waits for whoever reads.
+    /// Lines of its log, which are read at once, so that the program never blocks on them.
     log: Receiver<String>,
-    /// Its second address, where it has one.
+    /// Its admin address, if it has one.
     pub ops: Option<SocketAddr>,
-    /// Where its clients connect.
+    /// The address that clients connect to.
     pub listen: SocketAddr,
 }
 
 impl Program {
-    /// Starts it, and waits until it listens.
+    /// Starts the program, and waits until it listens.
     ///
     /// # Panics
     /// If the program does not start.
@@ -62,10 +62,10 @@
         }
     }
 
-    /// Its next line that says so.
+    /// Returns the next line of the log that contains the text.
     ///
     /// # Panics
-    /// If the program does not write that in time.
+    /// If the program does not write such a line in time.
     pub fn until(&mut self, what: &str) -> String {
         loop {
             let line = self.log.recv_timeout(TEST_TIMEOUT);
@@ -76,7 +76,7 @@
         }
     }
 
-    /// What its second address answers to a line.
+    /// Sends a line to the admin address, and returns the answer.
     ///
     /// # Panics
     /// If the program has no admin address, or does not answer in time.
@@ -89,7 +89,7 @@
         told
     }
 
-    /// Has a command carried out.
+    /// Sends a command to the admin address, which must carry it out.
     ///
     /// # Panics
     /// If the program has no admin address, or refuses the command.
@@ -100,15 +100,15 @@
             .expect("done");
     }
 
-    /// Its process.
+    /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
 
-    /// What it holds now.
+    /// Returns the resources that the process uses now.
     ///
     /// # Panics
-    /// If it does not run.
+    /// If the process does not run.
     pub fn held(&self) -> Held {
         let root = format!("/proc/{}", self.child.id());
         let status = std::fs::read_to_string(format!("{root}/status")).expect("the process runs");
@@ -125,10 +125,10 @@
         }
     }
 
-    /// Kills it, without a chance for last words.
+    /// Kills the process with SIGKILL.
     pub fn kill(self) {}
 
-    /// Sends it a signal by name.
+    /// Sends a signal to the process, by name.
     ///
     /// # Panics
     /// If `kill` does not run, or fails.
@@ -138,7 +138,7 @@
         assert!(status.success());
     }
 
-    /// Waits until it ends by itself, with nothing wrong; gives back what it said meanwhile.
+    /// Waits until the process exits by itself with code 0, and returns what it logged meanwhile.
     ///
     /// # Panics
     /// If the program ends with another exit code than 0.
@@ -149,7 +149,7 @@
         said
     }
 
-    /// Ends it by SIGTERM.
+    /// Sends SIGTERM, and waits until the process has exited.
     pub fn end(self) -> String {
         self.signal("-TERM");
         self.ended()
@@ -158,7 +158,7 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
-        // One that has ended by itself is none to kill.
+        // The process may have exited by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/testing/fakes/src/rig.rs
+++ b/testing/fakes/src/rig.rs
@@ -1,4 +1,4 @@
-//! The scheduler's core and HTTP front in this process, before stand-in nodes.
+//! The scheduler's core and HTTP front within the test's process, in front of fake nodes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,13 +18,13 @@
 use crate::message::{answer, listen};
 use crate::TEST_TIMEOUT;
 
-/// Clients' connections that the front holds.
+/// The most client connections of the front.
 pub const CONNECTIONS: usize = 32;
 
-/// Descriptors of its connections to nodes.
+/// The most descriptors of connections to nodes.
 pub const NODE_SOCKETS: usize = 64;
 
-/// A configuration whose known list is `members`.
+/// Returns a configuration whose cached endpoint list is `members`.
 pub fn config_text(listen: &str, discovery: &str, members: &str) -> String {
     let class = |name: &str, aim: u32, deadline: u32, repeat: &str| {
         format!(
@@ -53,24 +53,24 @@
     )
 }
 
-/// The scheduler before such nodes.
+/// A scheduler in front of fake nodes.
 pub struct Rig {
     /// The core.
     pub core: CoreHandle,
-    /// Where its HTTP front listens.
+    /// The address of its HTTP front.
     pub front: SocketAddr,
-    /// The attempts that the core has in flight, by what it tells its observer.
+    /// The attempts that the core has in flight, as its observer sees them.
     pub attempts: AttemptLedger,
-    /// Ends it when dropped.
+    /// Stops the fronts when dropped.
     pub _stop: watch::Sender<bool>,
 }
 
-/// With that list of nodes.
+/// Starts a scheduler with this endpoint list.
 pub async fn rig(members: &[String], nvme: Option<Arc<NvmeMap>>) -> Rig {
     rig_of(&config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(",")), nvme).await
 }
 
-/// With that configuration.
+/// Starts a scheduler with this configuration.
 ///
 /// # Panics
 /// If the configuration is not valid.
@@ -105,18 +105,18 @@
 }
 
 impl Rig {
-    /// The counters now.
+    /// Returns the current counters.
     ///
     /// # Panics
-    /// If the core has ended.
+    /// If the core has stopped.
     pub async fn counters(&self) -> Counters {
         self.core.metrics().await.expect("the core runs").counters
     }
 
-    /// Waits until the counters are so.
+    /// Waits until the counters meet the condition, and returns them.
     ///
     /// # Panics
-    /// If they are not in time.
+    /// If they do not meet it in time.
     pub async fn until(&self, so: impl Fn(&Counters) -> bool) -> Counters {
         let by = Instant::now() + TEST_TIMEOUT;
         loop {
@@ -144,7 +144,7 @@
     /// Waits until the core is ready, or no longer is.
     ///
     /// # Panics
-    /// If that does not come in time.
+    /// If that does not happen in time.
     pub async fn until_ready(&self, ready: bool) {
         let by = Instant::now() + TEST_TIMEOUT;
         while self.core.status().ready != ready {
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Asks on a connection of its own.
+    /// Sends a request on a new connection, and returns the status, the head and the body of its answer.
     ///
     /// # Panics
     /// If the front does not answer in time.
