--- a/crates/scheduler/tests/net/incomplete_transfers.rs
+++ b/crates/scheduler/tests/net/incomplete_transfers.rs
@@ -14,7 +14,7 @@
 use heathward_fakes::nvme::*;
 use heathward_fakes::*;
 
-use crate::mixed_rig::{start_mixed, MixedRig};
+use crate::mixed_rig::{start_mixed, start_mixed_with, MixedRig};
 
 /// Length of the data of a command, in bytes; more than fits in a capsule of the target.
 const LARGE: usize = 32 * 1024;
@@ -97,6 +97,18 @@
     assert_eq!(mixed.rig.counters().await.attempts_written, 0);
 }
 
+/// Guards against a second execution of a write that must run once: a target that completes it with success
+/// after a part of its data may have written that part.
+#[tokio::test]
+async fn a_write_that_must_run_once_is_not_repeated_after_an_early_success() {
+    let script = [NodeBehavior::RequestBytes(SMALL), NodeBehavior::Serve];
+    let run_once = |configuration: String| configuration.replace("\"guarded\"", "\"single_shot\"");
+    let mixed = start_mixed_with(&script, 0, run_once).await;
+    let mut host = Host::connect(mixed.address).await;
+    assert_eq!(host.write(1, TARGET, vec![7; LARGE]).await, Status::INTERNAL.without_retry());
+    check_attempts(&mixed, 1, 0).await;
+}
+
 /// A write that a target has completed too early is repeated on another connection, with all its data.
 #[tokio::test]
 async fn a_write_that_a_target_completed_too_early_is_repeated_completely() {
--- a/crates/scheduler/tests/net/mixed_rig.rs
+++ b/crates/scheduler/tests/net/mixed_rig.rs
@@ -38,6 +38,15 @@
 
 /// Starts the scheduler with both fronts. The HTTP node and the target both follow `script`.
 pub async fn start_mixed(script: &[NodeBehavior], up_since_ms: u128) -> MixedRig {
+    start_mixed_with(script, up_since_ms, |configuration| configuration).await
+}
+
+/// Starts the scheduler with both fronts as [`start_mixed`] does, with a changed configuration.
+pub async fn start_mixed_with(
+    script: &[NodeBehavior],
+    up_since_ms: u128,
+    change: impl Fn(String) -> String,
+) -> MixedRig {
     let log = Log::default();
     let http = http_node(0, script, &log).await;
     let target = target(1, script, &log).await;
@@ -47,9 +56,10 @@
         member("s1", target, 1, "in_service", up_since_ms),
         member("s2", unused_address, 2, "in_service", 0),
     ];
-    let deployment = heathward_config::parse_configuration(&config_text("127.0.0.1:1", "127.0.0.1:1", ""));
-    let map = Arc::new(NvmeMap::parse(&map(), &deployment.unwrap().deployment).unwrap());
-    let rig = rig(&members, Some(map.clone())).await;
+    let text = change(config_text("127.0.0.1:1", "127.0.0.1:1", &members.join(",")));
+    let deployment = heathward_config::parse_configuration(&text).unwrap().deployment;
+    let map = Arc::new(NvmeMap::parse(&map(), &deployment).unwrap());
+    let rig = rig_of(&text, Some(map.clone())).await;
     let subsystem = Subsystem::new(map, rig.core.clone(), 1);
     let (listener, address) = listen().await;
     let (stop, stopping) = watch::channel(false);
