Fault injection: comments of the fakes, the links and the clients in the usual terms

Change: comments of clients.rs, link.rs, node.rs, play.rs, processor_time.rs, rogue.rs and lib.rs, nothing else. Measured: a comparison of the tokens without comments finds no changed place of code.

--- a/testing/fault-injection/src/clients.rs
+++ b/testing/fault-injection/src/clients.rs
@@ -1,4 +1,5 @@
-//! Clients of one host: requests at random moments, each on a connection of its own, each answer noted.
+//! Clients of one scheduler: they send requests at random times, each on its own connection, and log the
+//! answers.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -17,20 +18,20 @@
 use crate::audit::Entry;
 use crate::play::Play;
 
-/// What clients ask for.
+/// The load that clients generate.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
-    /// Requests a second at each host.
+    /// Requests per second at each scheduler.
     pub rate: f64,
-    /// How many of them are keyed writes.
+    /// Fraction of the requests that are keyed writes.
     pub writes: f64,
-    /// Shards, from 0.
+    /// Number of shards; their ids begin at 0.
     pub shards: u32,
-    /// How long they wait.
+    /// Time for which a client waits for its answer.
     pub budget: Duration,
 }
 
-/// All clients of all hosts; clones are one.
+/// The clients of all schedulers; clones share their state.
 #[derive(Clone)]
 pub struct Clients {
     play: Play,
@@ -39,16 +40,18 @@
 }
 
 impl Clients {
-    /// None yet.
+    /// Creates the clients; none of them sends requests yet.
     pub fn new(play: &Play, load: Load) -> Self {
         Self { play: play.clone(), load, calls: Arc::default() }
     }
 
-    /// Asks that host until the end is told. A host that nobody listens at is asked again later.
+    /// Sends requests to a scheduler until the sender of its address is dropped. A request that is due while
+    /// no process listens is left out.
     pub async fn ask(self, host: u32, at: watch::Receiver<Option<SocketAddr>>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         let Ok(pauses) = Exp::new(self.load.rate) else { return };
-        // Counted from the request before, so that a machine under load makes them late and not fewer.
+        // Due times count from the request before, so that a busy machine delays requests but does not reduce
+        // their number.
         let mut due = Instant::now();
         loop {
             due += Duration::from_secs_f64(pauses.sample(&mut rng));
@@ -76,12 +79,12 @@
             self.play.note(Entry::GaveUp { call, at: self.play.now() });
             return None;
         };
-        // A broken connection brings no answer, which the auditor sees.
+        // If the connection fails there is no answer, which the auditor detects.
         let (head, _, body) = answer?;
         let status: u16 = head.get(9..12)?.parse().ok()?;
         let at = self.play.now();
         self.play.note(Entry::Answered { call, at, status });
-        // Nothing may come behind it: neither with it, nor a little later.
+        // Nothing may follow the answer, neither at once nor a little later.
         let length = header(&head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
         if body.len() > length || timeout(MORE, read_message(&mut stream)).await.ok()?.is_some() {
             let at = self.play.now();
@@ -91,17 +94,17 @@
     }
 }
 
-/// Clients read for so long beyond the time that they tell, so that a late answer is seen. More than the
-/// slack of the rules.
+/// How long clients read beyond their time budget, so that late answers are logged. It is longer than the
+/// tolerance of the rules.
 pub(crate) const LATE_ANSWER_TIME: Duration = Duration::from_secs(1);
 
-/// A second answer is waited for so long.
+/// How long clients wait for a second answer.
 const MORE: Duration = Duration::from_millis(20);
 
 /// Units of each request.
 const UNITS: u64 = 2;
 
-/// A request whose path tells its node what it is: of its headers few pass a scheduler.
+/// Returns a request whose path holds its parameters, as a scheduler forwards few of its headers.
 fn request(call: u32, shard: u32, write: bool, budget: Duration) -> String {
     let (volume, piece) = (call % 50, UNITS << 32 | u64::from(shard));
     let (method, class) = if write { ("PUT", "pedido") } else { ("GET", "consulta") };
@@ -115,7 +118,7 @@
     )
 }
 
-/// Volume, shard and units of a request, by its path.
+/// Returns the volume, the shard and the units of a request, from its path.
 pub(crate) fn told_by_path(head: &str) -> Option<(u64, u32, u32)> {
     let mut parts = head.split_whitespace().nth(1)?.split('/').skip(2);
     let hex = |text: &str| u64::from_str_radix(text, 16).ok();
--- a/testing/fault-injection/src/lib.rs
+++ b/testing/fault-injection/src/lib.rs
@@ -1,5 +1,5 @@
-//! The failure rig: many processes of the program before stand-ins of everything around them, faults between
-//! them by a scenario, and an auditor that judges by the stand-ins' logs alone.
+//! Fault injection: many processes of the program among fakes of everything around them, with faults from a
+//! scenario, and an auditor that checks the invariants by the logs of the fakes alone.
 
 pub mod audit;
 pub mod clients;
--- a/testing/fault-injection/src/link.rs
+++ b/testing/fault-injection/src/link.rs
@@ -1,5 +1,5 @@
-//! Faults on connections. Each stand-in passes what it accepts through a link: what the other side writes is
-//! held up, swallowed or cut there, and so is what the stand-in answers. No packet filter, no rights.
+//! Network faults. Each fake passes its connections through a link, which can delay, hold or cut the data in
+//! either direction. This needs no packet filter and no privileges.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,35 +8,35 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// How a link is, for one direction or both.
+/// The mode of a link in one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkMode {
-    /// As it should be.
+    /// Data passes.
     #[default]
     Open,
-    /// So late.
+    /// Data passes after this delay.
     Late(Duration),
-    /// Nothing passes for now; it does once the link is open again.
+    /// Data is held until the link is open again.
     Paused,
-    /// Nothing passes, and once the link is open again such a connection resets, as with a machine that was
-    /// cut off.
+    /// Data is held, and its connection is reset once the link is open again, as that of a machine that was
+    /// disconnected.
     Silent,
 }
 
-/// A link's state.
+/// The state of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct State {
-    /// From a scheduler to the stand-in.
+    /// From a scheduler to the fake.
     pub there: LinkMode,
-    /// Back.
+    /// From the fake to the scheduler.
     pub back: LinkMode,
-    /// New connections are refused.
+    /// Whether new connections are refused.
     pub refused: bool,
-    /// Counts up: connections from before are reset.
+    /// Number of resets; each one resets all connections that were opened before it.
     pub resets: u32,
 }
 
-/// One side's hold of a link; all clones are one.
+/// A link; clones share its state.
 #[derive(Clone, Debug)]
 pub struct Link(Arc<watch::Sender<State>>);
 
@@ -46,46 +46,46 @@
     }
 }
 
-/// What was on a link is no more.
+/// The connection was reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Broken;
 
 impl Link {
-    /// Changes it.
+    /// Changes the state.
     pub fn change(&self, change: impl FnOnce(&mut State)) {
         self.0.send_modify(change);
     }
 
-    /// As it is now.
+    /// Returns the current state.
     pub fn state(&self) -> State {
         *self.0.borrow()
     }
 
-    /// Waits until it is refused, or is no longer.
+    /// Waits until new connections are refused, or are no longer refused.
     pub async fn until_refused(&self, refused: bool) {
         let mut states = self.0.subscribe();
-        // The sender is held here.
+        // Can't fail, as `self` holds the sender.
         let _ = states.wait_for(|state| state.refused == refused).await;
     }
 
-    /// Waits until a connection made at that count of resets is reset.
+    /// Waits until a connection that was opened at that number of resets is reset.
     pub async fn until_reset(&self, since: u32) {
         let mut states = self.0.subscribe();
         let _ = states.wait_for(|state| state.resets != since).await;
     }
 
-    /// What came passes there.
+    /// Waits until data of the scheduler passes.
     ///
     /// # Errors
-    /// [`Broken`] where the connection is lost with it.
+    /// [`Broken`] if the connection is reset.
     pub async fn pass_there(&self) -> Result<(), Broken> {
         self.pass(|state| state.there).await
     }
 
-    /// What is answered passes back.
+    /// Waits until data of the fake passes.
     ///
     /// # Errors
-    /// [`Broken`] where the connection is lost with it.
+    /// [`Broken`] if the connection is reset.
     pub async fn pass_back(&self) -> Result<(), Broken> {
         self.pass(|state| state.back).await
     }
@@ -107,9 +107,9 @@
     }
 }
 
-/// Ends a connection so that the other side sees a reset.
+/// Closes a connection with a reset.
 pub fn reset(stream: TcpStream) {
-    // A connection that is gone already needs none.
+    // The connection may be closed already.
     let _ = stream.set_zero_linger();
     drop(stream);
 }
--- a/testing/fault-injection/src/node.rs
+++ b/testing/fault-injection/src/node.rs
@@ -1,4 +1,4 @@
-//! A storage node: it serves so many requests at a time, has a queue, starts cold, and logs what came.
+//! A fake storage node with limited concurrency, a queue and a slow start, which logs its requests.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -16,38 +16,38 @@
 use crate::link::{reset, Link};
 use crate::play::Play;
 
-/// What a node can do.
+/// The capacity of a node.
 #[derive(Clone, Copy, Debug)]
 pub struct Ability {
-    /// Requests at a time.
+    /// Number of requests that it executes at a time.
     pub cores: usize,
-    /// Requests that wait beside; one more is turned away.
+    /// Length of its queue; further requests are rejected.
     pub queue: u32,
-    /// For one unit, warm.
+    /// Service time of one unit when warm.
     pub unit: Duration,
-    /// For a new connection.
+    /// Time to establish a connection.
     pub connection: Duration,
-    /// How it starts.
+    /// Its slow start.
     pub cold: Cold,
 }
 
-/// A node; all clones are one.
+/// A node; clones share its state.
 #[derive(Clone)]
 pub struct Node {
-    /// Its number, which is its shard too.
+    /// Its number, which is also its shard.
     pub number: u32,
     ability: Ability,
     play: Play,
     places: Arc<Semaphore>,
     held: Arc<AtomicU32>,
-    /// When it began cold, microseconds of the play; 0 where that is long ago.
+    /// Time of its last cold start, in microseconds of the play; 0 if that is long ago.
     began: Arc<AtomicU64>,
-    /// New connections, each with the moment that it came.
+    /// Times at which connections were opened.
     connections: Arc<std::sync::Mutex<Vec<u64>>>,
 }
 
 impl Node {
-    /// A warm one.
+    /// Creates a warm node.
     pub fn new(number: u32, ability: Ability, play: &Play) -> Self {
         Self {
             number,
@@ -60,19 +60,19 @@
         }
     }
 
-    /// It begins anew, cold.
+    /// Restarts the node, which is cold then.
     pub fn begin(&self) {
         let at = self.play.now().max(1);
         self.began.store(at, Ordering::Relaxed);
         self.play.note(Entry::NodeStarted { node: self.number, at });
     }
 
-    /// When its connections came, microseconds of the play.
+    /// Returns the times at which its connections were opened, in microseconds of the play.
     pub fn connections(&self) -> Vec<u64> {
         self.connections.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
     }
 
-    /// What it can do now, of the whole.
+    /// Returns the fraction of its capacity that is available now.
     fn share(&self) -> f64 {
         let Cold { share, time, .. } = self.ability.cold;
         match self.began.load(Ordering::Relaxed) {
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Listens for one host, behind a link.
+    /// Listens for one scheduler, behind a link.
     ///
     /// # Errors
     /// Where no port can be had.
@@ -146,7 +146,7 @@
         stream.write_all(answer).await.ok()
     }
 
-    /// Its turn and its work; not at all where the queue is full.
+    /// Waits in the queue and executes a request; rejects it if the queue is full.
     async fn serve(&self, units: u32) -> bool {
         let most = self.ability.cores as u32 + self.ability.queue;
         if self.held.fetch_add(1, Ordering::Relaxed) >= most {
@@ -161,7 +161,7 @@
     }
 }
 
-/// Notes that an attempt is over, however it ends.
+/// Logs the end of an attempt when dropped, however it ends.
 struct Over<'a> {
     node: &'a Node,
     call: u32,
@@ -174,7 +174,7 @@
     }
 }
 
-/// Listens there; the port of 0 is chosen by the system.
+/// Listens at an address; the operating system chooses the port if it is 0.
 pub(crate) fn listen_at(address: SocketAddr) -> std::io::Result<(SocketAddr, TcpListener)> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
@@ -183,7 +183,7 @@
     Ok((listener.local_addr()?, listener))
 }
 
-/// Hands over what connects there, while the link is not refused: then nobody listens.
+/// Accepts connections while the link does not refuse them; otherwise nothing listens.
 pub(crate) fn serve(
     address: SocketAddr,
     first: TcpListener,
@@ -208,13 +208,13 @@
     });
 }
 
-/// Waits for the other side's end of a connection that brings nothing more.
+/// Waits until the peer closes a connection on which nothing more is sent.
 pub(crate) async fn until_closed(stream: &mut TcpStream) {
     let mut rest = [0; 256];
     while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
 }
 
-/// A moment some time from now.
+/// Returns the instant that is this long from now.
 pub(crate) fn after(span: Duration) -> Instant {
     Instant::now() + span
 }
--- a/testing/fault-injection/src/play.rs
+++ b/testing/fault-injection/src/play.rs
@@ -1,4 +1,4 @@
-//! What a play shares: its clock and its log.
+//! The clock and the log that all parts of a play share.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -6,10 +6,10 @@
 
 use crate::audit::{Entry, Micros};
 
-/// Entries of a play at most; what is more is counted.
+/// The most entries of a log; further ones are only counted.
 const MAX_ENTRIES: usize = 2_000_000;
 
-/// The clock and the log of one play; all clones are one.
+/// The clock and the log of one play; clones share them.
 #[derive(Clone, Debug)]
 pub struct Play {
     begin: Instant,
@@ -23,17 +23,17 @@
 }
 
 impl Play {
-    /// Microseconds since it began.
+    /// Returns the time since the play began, in microseconds.
     pub fn now(&self) -> Micros {
         self.at(Instant::now())
     }
 
-    /// The same for another moment.
+    /// Returns the time from the beginning of the play to an instant, in microseconds.
     pub fn at(&self, moment: Instant) -> Micros {
         moment.saturating_duration_since(self.begin).as_micros() as Micros
     }
 
-    /// Writes it down.
+    /// Logs an entry.
     pub fn note(&self, entry: Entry) {
         let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         if log.0.len() < MAX_ENTRIES {
@@ -43,7 +43,7 @@
         }
     }
 
-    /// All so far, and how many were too many.
+    /// Returns the log, and the number of entries that were only counted.
     pub fn log(&self) -> (Vec<Entry>, u64) {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
--- a/testing/fault-injection/src/processor_time.rs
+++ b/testing/fault-injection/src/processor_time.rs
@@ -1,9 +1,9 @@
-//! How long a process has waited for a processor, as the system counts it.
+//! The time for which a process has waited for a processor, as counted by the operating system.
 
 use std::time::Duration;
 
-/// How long the main thread of a process was ready to run and did not, since its start. It is up to date once
-/// the thread has run, or has ended. `None` if there is no such process.
+/// Returns the time for which the main thread of a process was ready to run but did not, since its start. It
+/// is updated whenever the thread runs. `None` if the process does not exist.
 pub fn processor_wait(id: u32) -> Option<Duration> {
     let statistics = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
     let waited_ns = statistics.split_whitespace().nth(1)?.parse().ok()?;
--- a/testing/fault-injection/src/rogue.rs
+++ b/testing/fault-injection/src/rogue.rs
@@ -1,4 +1,4 @@
-//! A scheduler stand-in that breaks one rule on purpose, by which the auditor is known to see it.
+//! A fake scheduler that breaks one rule on purpose, to check that the auditor detects it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,31 +11,31 @@
 
 use crate::clients::told_by_path;
 
-/// What it does wrong.
+/// The rule that it breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Planted {
-    /// Nothing.
+    /// It breaks no rule.
     Sound,
     /// It never answers.
     Mute,
-    /// It answers so much later than it could.
+    /// It delays its answer by this time.
     Late(Duration),
     /// It answers twice.
     Twice,
-    /// It sends a second attempt beside the first.
+    /// It sends a second attempt while the first is in flight.
     AtOnce,
-    /// It sends to the node beside the right one.
+    /// It sends to the node next to the right one.
     OtherShard,
-    /// It sends so often, one attempt after the other.
+    /// It sends this number of attempts, one after the other.
     Again(u32),
-    /// It sends once more after so long, with the answer given.
+    /// It sends another attempt this long after the answer.
     Later(Duration),
 }
 
-/// Listens in place of a scheduler that knows such nodes, by shard, whatever lists say of them.
+/// Listens in place of a scheduler whose nodes are these, by shard, whatever the endpoint lists say.
 ///
 /// # Errors
-/// Where no port can be had.
+/// No port is free.
 pub async fn rogue(nodes: Vec<SocketAddr>, planted: Planted) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let (address, nodes) = (listener.local_addr()?, Arc::new(nodes));
