Fault injection: comments of the lists, and names of the samples of processor time

Change: comments of lists.rs; SAMPLE_INTERVAL and MIN_STARVATION in fleet.rs. Measured: a comparison of the tokens without comments finds these two renames and no other change.

--- a/testing/fault-injection/src/fleet.rs
+++ b/testing/fault-injection/src/fleet.rs
@@ -406,29 +406,30 @@
     link.change(|state| (state.there, state.back, state.refused) = (LinkMode::Open, LinkMode::Open, false));
 }
 
-/// Notes when a process waited for a processor for most of a while, by what the system counts.
+/// Logs the times at which a process waited for a processor for most of a sample, as counted by the operating
+/// system.
 async fn watch_over(host: u32, id: u32, play: Play) {
     let mut before = None;
     loop {
         let from = play.now();
-        sleep(LOOK).await;
-        // It has ended.
+        sleep(SAMPLE_INTERVAL).await;
+        // The process may have exited.
         let Some(waited) = processor_wait(id) else { return };
         let waited = waited.as_micros() as Micros;
         let to = play.now();
         let waited_more = waited.saturating_sub(before.replace(waited).unwrap_or(waited));
-        let rig_late = (to - from).saturating_sub(LOOK.as_micros() as Micros);
+        let rig_late = (to - from).saturating_sub(SAMPLE_INTERVAL.as_micros() as Micros);
         let lost = waited_more.max(rig_late);
-        if lost > STARVED {
+        if lost > MIN_STARVATION {
             play.note(Entry::Starved { host, span: Span::new(to.saturating_sub(lost), to) });
         }
     }
 }
 
-/// How often a host's processor time is looked at.
-const LOOK: Duration = Duration::from_millis(200);
-/// A host that waited for a processor for so long, microseconds, may answer late.
-const STARVED: Micros = 150_000;
+/// Interval at which the processor time of a scheduler is sampled.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
+/// The shortest wait for a processor within a sample, in microseconds, that excuses a late answer.
+const MIN_STARVATION: Micros = 150_000;
 
 /// When it answers 200 on health, after its start; `None` where it never does within 20 s.
 async fn until_ready(listen: SocketAddr, began: Instant) -> Option<Micros> {
--- a/testing/fault-injection/src/lists.rs
+++ b/testing/fault-injection/src/lists.rs
@@ -1,4 +1,5 @@
-//! Lists: the truth about nodes, an agent for each host, and one service for all with a cost.
+//! Fake discovery: the endpoint list, an agent for each scheduler, or one service for all with limited
+//! capacity.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,73 +18,73 @@
 use crate::play::Play;
 use crate::service::Costs;
 
-/// What a broken watch misses counts as told so long after it fell silent.
+/// How long after a watch has fallen silent a change that it missed counts as notified.
 const TOLD_BY: Micros = 6_000_000;
-/// An empty line comes so often.
+/// Interval of the heartbeats, which are empty lines.
 const BEAT: Duration = Duration::from_secs(2);
 
-/// A node in the list.
+/// A node in the endpoint list.
 #[derive(Clone, Debug)]
 pub struct Listed {
-    /// Its number, which is its shard too.
+    /// Its number, which is also its shard.
     pub node: u32,
     /// `in_service`, `terminating` or `terminated`.
     pub phase: &'static str,
-    /// When it started, Unix time in milliseconds; 0 where that is long ago.
+    /// Time of its last start as Unix time in milliseconds; 0 if that is long ago.
     pub since: u128,
-    /// The version that changed it last.
+    /// The revision of its last change.
     pub revision: u64,
 }
 
-/// The list as it is, and what hosts can hear of it.
+/// The endpoint list, and what schedulers can learn of it.
 #[derive(Clone, Debug, Default)]
 struct Truth {
     nodes: Vec<Listed>,
     revision: u64,
-    /// While discovery is down agents have what they had by this version.
+    /// While discovery is down: the revision that agents have.
     down: Option<u64>,
 }
 
-/// How lists come to hosts.
+/// How schedulers get the list.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ways {
-    /// Each host has an agent that answers at once.
+    /// Each scheduler has an agent that answers at once.
     Agents,
-    /// All hosts ask one service, which has such costs.
+    /// All schedulers call one service, with these costs.
     Service(Costs),
 }
 
-/// What calls met.
+/// Counts of the calls at the service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Calls {
-    /// All that were made.
+    /// All calls.
     pub made: u64,
-    /// Those that waited for their turn in vain.
+    /// Calls that timed out in the queue.
     pub in_vain: u64,
-    /// Bytes of lists that were sent.
+    /// Bytes of lists that were sent, with their framing.
     pub bytes: u64,
 }
 
-/// All of it; all clones are one.
+/// Fake discovery; clones share its state.
 #[derive(Clone)]
 pub struct Lists {
     play: Play,
     truth: Arc<watch::Sender<Truth>>,
     ways: Ways,
-    /// Counts up: watches from before are broken and fall silent.
+    /// Number of times that watches were broken; each time, all watches that were open fall silent.
     broken: Arc<watch::Sender<u32>>,
-    /// Since when each host's watch is broken, until it calls anew.
+    /// Since when the watch of each scheduler is silent, until it calls again.
     silent: Arc<Mutex<Vec<Option<Micros>>>>,
-    /// Who is before each node, for each host.
+    /// The address of each node, for each scheduler.
     addresses: Arc<Mutex<Vec<Vec<SocketAddr>>>>,
-    /// The service's turns, in order.
+    /// The queue of the service.
     turns: Arc<tokio::sync::Mutex<()>>,
     waiting: Arc<AtomicU64>,
     counts: Arc<Mutex<(Calls, Vec<Micros>)>>,
 }
 
 impl Lists {
-    /// Of so many nodes, all in service.
+    /// Creates a list of this many nodes, all in service.
     pub fn new(play: &Play, nodes: u32, ways: Ways) -> Self {
         let listed = |node| Listed { node, phase: "in_service", since: 0, revision: 1 };
         let truth = Truth { nodes: (0..nodes).map(listed).collect(), revision: 1, down: None };
@@ -100,8 +101,8 @@
         }
     }
 
-    /// A node changes. Hosts whose agent has it count as told at once; while discovery is down, once it is
-    /// back.
+    /// Changes a node. Schedulers whose agent has the change count as notified at once; while discovery is
+    /// down, once it is back.
     pub fn change(&self, node: u32, phase: &'static str, since: u128) {
         self.truth.send_modify(|truth| {
             truth.revision += 1;
@@ -115,15 +116,15 @@
             self.play.note(Entry::NodeReturned { node, at });
         } else if self.truth.borrow().down.is_none() && self.ways == Ways::Agents {
             for (host, silent) in (0..).zip(self.silent().iter()) {
-                // What a broken watch misses counts as told so long after it fell silent; sooner, if it is
-                // told on another one.
+                // A change that a silent watch missed counts as notified some time after the watch fell
+                // silent, or earlier if another watch sends it.
                 let (since, at) = (at, silent.map_or(at, |silent| at.max(silent + TOLD_BY)));
                 self.play.note(Entry::DrainNotified { host, node, since, at });
             }
         }
     }
 
-    /// Discovery is down, or back: what changed meanwhile counts as told then.
+    /// Takes discovery down, or brings it back: changes made meanwhile count as notified then.
     pub fn down(&self, down: bool) {
         let mut left = Vec::new();
         self.truth.send_modify(|truth| {
@@ -139,14 +140,14 @@
         }
     }
 
-    /// All watches that stand break: they stay open and say nothing more.
+    /// Breaks all open watches: they stay open and silent.
     pub fn break_watches(&self) {
         let at = self.play.now();
         self.silent().iter_mut().for_each(|silent| *silent = Some(at));
         self.broken.send_modify(|count| *count += 1);
     }
 
-    /// What calls met so far, and when each was made.
+    /// Returns the counts of the calls, and the times at which they were made.
     pub fn calls(&self) -> (Calls, Vec<Micros>) {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -163,7 +164,7 @@
         count(&mut self.counts.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// What changed after a version, as one line for that host; the whole list after none.
+    /// Returns the changes after a revision as one line for a scheduler; without a revision, the complete list.
     fn line(&self, host: usize, after: u64) -> (String, u64) {
         let truth = self.truth.borrow();
         let revision = truth.down.unwrap_or(truth.revision);
@@ -186,7 +187,7 @@
         )
     }
 
-    /// A line has told a host of what changed between these versions.
+    /// Logs that a line has notified a scheduler of the changes between these revisions.
     fn note_told(&self, host: usize, after: u64, revision: u64) {
         let truth = self.truth.borrow();
         let told = |l: &&Listed| l.revision > after && l.revision <= revision && l.phase != "in_service";
@@ -196,15 +197,15 @@
         }
     }
 
-    /// The list as a host is told it at its start.
+    /// Returns the cached list that a scheduler is given at its start.
     pub fn known(&self, host: usize) -> String {
         self.line(host, 0).0
     }
 
-    /// A host joins: it finds nodes at such addresses, and calls at the address given back.
+    /// Adds a scheduler with these addresses of the nodes; returns the address that it calls.
     ///
     /// # Errors
-    /// Where no port can be had.
+    /// No port is free.
     pub async fn join(&self, nodes: Vec<SocketAddr>, link: Link) -> std::io::Result<SocketAddr> {
         let host = {
             let mut addresses = self.addresses();
@@ -253,12 +254,12 @@
             () = link.until_reset(since) => return None,
             _ = broken.changed() => {}
         }
-        // It has broken, or has nothing more to say: open, and silent.
+        // The watch has been broken or has nothing more to send: it stays open and silent.
         until_closed(&mut stream).await;
         None
     }
 
-    /// Its turn at the service. One that waits too long fails, and its turn still comes.
+    /// Waits in the queue of the service. A call that waits too long fails, and still costs its time.
     async fn turn(&self, stream: &mut TcpStream) -> Option<()> {
         let Ways::Service(costs) = self.ways else { return Some(()) };
         let full = self.waiting.load(Ordering::Relaxed) >= costs.places as u64;
@@ -280,7 +281,7 @@
         None
     }
 
-    /// The whole list, at once; while discovery is down there is silence until it is back.
+    /// Sends the complete list at once, or once discovery is back.
     async fn tell_whole(&self, host: usize, stream: &mut TcpStream, link: &Link) -> Option<()> {
         self.truth.subscribe().wait_for(|truth| truth.down.is_none()).await.ok()?;
         link.pass_back().await.ok()?;
@@ -303,7 +304,7 @@
                 (down, line, revision)
             };
             let news = revision > version;
-            // While discovery is down the agent tells what it has, and nothing else.
+            // While discovery is down the agent sends what it has, and nothing else.
             if news || (!down && beat <= after(Duration::ZERO)) {
                 link.pass_back().await.ok()?;
                 if !open {
