--- a/testing/fault-injection/src/lists.rs
+++ b/testing/fault-injection/src/lists.rs
@@ -164,7 +164,8 @@
         count(&mut self.counts.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Returns the changes after a revision as one line for a scheduler; without a revision, the complete list.
+    /// Returns the changes after a revision as one line for a scheduler; without a revision, the complete
+    /// list.
     fn line(&self, host: usize, after: u64) -> (String, u64) {
         let truth = self.truth.borrow();
         let revision = truth.down.unwrap_or(truth.revision);
