NVMe: one length check of a reply, and one error of an unwritten command

Need: the front compared the length of a read's reply by itself, beside NodeRequest::accepts, with a size that it carried along and that the request has; OpenCommand had two functions alike but for the error. Change: the front calls accepts; Finished says whether the command writes in place of the size, of which only the presence was used; OpenCommand::failed serves both errors. Behaviour is unchanged.

--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -83,19 +83,10 @@
 }
 
 impl OpenCommand {
-    /// Returns the error for a connection that was lost.
-    fn connection_lost(&self) -> ExchangeError {
+    /// Returns `error` if the command was written completely, else [`ExchangeError::NotWritten`].
+    fn failed(&self, error: ExchangeError) -> ExchangeError {
         if self.is_written {
-            ExchangeError::ConnectionLost
-        } else {
-            ExchangeError::NotWritten
-        }
-    }
-
-    /// Returns the error for an answer that is not valid.
-    fn invalid_answer(&self) -> ExchangeError {
-        if self.is_written {
-            ExchangeError::InvalidAnswer
+            error
         } else {
             ExchangeError::NotWritten
         }
@@ -171,7 +162,7 @@
                 next = self.io.next() => next,
             };
             match next {
-                Err(StreamError::Closed) => return Err(command.connection_lost()),
+                Err(StreamError::Closed) => return Err(command.failed(ExchangeError::ConnectionLost)),
                 Ok(Pdu::Response(completion)) if completion.cid == cid => {
                     return command.complete(completion.status);
                 }
@@ -184,9 +175,12 @@
                     self.send_data(attempt, &mut command, ttag, length as usize).await?;
                 }
                 Ok(Pdu::C2hData { cid: command_id, offset, data, .. }) if command_id == cid && !is_write => {
-                    command.read_data.append(offset, &data).map_err(|_| command.invalid_answer())?;
+                    command
+                        .read_data
+                        .append(offset, &data)
+                        .map_err(|_| command.failed(ExchangeError::InvalidAnswer))?;
                 }
-                _ => return Err(command.invalid_answer()),
+                _ => return Err(command.failed(ExchangeError::InvalidAnswer)),
             }
         }
     }
@@ -235,11 +229,11 @@
     ) -> Result<(), ExchangeError> {
         let end = command.sent_bytes + length;
         if end > command.write_data.len() {
-            return Err(command.invalid_answer());
+            return Err(command.failed(ExchangeError::InvalidAnswer));
         }
         while command.sent_bytes < end {
             if attempt.cancel.is_cancelled() {
-                return Err(command.connection_lost());
+                return Err(command.failed(ExchangeError::ConnectionLost));
             }
             let chunk_end = end.min(command.sent_bytes + self.max_h2c);
             let pdu = Pdu::H2cData {
@@ -249,7 +243,7 @@
                 last: chunk_end == end,
                 data: command.write_data.slice(command.sent_bytes..chunk_end),
             };
-            self.io.send(&[pdu]).await.map_err(|_| command.connection_lost())?;
+            self.io.send(&[pdu]).await.map_err(|_| command.failed(ExchangeError::ConnectionLost))?;
             command.sent_bytes = chunk_end;
         }
         command.is_written = command.sent_bytes == command.write_data.len();
--- a/crates/transport/src/nvme/io_commands.rs
+++ b/crates/transport/src/nvme/io_commands.rs
@@ -39,14 +39,14 @@
                 Sgl::Other(_) => Err(Status::SGL_TYPE),
                 _ => Err(Status::SGL_LENGTH),
             },
-            (Body::Read(blocks), Sgl::Transport { .. }, Ok(size)) => self
+            (Body::Read(blocks), Sgl::Transport { .. }, Ok(_)) => self
                 .subsystem
                 .request(false, blocks, Bytes::new())
-                .map(|request| self.start_request(cid, Some(size), request)),
+                .map(|request| self.start_request(cid, request)),
             (Body::Read(_), ..) => Err(Status::SGL_TYPE),
             (Body::Write(blocks), sgl @ Sgl::InCapsule { .. }, Ok(_)) => in_capsule_data(sgl, data)
                 .and_then(|data| self.subsystem.request(true, blocks, Bytes::copy_from_slice(data)))
-                .map(|request| self.start_request(cid, None, request)),
+                .map(|request| self.start_request(cid, request)),
             (Body::Write(blocks), _, Ok(size)) => {
                 self.open.insert(cid, None);
                 self.transfers.insert(cid, Transfer { blocks, data: ReceivedData::new(size) });
@@ -92,7 +92,7 @@
         }
         match self.subsystem.request(true, blocks, data) {
             Ok(request) => {
-                self.start_request(cid, None, request);
+                self.start_request(cid, request);
                 Ok(())
             }
             Err(status) => {
@@ -103,7 +103,8 @@
     }
 
     /// Passes a read or a write to the core.
-    fn start_request(&mut self, cid: u16, read_size: Option<usize>, request: ClientRequest) {
+    fn start_request(&mut self, cid: u16, request: ClientRequest) {
+        let node_request = request.node_request.clone();
         let (answer, handle) = abortable(self.subsystem.core.clone().call(request));
         self.open.insert(cid, Some(handle));
         self.in_flight.push(Box::pin(async move {
@@ -111,30 +112,29 @@
             // read, nothing is known about the effect of the request.
             let failed = Answer::Failed { possibly_executed: true, deadline_passed: false };
             let answer = match answer.await {
-                Ok(Ok(Answer::Served(reply))) => match reply.collect(MAX_DATA_BYTES).await {
-                    Some(body) if read_size.is_none_or(|size| body.len() == size) => {
-                        Ok(Answer::Served(NodeReply::Buffered(body)))
-                    }
-                    _ => Ok(failed),
-                },
+                Ok(Ok(Answer::Served(reply))) => {
+                    let reply = reply.collect(MAX_DATA_BYTES).await.map(NodeReply::Buffered);
+                    let reply = reply.filter(|reply| node_request.accepts(reply));
+                    Ok(reply.map_or(failed, Answer::Served))
+                }
                 other => other.map(|result| result.unwrap_or(failed)),
             };
-            Finished { cid, read_size, answer }
+            Finished { cid, is_write: node_request.is_write, answer }
         }));
     }
 
     /// Completes a command whose request has finished.
     pub(super) async fn finish(
         &mut self,
-        Finished { cid, read_size, answer }: Finished,
+        Finished { cid, is_write, answer }: Finished,
     ) -> Result<(), StreamError> {
         self.open.remove(&cid);
-        match (read_size, &answer) {
-            (Some(_), Ok(Answer::Served(NodeReply::Buffered(body)))) => {
+        match &answer {
+            Ok(Answer::Served(NodeReply::Buffered(body))) if !is_write => {
                 self.complete_with_data(cid, body.clone()).await
             }
             _ => {
-                let status = self.subsystem.status(read_size.is_none(), &answer);
+                let status = self.subsystem.status(is_write, &answer);
                 self.complete(cid, 0, status).await
             }
         }
--- a/crates/transport/src/nvme/queue.rs
+++ b/crates/transport/src/nvme/queue.rs
@@ -36,8 +36,7 @@
 /// A read or a write that was answered by the core or aborted.
 pub(super) struct Finished {
     pub(super) cid: u16,
-    /// For a read, its size in bytes.
-    pub(super) read_size: Option<usize>,
+    pub(super) is_write: bool,
     pub(super) answer: Result<Answer, Aborted>,
 }
 
