--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -17,6 +17,14 @@
 /// The smallest valid limit on file descriptors: a lower one would leave none for clients and nodes.
 const MIN_DESCRIPTORS: usize = 64;
 
+/// The limit on the scheduler's memory if the file sets none, in MiB.
+const DEFAULT_MEMORY_MIB: f64 = 192.0;
+/// The smallest valid limit on memory in MiB: the program alone takes half of it.
+const MIN_MEMORY_MIB: f64 = 16.0;
+/// The largest valid limit on memory, in MiB.
+const MAX_MEMORY_MIB: f64 = 1_048_576.0;
+const BYTES_PER_MIB: f64 = 1_048_576.0;
+
 /// The complete configuration of the program.
 pub struct Config {
     /// The scheduler's name, which stays the same after a restart.
@@ -31,6 +39,8 @@
     pub seed: u64,
     /// The limit on the process's file descriptors, at least 64.
     pub max_descriptors: usize,
+    /// The limit on the scheduler's memory in bytes, at least 16 MiB.
+    pub max_memory_bytes: usize,
     /// The endpoint list that the platform wrote into the configuration, for the time until discovery
     /// answers.
     pub cached_endpoints: EndpointUpdate,
@@ -73,6 +83,7 @@
     if max_descriptors < MIN_DESCRIPTORS {
         return Err(ConfigError::invalid("limits.sockets", &max_descriptors.to_string()));
     }
+    let max_memory_bytes = parse_memory_limit(&source)?;
     let cached_endpoints = parse_cached_endpoints(section(&value, "known")?)?;
     let deployment = parse_deployment(section(&value, "settings")?)?;
     Ok(Config {
@@ -82,6 +93,7 @@
         discovery_address: source.required_number("discovery")?,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| ConfigError::invalid("seed", &seed))?,
         max_descriptors,
+        max_memory_bytes,
         cached_endpoints,
         deployment,
         nvme_map: None,
@@ -90,6 +102,15 @@
     })
 }
 
+/// Returns the limit on the scheduler's memory, in bytes.
+fn parse_memory_limit(source: &JsonSource<'_>) -> Result<usize, ConfigError> {
+    let mebibytes: f64 = source.number_or("limits.memory_mb", DEFAULT_MEMORY_MIB)?;
+    if !(MIN_MEMORY_MIB..=MAX_MEMORY_MIB).contains(&mebibytes) {
+        return Err(ConfigError::invalid("limits.memory_mb", &mebibytes.to_string()));
+    }
+    Ok((mebibytes * BYTES_PER_MIB) as usize)
+}
+
 fn not_json() -> ConfigError {
     ConfigError { field: "configuration".to_owned(), reason: "not JSON".to_owned() }
 }
--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -5,6 +5,7 @@
 use super::nodes::Node;
 use super::open_requests::{InFlightAttempt, OpenRequest};
 use super::Actor;
+use crate::memory::MemoryBudget;
 use crate::observe::{NodeTreatment, Observation};
 use crate::{Answer, Attempt, EndedAttempt, NodeReply, StreamedReply, WriteCompletion, WrittenAttempts};
 use heathward_policy::{AttemptEnd, AttemptOutcome, Event, Micros, NodeId, RequestId};
@@ -31,7 +32,8 @@
         let deadline = open_request.attempt_deadline(now, timeout, class);
         let target = self.nodes.get(node);
         let in_flight = target.filter(|_| open_request.may_send(now, deadline)).and_then(|target| {
-            let attempt = new_attempt(key, open_request, target, now, deadline, &self.written_attempts);
+            let attempt =
+                new_attempt(key, open_request, target, now, deadline, &self.written_attempts, &self.memory);
             try_send(attempt, target, now)
         });
         let sent = in_flight.is_some();
@@ -81,6 +83,7 @@
     now: Instant,
     deadline: Instant,
     written_attempts: &WrittenAttempts,
+    memory: &MemoryBudget,
 ) -> Attempt {
     Attempt {
         request: key.request,
@@ -93,6 +96,7 @@
         cancel: open_request.cancel.clone(),
         written_attempts: written_attempts.clone(),
         write_completion: WriteCompletion::default(),
+        memory: memory.clone(),
     }
 }
 
--- a/crates/core/src/actor/handle.rs
+++ b/crates/core/src/actor/handle.rs
@@ -13,6 +13,7 @@
 
 use super::published::update_draining;
 use crate::client_disconnects::{CancelOnDrop, ClientDisconnects};
+use crate::memory::MemoryBudget;
 use crate::message::{ControlMessage, CoreMessage, CoreStatus};
 use crate::observe::Observer;
 use crate::{
@@ -43,6 +44,7 @@
     pub(super) control: mpsc::Sender<ControlMessage>,
     pub(super) client_disconnects: Arc<ClientDisconnects>,
     pub(super) next_request_id: Arc<AtomicU64>,
+    pub(super) memory: MemoryBudget,
     pub(super) status: watch::Receiver<CoreStatus>,
     pub(super) draining: Arc<watch::Sender<Draining>>,
     pub(super) deployment: watch::Receiver<Arc<Deployment>>,
@@ -55,6 +57,11 @@
         self.discovery.clone()
     }
 
+    /// Returns the memory that bodies of requests and replies share.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
     /// Returns the current status.
     pub fn status(&self) -> CoreStatus {
         *self.status.borrow()
--- a/crates/core/src/actor/mod.rs
+++ b/crates/core/src/actor/mod.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::client_disconnects::ClientDisconnects;
+use crate::memory::MemoryBudget;
 use crate::message::{ControlMessage, CoreMessage, NodeConnector};
 use crate::observe::Observation;
 use crate::stall_detection::{take_pending_updates, StallDetector};
@@ -83,6 +84,7 @@
     let now = Instant::now();
     let lease = SharedLease::new(now, &deployment);
     let published = PublishedState::new(deployment);
+    let memory = MemoryBudget::default();
     let actor = Actor {
         policy: PolicyDriver::new(scheduler, Clock::start()),
         connections: NodeConnections::new(connect_node, messages.downgrade()),
@@ -94,6 +96,7 @@
         peer_process: PeerProcess::default(),
         counters: Counters::default(),
         written_attempts: WrittenAttempts::default(),
+        memory: memory.clone(),
         observer: ObserverSlot::new(now),
         published,
     };
@@ -103,6 +106,7 @@
         control,
         client_disconnects,
         next_request_id: Arc::new(AtomicU64::new(1)),
+        memory,
         status: actor.published.subscribe_status(),
         draining: actor.published.draining_sender(),
         deployment: actor.published.subscribe_deployment(),
@@ -129,6 +133,8 @@
     counters: Counters,
     /// Shared with the attempts, which are counted when their last byte is written.
     written_attempts: WrittenAttempts,
+    /// Shared with the handles and the attempts, which reserve memory for bodies.
+    memory: MemoryBudget,
     observer: ObserverSlot,
     published: PublishedState,
 }
--- a/crates/core/src/actor/observation.rs
+++ b/crates/core/src/actor/observation.rs
@@ -24,6 +24,7 @@
             active_requests: self.requests.active_count(),
             listed_nodes: self.nodes.listed_count(),
             avoided_nodes: self.nodes.listed().filter(|(id, _)| is_avoided(*id)).count(),
+            memory: self.memory.usage(),
         }
     }
 
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -9,6 +9,7 @@
 use super::body::NodeReply;
 use super::counters::WrittenAttempts;
 use super::endpoint_lease::LeaseExpiry;
+use super::memory::MemoryBudget;
 use super::request::NodeRequest;
 use heathward_policy::{AttemptEnd, NodeId, RequestId};
 
@@ -38,6 +39,8 @@
     pub written_attempts: WrittenAttempts,
     /// Set once its last byte is written.
     pub write_completion: WriteCompletion,
+    /// The memory that data of the attempt is reserved from.
+    pub memory: MemoryBudget,
 }
 
 impl Attempt {
--- a/crates/core/src/body.rs
+++ b/crates/core/src/body.rs
@@ -32,6 +32,8 @@
 /// The receiving half of a streamed body.
 #[derive(Debug)]
 pub struct BodyStream {
+    /// The part that was received before the channel was created; empty once it was taken.
+    first_part: Bytes,
     chunks: mpsc::Receiver<BodyChunk>,
     ended: bool,
 }
@@ -48,10 +50,10 @@
 
 impl std::error::Error for BodyInterrupted {}
 
-/// Creates a channel for one streamed body.
-pub fn body_channel() -> (BodySender, BodyStream) {
+/// Creates a channel for one streamed body, of which `first_part` was received already; it may be empty.
+pub fn body_channel(first_part: Bytes) -> (BodySender, BodyStream) {
     let (sender, chunks) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-    (BodySender(sender), BodyStream { chunks, ended: false })
+    (BodySender(sender), BodyStream { first_part, chunks, ended: false })
 }
 
 impl BodySender {
@@ -81,6 +83,9 @@
         if self.ended {
             return Poll::Ready(None);
         }
+        if !self.first_part.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.first_part))));
+        }
         let chunk = ready!(self.chunks.poll_recv(cx));
         self.ended = !matches!(chunk, Some(BodyChunk::Data(_)));
         Poll::Ready(match chunk {
@@ -90,10 +95,19 @@
         })
     }
 
+    /// Returns the next chunk; `None` after the last.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Self::poll_next`].
+    pub async fn next(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
+        std::future::poll_fn(|cx| self.poll_next(cx)).await
+    }
+
     /// Reads the complete body; returns `None` if it is interrupted or longer than `max_bytes`.
     pub async fn collect(mut self, max_bytes: usize) -> Option<Bytes> {
         let mut collected = Vec::new();
-        while let Some(chunk) = std::future::poll_fn(|cx| self.poll_next(cx)).await {
+        while let Some(chunk) = self.next().await {
             collected.extend_from_slice(&chunk.ok()?);
             if collected.len() > max_bytes {
                 return None;
--- a/crates/core/src/counters.rs
+++ b/crates/core/src/counters.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
+use super::memory::MemoryUsage;
 use heathward_policy::{AttemptEnd, ClassId};
 
 /// Counts since the start of the process.
@@ -80,6 +81,8 @@
     pub listed_nodes: usize,
     /// Listed nodes that get no new requests, or only an occasional one as a health check.
     pub avoided_nodes: usize,
+    /// The use of the memory that bodies and connections share.
+    pub memory: MemoryUsage,
 }
 
 impl Counters {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod endpoint;
 pub mod endpoint_lease;
 mod handover_state;
+pub mod memory;
 mod message;
 pub mod observe;
 mod operator;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -30,9 +30,9 @@
     pub units: u32,
     /// Number of bytes that a read requests, if the client states it; `None` for a write.
     pub read_length: Option<usize>,
-    /// The body of a write, or the beginning of it if there is an [`upload`](Self::upload).
+    /// The body of a write; empty if there is an [`upload`](Self::upload).
     pub body: Bytes,
-    /// The rest of the body, if it is too long to be buffered.
+    /// The body, if it is streamed: it is too long to be buffered, or there is no memory for that.
     pub upload: Option<Upload>,
 }
 
--- a/crates/core/src/upload.rs
+++ b/crates/core/src/upload.rs
@@ -1,4 +1,4 @@
-//! The rest of a request's body that is still being received while the request is already being handled.
+//! A request's body that is still being received while the request is already being handled.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,8 +9,8 @@
 
 use super::body::BodyStream;
 
-/// The rest of a request's body. The time budget of the request starts with the last byte of the body. All
-/// clones share one upload.
+/// The body of a request, of which only a part was received so far. The time budget of the request starts
+/// with the last byte of the body. All clones share one upload.
 #[derive(Clone, Debug)]
 pub struct Upload(Arc<UploadState>);
 
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -7,6 +7,7 @@
 mod fronts;
 mod handover;
 mod load_listing;
+mod memory_budget;
 mod recording;
 mod serve;
 mod server;
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -18,6 +18,7 @@
 
 use crate::descriptor_budget::DescriptorBudget;
 use crate::fronts::Fronts;
+use crate::memory_budget::MemoryShares;
 use crate::recording::EventRecording;
 use crate::sockets;
 
@@ -32,6 +33,8 @@
     pub fronts: Fronts,
     /// The division of the process's file descriptors.
     pub descriptors: DescriptorBudget,
+    /// The division of the process's memory.
+    pub memory: MemoryShares,
     /// The limits of connections to storage nodes, which the connection pool follows.
     pub node_limits: watch::Sender<PoolLimits>,
     /// The address of discovery, which the watch of the endpoint list follows.
@@ -61,10 +64,11 @@
         self.descriptors.peer_running = true;
     }
 
-    /// Records whether a peer process runs, and divides the descriptors accordingly.
+    /// Records whether a peer process runs, and divides the descriptors and the memory accordingly.
     pub fn set_peer_running(&mut self, peer_running: bool) {
         self.descriptors.peer_running = peer_running;
-        self.apply_descriptor_budget();
+        self.memory.peer_running = peer_running;
+        self.apply_budgets();
     }
 
     /// Lets the peer process accept all new connections. A connection that is open here is closed with the
@@ -113,6 +117,7 @@
             listen_address,
             discovery_address,
             max_descriptors,
+            max_memory_bytes,
             cached_endpoints,
             deployment,
             operator_settings,
@@ -128,7 +133,8 @@
         self.logs.reconfigure(operator_settings.log.format, operator_settings.log.filter);
         self.recording.apply(operator_settings.recorder, &name, &self.core).await;
         self.descriptors.max_descriptors = max_descriptors;
-        self.apply_descriptor_budget();
+        self.memory.max_bytes = max_memory_bytes;
+        self.apply_budgets();
         // The send fails only if the core has stopped, and then the program ends.
         let _ = self.core.discovery_sender().send(CoreMessage::EndpointUpdate(cached_endpoints)).await;
         self.discovery_address
@@ -153,7 +159,8 @@
         }
     }
 
-    fn apply_descriptor_budget(&self) {
+    fn apply_budgets(&self) {
+        self.core.memory().set_limits(self.memory.limits());
         self.node_limits.send_replace(self.descriptors.node_limits(&self.core.deployment()));
         self.fronts.set_limits(self.descriptors.client_limits());
     }
--- a/crates/scheduler/src/startup.rs
+++ b/crates/scheduler/src/startup.rs
@@ -24,6 +24,7 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::fronts::{Fronts, NvmeFront};
 use crate::handover::HandoverSocket;
+use crate::memory_budget::MemoryShares;
 use crate::recording::EventRecording;
 use crate::server::Server;
 use crate::{core_start, sockets};
@@ -41,15 +42,25 @@
     handover: &HandoverSocket,
     mut received: Option<ReceivedHandover>,
 ) -> io::Result<Server> {
-    let Config { listen_address, seed, max_descriptors, cached_endpoints, operator_settings, .. } = config;
+    let Config {
+        listen_address,
+        seed,
+        max_descriptors,
+        max_memory_bytes,
+        cached_endpoints,
+        operator_settings,
+        ..
+    } = config;
     let mut inherited =
         received.as_mut().map(|previous| std::mem::take(&mut previous.listening_sockets)).unwrap_or_default();
     let http_socket = sockets::inherit_or_bind(&mut inherited, listen_address)?;
     let deployment = Arc::new(config.deployment);
     let descriptors = DescriptorBudget { max_descriptors, peer_running: received.is_some() };
+    let memory = MemoryShares { max_bytes: max_memory_bytes, peer_running: received.is_some() };
     let (node_limits, pool_limits) = watch::channel(descriptors.node_limits(&deployment));
     let nvme_map = config.nvme_map.map(Arc::new);
     let core = core_start::start(deployment, seed, ConnectionPool::new(pool_limits), nvme_map.clone())?;
+    core.memory().set_limits(memory.limits());
     // The watch begins with the changes after the newer of the inherited and the cached list.
     let inherited_revision = received.as_ref().map_or(0, |received| received.state.endpoint_list.revision);
     let revision = inherited_revision.max(cached_endpoints.revision);
@@ -69,6 +80,7 @@
         core,
         fronts,
         descriptors,
+        memory,
         node_limits,
         discovery_address,
         files,
--- /dev/null
+++ b/crates/scheduler/tests/memory_limit/main.rs
@@ -0,0 +1,8 @@
+//! The program within `limits.memory_mb`, as a separate process: bodies and replies of any size, many open at
+//! a time, on both fronts, with slow clients and nodes, and with two processes during an upgrade.
+#![cfg(test)]
+
+mod fixture;
+mod http;
+mod nvme;
+mod upgrade;
--- /dev/null
+++ b/crates/scheduler/tests/memory_limit/nvme.rs
@@ -0,0 +1,147 @@
+//! Commands of NVMe hosts, at HTTP nodes and at NVMe targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use heathward_fakes::nvme::*;
+use heathward_fakes::*;
+use heathward_transport::nvme::{BlockRange, Body, Pdu, Sgl, Status};
+use rstest::rstest;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::fixture::*;
+
+/// Hosts, each with an admin queue and an I/O queue: all connections that the front accepts.
+const HOSTS: usize = 16;
+/// Commands that each host has open at a time.
+const COMMANDS: u16 = 30;
+/// The most data of a command, in bytes.
+const LARGE: usize = 64 * 1024;
+/// For how long a host hears nothing before it sends the rest of the data that was requested.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// A scheduler with the NVMe front, before a node of shard 0.
+struct NvmeScheduler {
+    _instance: Instance,
+    _reserved_socket: tokio::net::TcpSocket,
+    program: Program,
+    front: SocketAddr,
+}
+
+/// Starts a scheduler before an HTTP node, or before a target if `is_target`.
+async fn start_nvme(is_target: bool) -> NvmeScheduler {
+    let log = Log::default();
+    let script = [NodeBehavior::Store(LARGE)];
+    let node = if is_target { target(0, &script, &log).await } else { http_node(0, &script, &log).await };
+    let mut instance = Instance::new(&[member("s0", node, 0, "in_service", 0)], &[]);
+    let (reserved_socket, front) = reserved();
+    let targets = if is_target { format!(r#"{{"node":"s0","subsystem":"{NODE}"}}"#) } else { String::new() };
+    let map = format!(
+        r#"{{"listen":"{front}","subsystem":"{FRONT}","queues":2,"depth":64,"block":512,"unit_blocks":128,
+        "read":"consulta","write":"pedido","targets":[{targets}],
+        "namespaces":[{{"nsid":1,"volume":"0000000000000001","plan":"prioritario","hosts":1,
+            "blocks":1048576,"stripe":128,"shards":[0]}}]}}"#
+    );
+    let map = instance.write("nvme.json", &map);
+    instance.add_argument("--nvme");
+    instance.add_argument(map.to_str().unwrap());
+    let program = instance.start();
+    NvmeScheduler { _instance: instance, _reserved_socket: reserved_socket, program, front }
+}
+
+/// Returns the blocks of a command of a host.
+fn blocks(host: usize, cid: u16) -> BlockRange {
+    let count = (LARGE / SMALL) as u32;
+    let first = (host as u64 * u64::from(COMMANDS) + u64::from(cid)) * u64::from(count);
+    BlockRange { nsid: 1, first, count }
+}
+
+fn data(length: usize, value: u8) -> Bytes {
+    Bytes::from(vec![value; length])
+}
+
+/// Writes all commands at once. The host sends half of the data that is requested, and the rest only once it
+/// hears nothing any more. Returns the number of writes that succeeded; the others may be sent again.
+async fn write_all(front: SocketAddr, number: usize) -> usize {
+    let mut host = Host::connect(front).await;
+    for cid in 1..=COMMANDS {
+        let command = Body::Write(blocks(number, cid));
+        let sgl = Sgl::Transport { length: LARGE as u32 };
+        host.io.send(&[capsule(cid, command, sgl, Bytes::new())]).await.unwrap();
+    }
+    let (mut requested, mut completed, mut served) = (Vec::new(), 0, 0);
+    while completed < COMMANDS {
+        match timeout(PAUSE, host.io.next()).await {
+            Ok(Ok(Pdu::R2t { cid, ttag, offset: 0, length })) => {
+                assert_eq!(length as usize, LARGE);
+                let data = data(LARGE / 2, cid as u8);
+                host.io.send(&[Pdu::H2cData { cid, ttag, offset: 0, last: false, data }]).await.unwrap();
+                requested.push((cid, ttag));
+            }
+            Ok(Ok(Pdu::Response(completion))) => {
+                completed += 1;
+                served += usize::from(completion.status == Status::SUCCESS);
+                assert!(matches!(completion.status.code, 0 | 0x21), "{:?}", completion.status);
+            }
+            Err(_) => {
+                for (cid, ttag) in requested.drain(..) {
+                    let (offset, data) = (LARGE as u32 / 2, data(LARGE / 2, cid as u8));
+                    host.io.send(&[Pdu::H2cData { cid, ttag, offset, last: true, data }]).await.unwrap();
+                }
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    served
+}
+
+/// Reads all commands at once, and reads nothing of the replies for a while. Returns the number of reads that
+/// succeeded; the others may be sent again.
+async fn read_all(front: SocketAddr, number: usize) -> usize {
+    let mut host = Host::connect(front).await;
+    for cid in 1..=COMMANDS {
+        let sgl = Sgl::Transport { length: LARGE as u32 };
+        host.io.send(&[capsule(cid, Body::Read(blocks(number, cid)), sgl, Bytes::new())]).await.unwrap();
+    }
+    sleep(PAUSE).await;
+    let (mut completed, mut served) = (0, 0);
+    while completed < COMMANDS {
+        match next_pdu(&mut host.io).await {
+            Pdu::C2hData { data, .. } => assert_eq!(data.len(), LARGE),
+            Pdu::Response(completion) => {
+                completed += 1;
+                served += usize::from(completion.status == Status::SUCCESS);
+                assert!(matches!(completion.status.code, 0 | 0x21), "{:?}", completion.status);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    served
+}
+
+/// Guards against the data of commands that fills the memory: of writes whose hosts hold back the rest, and
+/// of reads whose hosts do not read.
+#[rstest]
+#[tokio::test]
+async fn commands_of_many_hosts_stay_within_the_limit_of_memory(
+    #[values(true, false)] is_write: bool,
+    #[values(true, false)] is_target: bool,
+) {
+    let _turn = turn().await;
+    let NvmeScheduler { program, front, _instance, _reserved_socket } = start_nvme(is_target).await;
+    let mut hosts = JoinSet::new();
+    for number in 0..HOSTS {
+        hosts.spawn(async move {
+            match is_write {
+                true => write_all(front, number).await,
+                false => read_all(front, number).await,
+            }
+        });
+    }
+    let served: usize = hosts.join_all().await.into_iter().sum();
+    println!("{served} of {} commands served", HOSTS * usize::from(COMMANDS));
+    assert!(served > HOSTS, "{served}");
+    assert_within_limit(&program).await;
+}
--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -18,6 +18,7 @@
 mod incomplete_transfers;
 mod large_bodies;
 mod large_fleet;
+mod memory_bound;
 mod mixed_rig;
 mod node_connections;
 mod node_states;
--- a/crates/transport/src/admin/codec.rs
+++ b/crates/transport/src/admin/codec.rs
@@ -5,6 +5,7 @@
 
 use thiserror::Error;
 
+use heathward_core::memory::{MemoryHolder, MemoryUsage};
 use heathward_core::{CommandError, ConfigurationReloads, CoreMetrics, OperatorCommand};
 
 /// The maximum length of a storage node's id.
@@ -112,6 +113,8 @@
     Metrics {
         /// The values of the metrics.
         metrics: Box<CoreMetrics>,
+        /// The resident memory of the process in bytes, if the system tells it.
+        resident_bytes: Option<u64>,
         /// The names of the request classes, in the order of their indices.
         class_names: Vec<String>,
     },
@@ -124,13 +127,20 @@
             Self::NotReady => f.write_str("ERR not ready\n"),
             Self::Malformed(reason) => writeln!(f, "ERR {reason}"),
             Self::CommandFailed(error) => writeln!(f, "ERR {error}"),
-            Self::Metrics { metrics, class_names } => write_metrics(f, metrics, class_names),
+            Self::Metrics { metrics, resident_bytes, class_names } => {
+                write_metrics(f, metrics, *resident_bytes, class_names)
+            }
         }
     }
 }
 
-fn write_metrics(f: &mut fmt::Formatter<'_>, metrics: &CoreMetrics, class_names: &[String]) -> fmt::Result {
-    let CoreMetrics { counters, active_requests, listed_nodes, avoided_nodes } = metrics;
+fn write_metrics(
+    f: &mut fmt::Formatter<'_>,
+    metrics: &CoreMetrics,
+    resident_bytes: Option<u64>,
+    class_names: &[String],
+) -> fmt::Result {
+    let CoreMetrics { counters, active_requests, listed_nodes, avoided_nodes, memory } = metrics;
     for (index, class) in class_names.iter().enumerate() {
         let answers = counters.answers_by_class.get(index).copied().unwrap_or_default();
         writeln!(f, "app.responses.{class}.ok={}", answers.served)?;
@@ -144,5 +154,33 @@
     let ConfigurationReloads { applied, rejected } = counters.configuration_reloads;
     writeln!(f, "app.config_applied={applied}")?;
     writeln!(f, "app.config_rejected={rejected}")?;
+    if let Some(bytes) = resident_bytes {
+        writeln!(f, "app.memory.resident={bytes}")?;
+    }
+    write_memory_usage(f, memory)?;
     writeln!(f, "END")
 }
+
+fn write_memory_usage(f: &mut fmt::Formatter<'_>, usage: &MemoryUsage) -> fmt::Result {
+    writeln!(f, "app.memory.bodies_limit={}", usage.limits.bodies)?;
+    writeln!(f, "app.memory.total_limit={}", usage.limits.total)?;
+    writeln!(f, "app.memory.bodies_peak={}", usage.peak_bodies)?;
+    for (holder, bytes) in MemoryHolder::ALL.iter().zip(usage.held) {
+        writeln!(f, "app.memory.held.{}={bytes}", holder_name(*holder))?;
+    }
+    writeln!(f, "app.memory.unbuffered={}", usage.unbuffered_bodies)?;
+    writeln!(f, "app.memory.waits={}", usage.waits)
+}
+
+/// Returns the name of a holder in the metrics.
+fn holder_name(holder: MemoryHolder) -> &'static str {
+    match holder {
+        MemoryHolder::RequestBodies => "request_bodies",
+        MemoryHolder::Uploads => "uploads",
+        MemoryHolder::Replies => "replies",
+        MemoryHolder::Downloads => "downloads",
+        MemoryHolder::NvmeCommands => "nvme_commands",
+        MemoryHolder::ClientConnections => "client_connections",
+        MemoryHolder::NodeConnections => "node_connections",
+    }
+}
--- a/crates/transport/src/http/decode.rs
+++ b/crates/transport/src/http/decode.rs
@@ -23,17 +23,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InvalidRequest(pub &'static str);
 
-/// Decodes a request whose last byte arrived at `received_at`. If the body is too long to be buffered, `body`
-/// is its first part, which arrived by `received_at`, and `remaining_body` holds the length of the complete
-/// body, if it was announced, and the rest of it.
+/// The body of a request that is decoded.
+pub enum RequestData {
+    /// The complete body.
+    Buffered(Bytes),
+    /// A body that is still being received, and its length in bytes if that was announced.
+    Streamed(Option<u64>, BodyStream),
+}
+
+/// Decodes a request whose head, and whose body if that is buffered, has arrived by `received_at`.
 ///
 /// # Errors
 /// The header or the part of the request line that is missing, repeated or not valid.
 pub fn decode(
     deployment: &Deployment,
     head: &Parts,
-    body: Bytes,
-    remaining_body: Option<(Option<u64>, BodyStream)>,
+    body: RequestData,
     received_at: Instant,
 ) -> Result<ClientRequest, InvalidRequest> {
     let header = |name: &'static str| {
@@ -57,7 +62,8 @@
     if head.method != if is_write { Method::PUT } else { Method::GET } {
         return Err(InvalidRequest("method"));
     }
-    if !is_write && !body.is_empty() {
+    let has_body = !matches!(&body, RequestData::Buffered(body) if body.is_empty());
+    if !is_write && has_body {
         return Err(InvalidRequest("body"));
     }
     let settings = &deployment.settings;
@@ -71,13 +77,7 @@
         return Err(InvalidRequest("path"));
     }
     let (volume, key) = (parse_hex_id(volume)?, parse_hex_id(key)?);
-    let budget = required_header(headers::TIME_BUDGET_MS)?;
-    let is_decimal = budget.bytes().all(|byte| byte.is_ascii_digit());
-    let budget: u64 = budget
-        .parse()
-        .ok()
-        .filter(|ms| is_decimal && *ms > 0)
-        .ok_or(InvalidRequest(headers::TIME_BUDGET_MS))?;
+    let budget = parse_time_budget(required_header(headers::TIME_BUDGET_MS)?)?;
     let is_in_range = |(units, _, hosts): &(u32, Option<ShardId>, u32)| {
         (1..=settings.max_units).contains(units) && (1..=settings.schedulers).contains(hosts)
     };
@@ -86,8 +86,10 @@
         .ok_or(InvalidRequest(headers::IO))?;
     let request_id = required_header(headers::REQUEST_ID)?;
     parse_hex_id(request_id).map_err(|_| InvalidRequest(headers::REQUEST_ID))?;
-    let budget = Duration::from_millis(budget.min(MAX_TIME_BUDGET_MS)).saturating_sub(RESPONSE_MARGIN);
-    let upload = remaining_body.map(|(length, chunks)| Upload::new(length, budget, chunks));
+    let (body, upload) = match body {
+        RequestData::Buffered(body) => (body, None),
+        RequestData::Streamed(length, chunks) => (Bytes::new(), Some(Upload::new(length, budget, chunks))),
+    };
     let is_streamed = upload.is_some();
     let node_request = NodeRequest {
         client_request_id: request_id.into(),
@@ -117,6 +119,14 @@
     })
 }
 
+/// Parses the time for which a client waits, and returns what is left of it for the answer.
+fn parse_time_budget(value: &str) -> Result<Duration, InvalidRequest> {
+    let is_decimal = value.bytes().all(|byte| byte.is_ascii_digit());
+    let budget_ms: Option<u64> = value.parse().ok().filter(|ms| is_decimal && *ms > 0);
+    let budget_ms = budget_ms.ok_or(InvalidRequest(headers::TIME_BUDGET_MS))?;
+    Ok(Duration::from_millis(budget_ms.min(MAX_TIME_BUDGET_MS)).saturating_sub(RESPONSE_MARGIN))
+}
+
 /// Parses the id of a volume, an object or a request: 16 hexadecimal digits.
 fn parse_hex_id(digits: &str) -> Result<u64, InvalidRequest> {
     let is_valid = digits.len() == 16 && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/crates/transport/src/http/front.rs
+++ b/crates/transport/src/http/front.rs
@@ -21,7 +21,8 @@
 use super::body::AnswerBody;
 use super::connections::{ClientConnection, Framing, Phase};
 use super::request_body::{forward_body, BufferedBody, RequestBody};
-use super::{decode, format_retry_after, headers, InvalidRequest, MAX_BODY_BYTES};
+use super::{decode, format_retry_after, headers, InvalidRequest, RequestData, MAX_BODY_BYTES};
+use heathward_core::memory::MemoryBudget;
 use heathward_core::{body_channel, Answer, ClientRequest, CoreHandle, Draining, NodeReply, Upload};
 
 /// The platform's HTTP front.
@@ -41,6 +42,11 @@
         self.core.draining()
     }
 
+    /// Returns the memory that bodies and connections share.
+    pub(super) fn memory(&self) -> &MemoryBudget {
+        self.core.memory()
+    }
+
     /// Answers a request whose head was received.
     async fn answer(
         self,
@@ -62,7 +68,7 @@
             return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body");
         }
         let mut request_body = RequestBody::new(body, began_at, client.clone());
-        match request_body.buffer().await {
+        match request_body.buffer(self.core.memory()).await {
             Err(status) => self.refuse(status, "body"),
             Ok(BufferedBody::Complete(body)) => self.answer_buffered(&head, body, client).await,
             Ok(BufferedBody::Partial(first_part)) => {
@@ -91,7 +97,7 @@
         client: &Arc<ClientConnection>,
     ) -> Response<AnswerBody> {
         client.set_phase(Phase::Processing);
-        match decode(&self.core.deployment(), head, body, None, Instant::now()) {
+        match decode(&self.core.deployment(), head, RequestData::Buffered(body), Instant::now()) {
             Ok(request) => encode(self.call_core(request).await, client),
             Err(InvalidRequest(part)) => self.refuse(StatusCode::BAD_REQUEST, part),
         }
@@ -106,10 +112,9 @@
         request_body: RequestBody,
         client: &Arc<ClientConnection>,
     ) -> Response<AnswerBody> {
-        let (sender, chunks) = body_channel();
-        let remaining_body = Some((length, chunks));
-        let request = match decode(&self.core.deployment(), head, first_part, remaining_body, Instant::now())
-        {
+        let (sender, chunks) = body_channel(first_part);
+        let body = RequestData::Streamed(length, chunks);
+        let request = match decode(&self.core.deployment(), head, body, Instant::now()) {
             Ok(request) => request,
             Err(InvalidRequest(part)) => return self.refuse(StatusCode::BAD_REQUEST, part),
         };
@@ -118,7 +123,8 @@
         // last byte.
         let connect_timeout = Duration::from_micros(self.core.deployment().connect_timeout);
         let chunk_timeout = connect_timeout + upload.as_ref().map_or(Duration::ZERO, Upload::time_budget);
-        let forwarding = forward_body(request_body, sender, upload.as_ref(), chunk_timeout);
+        let memory = self.core.memory();
+        let forwarding = forward_body(request_body, sender, upload.as_ref(), chunk_timeout, memory);
         let mut calling = pin!(self.clone().call_core(request));
         let answer = tokio::select! {
             biased;
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -11,7 +11,7 @@
 
 pub use connection::serve;
 pub use connections::{closing_capacity, ConnectionTable};
-pub use decode::{decode, format_retry_after, InvalidRequest};
+pub use decode::{decode, format_retry_after, InvalidRequest, RequestData};
 pub use front::Front;
 
 /// The longest body of a request or of a reply, in bytes.
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::StatusCode;
 use tokio::time::{timeout_at, Instant};
 
 use super::connections::{ClientConnection, Phase, REQUEST_TIMEOUT};
 use super::MAX_BODY_BYTES;
+use crate::READ_BUFFER_BYTES;
+use heathward_core::memory::{MemoryBudget, MemoryHolder, ReservedBuffer};
 use heathward_core::{BodySender, Upload, MAX_BUFFERED_BODY_BYTES};
 
 /// The minimum rate at which a client must send a body; a client that follows the protocol sends 64 bytes per
@@ -22,7 +24,8 @@
 pub(super) enum BufferedBody {
     /// The complete body.
     Complete(Bytes),
-    /// The first part of a body that is too long to be buffered; the rest is still to be received.
+    /// The first part of a body that is not buffered, as it is too long or there is no memory for it; the
+    /// rest is still to be received.
     Partial(Bytes),
 }
 
@@ -32,28 +35,49 @@
     /// When the request began, moved later by the time for which chunks waited for the node.
     began_at: Instant,
     received_bytes: u64,
+    /// A chunk that was received but is not in the buffered part.
+    pending_chunk: Option<Bytes>,
     client: Arc<ClientConnection>,
 }
 
 impl RequestBody {
     /// Creates the body of a request that began at `began_at`.
     pub(super) fn new(body: Incoming, began_at: Instant, client: Arc<ClientConnection>) -> Self {
-        Self { body, began_at, received_bytes: 0, client }
+        Self { body, began_at, received_bytes: 0, pending_chunk: None, client }
     }
 
-    /// Reads until the body is complete or too long to be buffered.
+    /// Reads until the body is complete, is too long to be buffered, or there is no memory for more of it.
     ///
     /// # Errors
     /// The status of the answer to a body that is late, broken or too long.
-    pub(super) async fn buffer(&mut self) -> Result<BufferedBody, StatusCode> {
-        let mut buffered = BytesMut::new();
+    pub(super) async fn buffer(&mut self, memory: &MemoryBudget) -> Result<BufferedBody, StatusCode> {
+        let max_bytes = MAX_BUFFERED_BODY_BYTES as u64;
+        let length = self.body.size_hint().exact();
+        let is_long = length.is_some_and(|bytes| bytes > max_bytes);
+        let expected_bytes = length.unwrap_or(max_bytes).min(max_bytes) as usize;
+        let mut buffered = ReservedBuffer::new(memory, MemoryHolder::RequestBodies, expected_bytes);
         while let Some(chunk) = self.next_chunk().await? {
-            buffered.extend_from_slice(&chunk);
-            if buffered.len() > MAX_BUFFERED_BODY_BYTES {
-                return Ok(BufferedBody::Partial(buffered.freeze()));
+            let is_too_long = buffered.len() + chunk.len() > MAX_BUFFERED_BODY_BYTES;
+            if is_too_long || buffered.append(&chunk).is_err() {
+                if !is_too_long && !is_long {
+                    memory.count_unbuffered_body();
+                }
+                self.pending_chunk = Some(chunk);
+                return Ok(BufferedBody::Partial(buffered.into_bytes()));
             }
         }
-        Ok(BufferedBody::Complete(buffered.freeze()))
+        Ok(BufferedBody::Complete(buffered.into_bytes()))
+    }
+
+    /// Returns the next chunk that is not in the buffered part; `None` at the end of the body.
+    ///
+    /// # Errors
+    /// Those of [`Self::next_chunk`].
+    async fn next_unbuffered_chunk(&mut self) -> Result<Option<Bytes>, StatusCode> {
+        match self.pending_chunk.take() {
+            Some(chunk) => Ok(Some(chunk)),
+            None => self.next_chunk().await,
+        }
     }
 
     /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after a
@@ -86,9 +110,9 @@
     }
 }
 
-/// Forwards the rest of a body, as it is received, to the node. If the node does not accept a chunk within
-/// `chunk_timeout`, or the receiver of the chunks was dropped, the upload is abandoned and this never
-/// returns: that is not the client's fault.
+/// Forwards the rest of a body, as it is received, to the node. If there is no memory for a chunk, or the
+/// node does not accept it, within `chunk_timeout`, or the receiver of the chunks was dropped, the upload is
+/// abandoned and this never returns: that is not the client's fault.
 ///
 /// # Errors
 /// The status of the answer to a client whose body is late, broken or too long.
@@ -97,11 +121,16 @@
     sender: BodySender,
     upload: Option<&Upload>,
     chunk_timeout: Duration,
+    memory: &MemoryBudget,
 ) -> Result<(), StatusCode> {
-    while let Some(chunk) = request_body.next_chunk().await? {
+    while let Some(chunk) = request_body.next_unbuffered_chunk().await? {
         request_body.client.set_phase(Phase::ForwardingBody);
         let handed_over_at = Instant::now();
-        if !timeout_at(handed_over_at + chunk_timeout, sender.send(chunk)).await.unwrap_or(false) {
+        let sending = async {
+            let reservation = memory.reserve(MemoryHolder::Uploads, READ_BUFFER_BYTES.max(chunk.len())).await;
+            sender.send(reservation.attach(chunk)).await
+        };
+        if !timeout_at(handed_over_at + chunk_timeout, sending).await.unwrap_or(false) {
             // The request's answer reports why its body was not accepted.
             upload.into_iter().for_each(Upload::abandon);
             return pending().await;
--- a/crates/transport/src/http/stream.rs
+++ b/crates/transport/src/http/stream.rs
@@ -1,7 +1,7 @@
 //! A client's TCP stream. It records when bytes arrive, and detects a disconnect even behind bytes that the
 //! HTTP parser has not read yet.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
@@ -12,6 +12,7 @@
 
 use super::connections::ClientConnection;
 use super::MAX_HEAD_BYTES;
+use crate::READ_LIMIT_BYTES;
 
 /// The most bytes that are read at a time while a request is being processed.
 const READ_AHEAD_CHUNK_BYTES: usize = 4096;
@@ -95,7 +96,8 @@
                 return Poll::Pending;
             }
             ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
+            let limit = buf.remaining().min(READ_LIMIT_BYTES);
+            match self.stream.try_read(buf.initialize_unfilled_to(limit)) {
                 Ok(0) => break,
                 Ok(size) => buf.advance(size),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -120,6 +122,25 @@
         }
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    /// So that data is written from where it is: hyper would copy it into a buffer that a connection keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,3 +8,10 @@
 pub mod http;
 pub mod node;
 pub mod nvme;
+
+/// The most bytes that are read from an HTTP connection at a time. hyper's read buffer has 8 KB, and grows
+/// for good when a read fills it.
+const READ_LIMIT_BYTES: usize = READ_BUFFER_BYTES - 1;
+
+/// The size of the buffer that a chunk of a streamed body keeps allocated, in bytes.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
--- a/crates/transport/src/node/http.rs
+++ b/crates/transport/src/node/http.rs
@@ -8,7 +8,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -21,6 +21,8 @@
 
 use super::{Connection, LinkRequest, LinkResponse, TrackedStream, WriteProgress};
 use crate::http::{headers, MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::READ_BUFFER_BYTES;
+use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation, ReservedBuffer};
 use heathward_core::{
     body_channel, Attempt, BodyInterrupted, BodySender, BodyStream, NodeReply, NodeRequest, StreamedReply,
     Upload, MAX_BUFFERED_BODY_BYTES,
@@ -32,8 +34,7 @@
 /// The body of a request that is sent to a node.
 struct OutgoingBody {
     buffered: Option<Bytes>,
-    /// The rest of the body, the length of the complete body if it is known, and where to record that it has
-    /// ended.
+    /// A streamed body, its length if it is known, and where to record that it has ended.
     streamed: Option<(BodyStream, Option<u64>, Arc<WriteProgress>)>,
 }
 
@@ -68,23 +69,62 @@
     }
 }
 
+/// Memory that a connection needs for its buffers and for the task of an attempt, in bytes.
+const CONNECTION_BYTES: usize = 36 * 1024;
 /// The most time between two chunks of a reply that is buffered. Guards against waiting for a truncated reply
 /// until the deadline of the attempt, and against treating its node as slow.
 const BUFFERED_CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
 /// The most time between two chunks of a reply that is streamed to the client.
 const STREAMED_CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The most time that a chunk of a reply waits for memory: as long as a client may read nothing.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// A reply of a node.
 enum Reply {
     /// A complete reply.
     Complete(AttemptEnd, Bytes),
-    /// A served reply that is too long to be buffered: its length if it was announced, the first part, and
-    /// the rest.
-    Partial(Option<u64>, Bytes, Incoming),
+    /// A served reply that is not buffered, as it is too long or there is no memory for it.
+    Partial(PartialReply),
+}
+
+/// Where a reply is buffered.
+struct ReplyBuffer {
+    memory: MemoryBudget,
+    /// The memory for the complete reply, if its length is known before the request is sent.
+    reservation: Option<Reservation>,
+}
+
+impl ReplyBuffer {
+    /// Waits for the memory of a reply whose length the request states, as its client takes it only as a
+    /// whole; `None` if there is none by the deadline of the attempt.
+    async fn reserve(attempt: &Attempt) -> Option<Self> {
+        let memory = attempt.memory.clone();
+        let reservation = match attempt.node_request.read_length {
+            Some(bytes) => {
+                let reserving = memory.reserve(MemoryHolder::Replies, bytes);
+                Some(timeout_at(attempt.deadline, reserving).await.ok()?)
+            }
+            None => None,
+        };
+        Some(Self { memory, reservation })
+    }
+}
+
+/// A reply of which only a part was received.
+struct PartialReply {
+    /// The length of the complete reply in bytes, if it was announced.
+    length: Option<u64>,
+    /// The part that was received, at most [`MAX_BUFFERED_BODY_BYTES`].
+    first_part: Bytes,
+    /// The chunk that was received after that.
+    next_chunk: Bytes,
+    rest: Incoming,
 }
 
 /// A connection to an HTTP node; it carries one attempt at a time and is closed when dropped.
 pub struct HttpConnection {
+    _memory: Reservation,
     sender: http1::SendRequest<OutgoingBody>,
     driver: Pin<Box<Driver>>,
     written: Arc<WriteProgress>,
@@ -105,7 +145,8 @@
 }
 
 impl HttpConnection {
-    async fn open(address: SocketAddr) -> Option<Self> {
+    async fn open(address: SocketAddr, memory: &MemoryBudget) -> Option<Self> {
+        let memory = memory.charge(MemoryHolder::NodeConnections, CONNECTION_BYTES);
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Arc::new(WriteProgress::default());
@@ -113,7 +154,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) = builder.handshake(io).await.ok()?;
-        Some(Self { sender, driver: Box::pin(driver), written, ended: false })
+        Some(Self { _memory: memory, sender, driver: Box::pin(driver), written, ended: false })
     }
 
     /// Drives the connection until `operation` on it is done.
@@ -139,9 +180,9 @@
     /// Sends a request and receives its reply; `None` if there is no valid reply. This is the only validation
     /// of replies: the head must be readable and state at most one length, the body must not be too long, and
     /// it must have the stated length.
-    async fn exchange(&mut self, request: Request<OutgoingBody>) -> Option<Reply> {
+    async fn exchange(&mut self, request: Request<OutgoingBody>, reply_buffer: ReplyBuffer) -> Option<Reply> {
         let sending = self.sender.send_request(request);
-        let (head, mut body) = self.drive(sending).await.ok()?.into_parts();
+        let (head, body) = self.drive(sending).await.ok()?.into_parts();
         let lengths = [CONTENT_LENGTH, TRANSFER_ENCODING]
             .iter()
             .filter(|name| head.headers.contains_key(*name))
@@ -155,44 +196,90 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => AttemptEnd::Rejected,
             _ => AttemptEnd::Error,
         };
+        if end == AttemptEnd::Served {
+            self.buffer_reply(body, reply_buffer).await
+        } else {
+            self.discard_reply(end, body).await
+        }
+    }
+
+    /// Receives a served reply until it is complete, is too long to be buffered, or there is no memory for
+    /// more of it; `None` if it is late or broken.
+    async fn buffer_reply(&mut self, mut body: Incoming, reply_buffer: ReplyBuffer) -> Option<Reply> {
         let length = body.size_hint().exact();
-        let mut buffered = BytesMut::new();
-        loop {
-            if end == AttemptEnd::Served
-                && length.map_or(buffered.len(), |bytes| bytes as usize) > MAX_BUFFERED_BODY_BYTES
-            {
-                return Some(Reply::Partial(length, buffered.freeze(), body));
-            }
-            match timeout_at(Instant::now() + BUFFERED_CHUNK_TIMEOUT, self.drive(body.frame())).await.ok()? {
-                Some(frame) => buffered.extend_from_slice(frame.ok()?.data_ref().unwrap_or(&Bytes::new())),
-                None => return Some(Reply::Complete(end, buffered.freeze())),
+        let expected_bytes = length.map_or(MAX_BUFFERED_BODY_BYTES, |bytes| bytes as usize);
+        let is_long = expected_bytes > MAX_BUFFERED_BODY_BYTES;
+        let ReplyBuffer { memory, reservation } = reply_buffer;
+        let mut buffered = match reservation {
+            Some(reservation) => ReservedBuffer::with_reservation(reservation),
+            None => ReservedBuffer::new(&memory, MemoryHolder::Replies, expected_bytes),
+        };
+        let mut next_chunk = Bytes::new();
+        while !is_long && next_chunk.is_empty() {
+            let Some(chunk) = self.next_buffered_chunk(&mut body).await? else {
+                return Some(Reply::Complete(AttemptEnd::Served, buffered.into_bytes()));
+            };
+            let is_too_long = buffered.len() + chunk.len() > MAX_BUFFERED_BODY_BYTES;
+            if is_too_long || buffered.append(&chunk).is_err() {
+                if !is_too_long {
+                    memory.count_unbuffered_body();
+                }
+                next_chunk = chunk;
             }
-            if end != AttemptEnd::Served && buffered.len() > MAX_BUFFERED_BODY_BYTES {
+        }
+        let first_part = buffered.into_bytes();
+        Some(Reply::Partial(PartialReply { length, first_part, next_chunk, rest: body }))
+    }
+
+    /// Receives a reply whose body is not used; `None` if it is late, broken or too long.
+    async fn discard_reply(&mut self, end: AttemptEnd, mut body: Incoming) -> Option<Reply> {
+        let mut discarded_bytes = 0;
+        while let Some(chunk) = self.next_buffered_chunk(&mut body).await? {
+            discarded_bytes += chunk.len();
+            if discarded_bytes > MAX_BUFFERED_BODY_BYTES {
                 return None;
             }
         }
+        Some(Reply::Complete(end, Bytes::new()))
+    }
+
+    /// Receives a chunk of a reply that is not streamed; the inner `None` is the end of the reply, the outer
+    /// one a chunk that is late or broken.
+    async fn next_buffered_chunk(&mut self, body: &mut Incoming) -> Option<Option<Bytes>> {
+        loop {
+            let deadline = Instant::now() + BUFFERED_CHUNK_TIMEOUT;
+            match timeout_at(deadline, self.drive(body.frame())).await.ok()? {
+                None => return Some(None),
+                // Trailers are ignored, and so are empty chunks.
+                Some(frame) => match frame.ok()?.into_data() {
+                    Ok(chunk) if !chunk.is_empty() => return Some(Some(chunk)),
+                    _ => {}
+                },
+            }
+        }
     }
 
     /// Forwards a reply that is being received, and returns the connection if it can carry another attempt.
     /// Gives up once no chunk arrives in time, the reply is too long or the receiver has closed the channel.
     async fn forward_reply(
         mut self,
-        first_part: Bytes,
-        mut body: Incoming,
+        forwarded_part_bytes: usize,
+        next_chunk: Bytes,
+        mut rest: Incoming,
         sender: BodySender,
+        memory: MemoryBudget,
     ) -> Option<Self> {
-        let mut forwarded_bytes = first_part.len() as u64;
-        if !first_part.is_empty() && !sender.send(first_part).await {
-            return None;
-        }
-        while let Some(frame) =
-            timeout_at(Instant::now() + STREAMED_CHUNK_TIMEOUT, self.drive(body.frame())).await.ok()?
-        {
-            let Ok(chunk) = frame.ok()?.into_data() else { continue };
+        let mut forwarded_bytes = forwarded_part_bytes as u64;
+        let mut chunk = next_chunk;
+        loop {
             forwarded_bytes += chunk.len() as u64;
-            if forwarded_bytes > MAX_BODY_BYTES || !sender.send(chunk).await {
+            if forwarded_bytes > MAX_BODY_BYTES || !send_chunk(&sender, chunk, &memory).await {
                 return None;
             }
+            let deadline = Instant::now() + STREAMED_CHUNK_TIMEOUT;
+            let Some(frame) = timeout_at(deadline, self.drive(rest.frame())).await.ok()? else { break };
+            // Trailers are ignored.
+            chunk = frame.ok()?.into_data().unwrap_or_default();
         }
         let is_reusable = self.is_reusable().await;
         sender.finish().await;
@@ -206,6 +293,23 @@
     }
 }
 
+/// Sends a chunk of a reply to its client once there is memory for it. Returns false if the receiver was
+/// dropped, or no memory was released for as long as a client may read nothing.
+async fn send_chunk(sender: &BodySender, chunk: Bytes, memory: &MemoryBudget) -> bool {
+    if chunk.is_empty() {
+        return true;
+    }
+    let reserving = memory.reserve(MemoryHolder::Downloads, READ_BUFFER_BYTES.max(chunk.len()));
+    let reservation = tokio::select! {
+        reservation = timeout_at(Instant::now() + MEMORY_TIMEOUT, reserving) => reservation,
+        () = sender.closed() => return false,
+    };
+    match reservation {
+        Ok(reservation) => sender.send(reservation.attach(chunk)).await,
+        Err(_) => false,
+    }
+}
+
 /// The link to one HTTP node: a tower service that carries out one attempt on one connection.
 #[derive(Clone, Debug)]
 pub struct HttpLink {
@@ -239,10 +343,11 @@
 async fn obtain_connection(
     address: SocketAddr,
     idle_connection: Option<HttpConnection>,
+    memory: &MemoryBudget,
 ) -> Option<HttpConnection> {
     let mut connection = match idle_connection {
         Some(connection) => connection,
-        None => HttpConnection::open(address).await?,
+        None => HttpConnection::open(address, memory).await?,
     };
     connection.ready().await.then_some(connection)
 }
@@ -258,7 +363,7 @@
         let reused = idle_connection.is_some();
         let connecting = timeout_at(
             dial_deadline.min(attempt.connect_deadline),
-            obtain_connection(address, idle_connection.take()),
+            obtain_connection(address, idle_connection.take(), &attempt.memory),
         );
         let connected = tokio::select! {
             biased;
@@ -272,15 +377,20 @@
             Ok(None) if reused => continue,
             _ => return LinkResponse::closed(AttemptEnd::NotConnected),
         };
-        if !attempt.may_start() {
+        let reply_buffer = tokio::select! {
+            biased;
+            () = attempt.cancel.cancelled() => None,
+            reply_buffer = ReplyBuffer::reserve(&attempt) => reply_buffer,
+        };
+        let Some(reply_buffer) = reply_buffer.filter(|_| attempt.may_start()) else {
             return LinkResponse::reusable(AttemptEnd::NotSent, Bytes::new(), connection);
-        }
+        };
         let (Ok(request), length) = encode(&attempt, address, &connection.written) else {
             return LinkResponse::closed(AttemptEnd::NotSent);
         };
         let written = connection.written.clone();
         written.begin(length, attempt.clone());
-        let exchange = connection.exchange(request);
+        let exchange = connection.exchange(request, reply_buffer);
         let expired = async {
             match &attempt.node_request.upload {
                 Some(upload) => upload.expired().await,
@@ -310,17 +420,7 @@
                     forwarding: None,
                 };
             }
-            Ok(Some(Reply::Partial(length, first_part, body))) => {
-                let (sender, chunks) = body_channel();
-                let forwarding = connection.forward_reply(first_part, body, sender);
-                let body = NodeReply::Streamed(StreamedReply::new(length, chunks));
-                return LinkResponse {
-                    end: AttemptEnd::Served,
-                    body,
-                    idle_connection: None,
-                    forwarding: Some(Box::pin(forwarding)),
-                };
-            }
+            Ok(Some(Reply::Partial(reply))) => return stream_reply(connection, reply, attempt.memory),
             // The request must not be sent any more.
             Ok(_) if written.is_withheld() => return LinkResponse::closed(AttemptEnd::NotSent),
             // Guards against mistaking a connection that became unusable while idle for a node that is down:
@@ -341,6 +441,23 @@
     }
 }
 
+/// Returns the response of an attempt whose reply is still being received.
+fn stream_reply(
+    connection: HttpConnection,
+    reply: PartialReply,
+    memory: MemoryBudget,
+) -> LinkResponse<HttpConnection> {
+    let PartialReply { length, first_part, next_chunk, rest } = reply;
+    let first_bytes = first_part.len();
+    let (sender, chunks) = body_channel(first_part);
+    LinkResponse {
+        end: AttemptEnd::Served,
+        body: NodeReply::Streamed(StreamedReply::new(length, chunks)),
+        idle_connection: None,
+        forwarding: Some(Box::pin(connection.forward_reply(first_bytes, next_chunk, rest, sender, memory))),
+    }
+}
+
 /// Whether the request can be sent again: no part of a streamed body has been sent.
 fn is_resendable(attempt: &Attempt) -> bool {
     attempt.node_request.upload.as_ref().is_none_or(Upload::is_unsent)
@@ -355,18 +472,11 @@
     written: &Arc<WriteProgress>,
 ) -> (EncodedRequest, Option<usize>) {
     let NodeRequest {
-        client_request_id,
-        class_name,
-        is_write,
-        target,
-        idempotency_key,
-        body,
-        upload: remaining_body,
-        ..
+        client_request_id, class_name, is_write, target, idempotency_key, body, upload, ..
     } = &*attempt.node_request;
     let time_left = attempt.deadline.saturating_duration_since(Instant::now());
-    let time_left_ms = remaining_body.as_ref().map_or(time_left, Upload::time_budget).as_millis();
-    let length = remaining_body
+    let time_left_ms = upload.as_ref().map_or(time_left, Upload::time_budget).as_millis();
+    let length = upload
         .as_ref()
         .map_or(Some(body.len()), |upload| upload.content_length().map(|bytes| bytes as usize));
     let method = if *is_write { Method::PUT } else { Method::GET };
@@ -380,7 +490,7 @@
     if let Some(length) = length.filter(|_| *is_write || !body.is_empty()) {
         request = request.header(CONTENT_LENGTH, length);
     }
-    let streamed = remaining_body
+    let streamed = upload
         .as_ref()
         .and_then(|upload| Some((upload.take_body()?, upload.content_length(), written.clone())));
     let outgoing_body = OutgoingBody { buffered: (!body.is_empty()).then(|| body.clone()), streamed };
--- a/crates/transport/src/node/tracked_stream.rs
+++ b/crates/transport/src/node/tracked_stream.rs
@@ -1,7 +1,7 @@
 //! A TCP stream that tracks whether a request was written completely, and does not begin a request that must
 //! not be sent any more.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::READ_LIMIT_BYTES;
 use heathward_core::Attempt;
 
 /// The bytes at the end of a head, and at the end of a chunked body.
@@ -127,6 +128,18 @@
         }
     }
 
+    /// Records the result of writing `bufs` one after the other.
+    fn record_result(&self, result: &io::Result<usize>, bufs: &[IoSlice<'_>]) {
+        let Ok(mut written) = *result else { return self.broken.store(true, Ordering::Relaxed) };
+        for buf in bufs {
+            let accepted = written.min(buf.len());
+            if accepted > 0 {
+                self.record(&buf[..accepted]);
+            }
+            written -= accepted;
+        }
+    }
+
     /// Records bytes of the body that the socket has accepted; returns whether its last byte is among them or
     /// was before.
     fn record_body(&self, bytes: &[u8]) -> bool {
@@ -168,17 +181,20 @@
 }
 
 impl AsyncRead for TrackedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let filled_before = buf.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
-        if read.is_err() || buf.filled().len() == filled_before {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let limit = buf.remaining().min(READ_LIMIT_BYTES);
+        let read = loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled_to(limit)) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => break result,
+            }
+        };
+        if !matches!(read, Ok(1..)) {
             self.written.broken.store(true, Ordering::Relaxed);
         }
-        Poll::Ready(read)
+        buf.advance(*read.as_ref().unwrap_or(&0));
+        Poll::Ready(read.map(|_| ()))
     }
 }
 
@@ -190,13 +206,28 @@
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
         let result = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
-        match &result {
-            Ok(size) => self.written.record(&buf[..*size]),
-            Err(_) => self.written.broken.store(true, Ordering::Relaxed),
+        self.written.record_result(&result, &[IoSlice::new(buf)]);
+        Poll::Ready(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if !self.written.may_write(&self.stream) {
+            return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
+        let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs));
+        self.written.record_result(&result, bufs);
         Poll::Ready(result)
     }
 
+    /// So that data is written from where it is: hyper would copy it into a buffer that a connection keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -1,10 +1,11 @@
 //! The front that NVMe hosts connect to. Each connection is one queue, and each queue is served by an actor.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Semaphore};
@@ -16,9 +17,12 @@
 use super::pdu_stream::{PduStream, StreamError};
 use super::queue::{Queue, Role};
 use super::subsystem::{lock, AbortRequest, Controller, Subsystem};
+use heathward_core::memory::{MemoryHolder, Reservation};
 
 /// The time in which a host must connect a queue, and in which it must read a TermReq.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Memory that a queue needs for its buffers and its task, in bytes.
+const CONNECTION_BYTES: usize = 24 * 1024;
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The most abort requests that wait for a queue.
@@ -50,6 +54,8 @@
 }
 
 async fn serve_connection(stream: TcpStream, subsystem: Arc<Subsystem>, mut stopping: watch::Receiver<bool>) {
+    let memory = subsystem.core.memory().clone();
+    let _memory = memory.charge(MemoryHolder::ClientConnections, CONNECTION_BYTES);
     let Ok(wire) = PduStream::new(stream) else { return };
     let mut queue = Queue {
         subsystem,
@@ -60,6 +66,8 @@
         mailbox: None,
         open: HashMap::new(),
         in_flight: FuturesUnordered::new(),
+        pending_writes: VecDeque::new(),
+        awaited_memory: None,
         transfers: HashMap::new(),
         aborts: FuturesUnordered::new(),
     };
@@ -81,6 +89,7 @@
             if *stopping.borrow_and_update() && self.is_idle() {
                 return Ok(());
             }
+            self.request_data().await?;
             let (deadline, own_controller) = match &self.role {
                 Role::New { deadline, .. } => (Some(*deadline), None),
                 Role::Admin { keep_alive_deadline, controller, .. } => {
@@ -101,6 +110,9 @@
                     // The controller has ended or was disabled.
                     None => return Ok(()),
                 },
+                reservation = reserved(&mut self.awaited_memory) => {
+                    self.request_data_of_next(reservation).await?;
+                }
                 pdu = self.wire.next() => self.handle_pdu(pdu?).await?,
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() =>
                     return Ok(()),
@@ -128,7 +140,7 @@
             (Role::New { initialised: false, .. }, _) => Err(StreamError::Fatal(FatalError::SEQUENCE)),
             (_, Pdu::Capsule { command, data }) => self.handle_command(command, &data).await,
             (_, Pdu::H2cData { cid, ttag, offset, last, data }) => {
-                self.receive_data(cid, ttag, offset, last, &data).await
+                self.receive_data(cid, ttag, offset, last, data).await
             }
             // The host terminates the connection because of an error on this side.
             (_, Pdu::TermReq { by_host: true, .. }) => Err(StreamError::Closed),
@@ -208,6 +220,14 @@
     }
 }
 
+/// Returns the memory that a queue waits for. Never returns if it waits for none.
+async fn reserved(awaited_memory: &mut Option<BoxFuture<'static, Reservation>>) -> Reservation {
+    match awaited_memory {
+        Some(reservation) => reservation.await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Receives the next abort request; `None` once the mailbox is closed. Never returns without a mailbox.
 async fn receive_abort(mailbox: &mut Option<mpsc::Receiver<AbortRequest>>) -> Option<AbortRequest> {
     match mailbox {
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -14,6 +14,7 @@
 use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
 use crate::node::Connection;
+use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation};
 use heathward_core::Attempt;
 use heathward_policy::AttemptEnd;
 
@@ -23,6 +24,8 @@
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Controller configuration: enabled, with queue entries of 64 and 16 bytes.
 const ENABLED_CONFIGURATION: u64 = 4 << 20 | 6 << 16 | 1;
+/// Memory that an association needs for its buffers and for the task of an attempt, in bytes.
+const CONNECTION_BYTES: usize = 36 * 1024;
 /// Size of the data structure that Identify returns, in bytes.
 const PAGE_BYTES: u32 = 4096;
 /// Offset of the capsule size, in units of 16 bytes, in the Identify Controller data structure.
@@ -30,6 +33,7 @@
 
 /// An association with a target, with an admin queue and one I/O queue; both are closed when it is dropped.
 pub struct NvmeConnection {
+    _memory: Reservation,
     admin: PduStream,
     io: PduStream,
     /// The most data in a capsule, in bytes.
@@ -51,6 +55,16 @@
     }
 }
 
+/// The data of a command, and the memory for it.
+pub(super) struct CommandData {
+    /// The size of the blocks that are read or written, in bytes.
+    pub(super) size: usize,
+    /// The data of a write, of that size; empty for a read.
+    pub(super) write_data: Bytes,
+    /// The memory for the data of a read.
+    pub(super) read_memory: Option<Reservation>,
+}
+
 /// Why a command has no completion that can be trusted.
 pub(super) enum ExchangeError {
     /// The command was not written completely, so the target can't have executed it.
@@ -111,7 +125,12 @@
     ///
     /// # Errors
     /// The target could not be reached, or a step of the setup failed.
-    pub(super) async fn open(address: SocketAddr, subsystem: &str) -> Result<Self, StreamError> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        subsystem: &str,
+        memory: &MemoryBudget,
+    ) -> Result<Self, StreamError> {
+        let memory = memory.charge(MemoryHolder::NodeConnections, CONNECTION_BYTES);
         let host = format!("nqn.2014-08.org.nvmexpress:uuid:heathward-{}", std::process::id());
         let names =
             |controller| ConnectData { controller, subsystem: subsystem.to_owned(), host: host.clone() };
@@ -135,7 +154,7 @@
         let (mut io, max_h2c) = open_queue(address).await?;
         connect(&mut io, 1, names(id)).await?;
         let max_in_capsule = size.saturating_mul(16).saturating_sub(64).min(MAX_DATA_BYTES);
-        Ok(Self { admin, io, max_in_capsule, max_h2c, cid: 0 })
+        Ok(Self { _memory: memory, admin, io, max_in_capsule, max_h2c, cid: 0 })
     }
 
     /// Whether the I/O queue is open and no unexpected input has arrived on it.
@@ -143,17 +162,16 @@
         self.io.has_no_input().await
     }
 
-    /// Carries out one read or write of `size` bytes until its completion. Once the attempt is cancelled, no
+    /// Carries out one read or write until its completion. Once the attempt is cancelled, no
     /// more of the command is written; a command that was written completely goes on to its completion.
     pub(super) async fn exchange(
         &mut self,
         attempt: &Attempt,
         blocks: BlockRange,
-        data: Bytes,
-        size: usize,
+        data: &mut CommandData,
     ) -> Result<Completed, ExchangeError> {
         let is_write = attempt.node_request.is_write;
-        let mut command = self.send_command(attempt, blocks, data, size).await?;
+        let mut command = self.send_command(attempt, blocks, data).await?;
         let cid = command.cid;
         loop {
             let next = tokio::select! {
@@ -177,7 +195,7 @@
                 Ok(Pdu::C2hData { cid: command_id, offset, data, .. }) if command_id == cid && !is_write => {
                     command
                         .read_data
-                        .append(offset, &data)
+                        .append(offset, data)
                         .map_err(|_| command.failed(ExchangeError::InvalidAnswer))?;
                 }
                 _ => return Err(command.failed(ExchangeError::InvalidAnswer)),
@@ -193,9 +211,9 @@
         &mut self,
         attempt: &Attempt,
         blocks: BlockRange,
-        data: Bytes,
-        size: usize,
+        command_data: &mut CommandData,
     ) -> Result<OpenCommand, ExchangeError> {
+        let (size, data) = (command_data.size, command_data.write_data.clone());
         let is_write = attempt.node_request.is_write;
         self.cid = self.cid.wrapping_add(1);
         let (cid, length) = (self.cid, size as u32);
@@ -212,7 +230,8 @@
         if is_written {
             attempt.mark_written();
         }
-        let read_data = ReceivedData::new(if is_write { 0 } else { size });
+        let read_memory = command_data.read_memory.take();
+        let read_data = ReceivedData::new(if is_write { 0 } else { size }, read_memory);
         Ok(OpenCommand { cid, write_data: data, sent_bytes: 0, is_written, read_data })
     }
 
@@ -288,11 +307,11 @@
         Sgl::InCapsule { .. } | Sgl::Other(_) => 0,
     };
     wire.send(&[Pdu::Capsule { command: Command::new(0, sgl, body), data }]).await?;
-    let mut returned = ReceivedData::new(returned_bytes);
+    let mut returned = ReceivedData::new(returned_bytes, None);
     loop {
         match wire.next().await? {
             Pdu::C2hData { offset, data, .. } => {
-                returned.append(offset, &data).map_err(|_| StreamError::Closed)?;
+                returned.append(offset, data).map_err(|_| StreamError::Closed)?;
             }
             Pdu::Response(completion) if completion.status == Status::SUCCESS => {
                 let returned = returned.into_complete().ok_or(StreamError::Closed)?;
--- a/crates/transport/src/nvme/io_commands.rs
+++ b/crates/transport/src/nvme/io_commands.rs
@@ -5,12 +5,13 @@
 use tokio::sync::oneshot;
 use tower::Service;
 
-use super::command::{Body, Command, Sgl, Status};
+use super::command::{BlockRange, Body, Command, Sgl, Status};
 use super::identify::MAX_IN_CAPSULE_BYTES;
 use super::pdu::{FatalError, Pdu, MAX_DATA_BYTES};
 use super::pdu_stream::StreamError;
-use super::queue::{Finished, Queue, Transfer};
+use super::queue::{Finished, PendingWrite, Queue, Transfer};
 use super::received_data::ReceivedData;
+use heathward_core::memory::{MemoryHolder, Priority, Reservation};
 use heathward_core::{Answer, ClientRequest, NodeReply};
 
 impl Queue {
@@ -44,14 +45,14 @@
                 .request(false, blocks, Bytes::new())
                 .map(|request| self.start_request(cid, request)),
             (Body::Read(_), ..) => Err(Status::SGL_TYPE),
-            (Body::Write(blocks), sgl @ Sgl::InCapsule { .. }, Ok(_)) => in_capsule_data(sgl, data)
-                .and_then(|data| self.subsystem.request(true, blocks, Bytes::copy_from_slice(data)))
-                .map(|request| self.start_request(cid, request)),
+            (Body::Write(blocks), sgl @ Sgl::InCapsule { .. }, Ok(_)) => match in_capsule_data(sgl, data) {
+                Ok(data) => return self.start_write_in_capsule(cid, blocks, data).await,
+                Err(status) => Err(status),
+            },
             (Body::Write(blocks), _, Ok(size)) => {
                 self.open.insert(cid, None);
-                self.transfers.insert(cid, Transfer { blocks, data: ReceivedData::new(size) });
-                let r2t = Pdu::R2t { cid, ttag: cid, offset: 0, length: size as u32 };
-                return Ok(self.wire.send(&[r2t]).await?);
+                self.pending_writes.push_back(PendingWrite { cid, blocks, size });
+                return self.request_data().await;
             }
             _ => Err(Status::INVALID_OPCODE),
         };
@@ -64,6 +65,69 @@
         }
     }
 
+    /// Passes a write whose data came with its command to the core, or interrupts it if there is no memory
+    /// for its data: the host has sent it unasked, and may send it again.
+    async fn start_write_in_capsule(
+        &mut self,
+        cid: u16,
+        blocks: BlockRange,
+        data: &[u8],
+    ) -> Result<(), StreamError> {
+        let memory = self.subsystem.core.memory();
+        let reserved = memory.try_reserve(MemoryHolder::NvmeCommands, data.len(), Priority::Required);
+        let Some(reservation) = reserved else {
+            let shed = Ok(Answer::Shed { retry_after: None });
+            return self.complete(cid, 0, self.subsystem.status(true, &shed)).await;
+        };
+        let data = reservation.attach(Bytes::copy_from_slice(data));
+        self.start_write(cid, blocks, data).await
+    }
+
+    /// Passes a write to the core, or completes it if the namespace does not exist any more.
+    async fn start_write(&mut self, cid: u16, blocks: BlockRange, data: Bytes) -> Result<(), StreamError> {
+        match self.subsystem.request(true, blocks, data) {
+            Ok(request) => {
+                self.start_request(cid, request);
+                Ok(())
+            }
+            Err(status) => {
+                self.open.remove(&cid);
+                self.subsystem.core.count_malformed_request();
+                self.complete(cid, 0, status).await
+            }
+        }
+    }
+
+    /// Requests the data of writes, in the order of their commands, while there is plenty of memory. The
+    /// first one waits for memory, so that each queue makes progress; a host that sends no data holds no more
+    /// than the others leave.
+    pub(super) async fn request_data(&mut self) -> Result<(), StreamError> {
+        while let Some(write) = self.pending_writes.front() {
+            let (memory, size) = (self.subsystem.core.memory(), write.size);
+            if self.transfers.is_empty() {
+                let memory = memory.clone();
+                self.awaited_memory.get_or_insert_with(|| {
+                    Box::pin(async move { memory.reserve(MemoryHolder::NvmeCommands, size).await })
+                });
+                return Ok(());
+            }
+            let reserved = memory.try_reserve(MemoryHolder::NvmeCommands, size, Priority::Optional);
+            let Some(reservation) = reserved else { return Ok(()) };
+            self.request_data_of_next(reservation).await?;
+        }
+        Ok(())
+    }
+
+    /// Requests the data of the next write, for which memory is reserved.
+    pub(super) async fn request_data_of_next(&mut self, reservation: Reservation) -> Result<(), StreamError> {
+        self.awaited_memory = None;
+        let Some(PendingWrite { cid, blocks, size }) = self.pending_writes.pop_front() else { return Ok(()) };
+        let data = ReceivedData::new(size, Some(reservation));
+        self.transfers.insert(cid, Transfer { blocks, data });
+        let r2t = Pdu::R2t { cid, ttag: cid, offset: 0, length: size as u32 };
+        Ok(self.wire.send(&[r2t]).await?)
+    }
+
     /// Receives data of a write. It arrives in order, as there is one transfer for each command.
     pub(super) async fn receive_data(
         &mut self,
@@ -71,7 +135,7 @@
         ttag: u16,
         offset: u32,
         last: bool,
-        data: &[u8],
+        data: Bytes,
     ) -> Result<(), StreamError> {
         let transfer = self.transfers.get_mut(&cid).ok_or(StreamError::Fatal(FatalError::header(8)))?;
         if ttag != cid {
@@ -90,16 +154,7 @@
             // The write was aborted and completed while its data was being received.
             return Ok(());
         }
-        match self.subsystem.request(true, blocks, data) {
-            Ok(request) => {
-                self.start_request(cid, request);
-                Ok(())
-            }
-            Err(status) => {
-                self.open.remove(&cid);
-                self.complete(cid, 0, status).await
-            }
-        }
+        self.start_write(cid, blocks, data).await
     }
 
     /// Passes a read or a write to the core.
@@ -149,6 +204,7 @@
             Some(Some(handle)) => handle.abort(),
             Some(None) => {
                 self.open.remove(&cid);
+                self.remove_pending_write(cid);
                 return self.complete(cid, 0, Status::ABORTED).await;
             }
             None => {}
@@ -157,6 +213,17 @@
     }
 }
 
+impl Queue {
+    /// Removes a write whose data was not requested yet.
+    fn remove_pending_write(&mut self, cid: u16) {
+        if self.pending_writes.front().is_some_and(|write| write.cid == cid) {
+            // The memory was for this one.
+            self.awaited_memory = None;
+        }
+        self.pending_writes.retain(|write| write.cid != cid);
+    }
+}
+
 /// Returns the data of a command that has to be in its capsule.
 ///
 /// # Errors
--- a/crates/transport/src/nvme/pdu.rs
+++ b/crates/transport/src/nvme/pdu.rs
@@ -206,20 +206,36 @@
         }))
     }
 
+    /// Returns the data of the PDU, which follows its header.
+    pub fn data(&self) -> &[u8] {
+        match self {
+            Self::TermReq { echo: data, .. }
+            | Self::Capsule { data, .. }
+            | Self::H2cData { data, .. }
+            | Self::C2hData { data, .. } => data,
+            Self::IcReq { .. } | Self::IcResp { .. } | Self::Response(_) | Self::R2t { .. } => &[],
+        }
+    }
+
     /// Appends the PDU to `out`; its data starts at a multiple of `align` bytes.
     pub fn encode(&self, out: &mut BytesMut, align: usize) {
-        let no_data = Bytes::new();
-        let (pdu_type, flags, header_length, data) = match self {
-            Self::IcReq { .. } => (0x00, 0, IC_HEADER_BYTES, &no_data),
-            Self::IcResp { .. } => (0x01, 0, IC_HEADER_BYTES, &no_data),
-            Self::TermReq { by_host, echo, .. } => {
-                (if *by_host { 0x02 } else { 0x03 }, 0, DATA_HEADER_BYTES, echo)
-            }
-            Self::Capsule { data, .. } => (0x04, 0, CAPSULE_HEADER_BYTES, data),
-            Self::Response(_) => (0x05, 0, RESPONSE_HEADER_BYTES, &no_data),
-            Self::H2cData { last, data, .. } => (0x06, if *last { LAST } else { 0 }, DATA_HEADER_BYTES, data),
-            Self::C2hData { last, data, .. } => (0x07, if *last { LAST } else { 0 }, DATA_HEADER_BYTES, data),
-            Self::R2t { .. } => (0x09, 0, DATA_HEADER_BYTES, &no_data),
+        self.encode_header(out, align);
+        out.put_slice(self.data());
+    }
+
+    /// Appends the header of the PDU, and the padding that its data needs to start at a multiple of `align`
+    /// bytes.
+    pub fn encode_header(&self, out: &mut BytesMut, align: usize) {
+        let data = self.data();
+        let (pdu_type, flags, header_length) = match self {
+            Self::IcReq { .. } => (0x00, 0, IC_HEADER_BYTES),
+            Self::IcResp { .. } => (0x01, 0, IC_HEADER_BYTES),
+            Self::TermReq { by_host, .. } => (if *by_host { 0x02 } else { 0x03 }, 0, DATA_HEADER_BYTES),
+            Self::Capsule { .. } => (0x04, 0, CAPSULE_HEADER_BYTES),
+            Self::Response(_) => (0x05, 0, RESPONSE_HEADER_BYTES),
+            Self::H2cData { last, .. } => (0x06, if *last { LAST } else { 0 }, DATA_HEADER_BYTES),
+            Self::C2hData { last, .. } => (0x07, if *last { LAST } else { 0 }, DATA_HEADER_BYTES),
+            Self::R2t { .. } => (0x09, 0, DATA_HEADER_BYTES),
         };
         let has_data_offset = pdu_type >= 0x04 && !data.is_empty();
         let data_start =
@@ -251,7 +267,6 @@
             }
         }
         out.resize(pdu_start + data_start, 0);
-        out.put_slice(data);
     }
 
     /// Returns the controller's TermReq for a malformed PDU, of which `buffer` holds the first bytes.
--- a/crates/transport/src/nvme/pdu_stream.rs
+++ b/crates/transport/src/nvme/pdu_stream.rs
@@ -11,6 +11,10 @@
 
 use super::pdu::{FatalError, Pdu};
 
+/// Data of a PDU up to this size, in bytes, is copied behind its header, so that one write sends both. Longer
+/// data is written from where it is, as the buffer for output stays as large as it once was.
+const MAX_COPIED_BYTES: usize = 4096;
+
 /// Why a connection can't be used any more.
 #[derive(Debug)]
 pub enum StreamError {
@@ -73,7 +77,14 @@
     pub async fn send(&mut self, pdus: &[Pdu]) -> io::Result<()> {
         self.output.clear();
         for pdu in pdus {
-            pdu.encode(&mut self.output, self.alignment);
+            pdu.encode_header(&mut self.output, self.alignment);
+            if pdu.data().len() <= MAX_COPIED_BYTES {
+                self.output.extend_from_slice(pdu.data());
+            } else {
+                self.stream.write_all(&self.output).await?;
+                self.output.clear();
+                self.stream.write_all(pdu.data()).await?;
+            }
         }
         self.stream.write_all(&self.output).await
     }
--- a/crates/transport/src/nvme/queue.rs
+++ b/crates/transport/src/nvme/queue.rs
@@ -1,6 +1,6 @@
 //! The state of one queue of the NVMe front, and the completions that it sends.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
 use super::subsystem::{lock, AbortRequest, Controller, Subsystem};
+use heathward_core::memory::Reservation;
 use heathward_core::Answer;
 
 /// The role of a queue.
@@ -33,6 +34,14 @@
     pub(super) data: ReceivedData,
 }
 
+/// A write whose data was not requested yet, as there was no memory for it.
+pub(super) struct PendingWrite {
+    pub(super) cid: u16,
+    pub(super) blocks: BlockRange,
+    /// Size of the data, in bytes.
+    pub(super) size: usize,
+}
+
 /// A read or a write that was answered by the core or aborted.
 pub(super) struct Finished {
     pub(super) cid: u16,
@@ -55,6 +64,11 @@
     pub(super) open: HashMap<u16, Option<AbortHandle>>,
     /// Requests that the core is processing.
     pub(super) in_flight: FuturesUnordered<BoxFuture<'static, Finished>>,
+    /// Writes whose data is still to be requested, in the order of their commands; at most the size of the
+    /// queue.
+    pub(super) pending_writes: VecDeque<PendingWrite>,
+    /// Resolves to the memory for the first of them.
+    pub(super) awaited_memory: Option<BoxFuture<'static, Reservation>>,
     /// Writes whose data is being received, by command id, which is also the transfer tag.
     pub(super) transfers: HashMap<u16, Transfer>,
     /// Abort commands that I/O queues are carrying out: the id of each, and whether its command was aborted.
--- a/crates/transport/tests/stored/admin.rs
+++ b/crates/transport/tests/stored/admin.rs
@@ -1,5 +1,6 @@
 //! The admin interface: each request line, each reply, and the texts of errors of a call.
 
+use heathward_core::memory::{MemoryLimits, MemoryUsage};
 use heathward_core::{
     AnswerCounts, CommandError, ConfigurationReloads, CoreMetrics, Counters, OperatorCommand,
 };
@@ -75,10 +76,20 @@
         configuration_reloads: ConfigurationReloads { applied: 41, rejected: 42 },
         ..Counters::default()
     };
-    let metrics = CoreMetrics { counters, active_requests: 51, listed_nodes: 52, avoided_nodes: 53 };
+    let memory = MemoryUsage {
+        limits: MemoryLimits { bodies: 71, total: 72 },
+        held: [81, 82, 83, 84, 85, 86, 87],
+        peak_bodies: 91,
+        unbuffered_bodies: 92,
+        waits: 93,
+    };
+    let metrics = CoreMetrics { counters, active_requests: 51, listed_nodes: 52, avoided_nodes: 53, memory };
     // The third class has had no answer yet.
     let class_names = ["consulta", "pedido", "informe"].map(str::to_owned).to_vec();
-    assert_eq!(Reply::Metrics { metrics: Box::new(metrics), class_names }.to_string(), METRICS);
+    assert_eq!(
+        Reply::Metrics { metrics: Box::new(metrics), resident_bytes: Some(61), class_names }.to_string(),
+        METRICS
+    );
 }
 
 #[test]
--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use heathward_core::memory::MemoryBudget;
 use heathward_core::{Attempt, NodeRequest, SendGate, WriteCompletion, WrittenAttempts};
 use heathward_policy::{KeyId, NodeId, RequestId, VolumeId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -79,6 +80,7 @@
         cancel: Default::default(),
         written_attempts: WrittenAttempts::default(),
         write_completion: WriteCompletion::default(),
+        memory: MemoryBudget::default(),
     }
 }
 
--- a/testing/fakes/src/program.rs
+++ b/testing/fakes/src/program.rs
@@ -17,6 +17,8 @@
 pub struct Held {
     /// Current memory, in kilobytes.
     pub resident_kb: usize,
+    /// The part of the current memory that maps files, such as the program: processes share it. In kilobytes.
+    pub file_kb: usize,
     /// Peak memory, in kilobytes.
     pub peak_kb: usize,
     /// Number of threads.
@@ -119,6 +121,7 @@
         let descriptors = std::fs::read_dir(format!("{root}/fd")).expect("the process runs").count();
         Held {
             resident_kb: figure("VmRSS:"),
+            file_kb: figure("RssFile:"),
             peak_kb: figure("VmHWM:"),
             threads: figure("Threads:"),
             descriptors,
