Release the body of a request once its last byte is written

Operators saw (METRICS, after 480 writes of 64 KB by NVMe hosts at an HTTP node): nvme_commands held 655,360 bytes with no command open, ten bodies on ten idle connections.

Cause: WriteProgress of each connection to a node keeps the last attempt, and so its body, until the next attempt or the connection's idle timeout, 12.5 s in the tests. With 192 connections that is up to 12 MB.

Change: the attempt is dropped when its last byte is written; whether a connection has carried one before is a flag of its own.

--- a/crates/scheduler/tests/net/memory_bound.rs
+++ b/crates/scheduler/tests/net/memory_bound.rs
@@ -1,4 +1,4 @@
-//! What callers get once bodies hold all of the memory that they may.
+//! What callers get once bodies hold all of the memory that they may, and that none is held at rest.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, Instant};
 
 use heathward_fakes::nvme::*;
 use heathward_fakes::*;
@@ -20,6 +20,8 @@
 const BODY: usize = 60 * 1024;
 /// A body that is always streamed.
 const LONG_BODY: usize = 300_000;
+/// Memory is released by then: long before idle connections to nodes are closed, which is after 12.5 s.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
 /// A client's connection that is observed for this long hears nothing.
 const SILENCE: Duration = Duration::from_millis(100);
 
@@ -40,6 +42,14 @@
     memory.try_reserve(MemoryHolder::Uploads, 1 << 20, Priority::Required).unwrap()
 }
 
+async fn until_released(rig: &Rig) {
+    let deadline = Instant::now() + RELEASE_TIMEOUT;
+    while rig.core.memory().usage().bodies() > 0 {
+        assert!(Instant::now() < deadline, "held at rest: {:?}", rig.core.memory().usage());
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against bodies that are refused, or lost, because there is no memory to keep them for another
 /// attempt.
 #[rstest]
@@ -58,6 +68,7 @@
     // A body that comes in one piece needs no more memory when it is buffered.
     let unbuffered = one_node.rig.core.memory().usage().unbuffered_bodies;
     assert_eq!(unbuffered > 0, (9000..=BODY).contains(&length), "{unbuffered}");
+    until_released(&one_node.rig).await;
 }
 
 /// Guards against a body in chunks of which the end is lost when it is streamed for want of memory.
@@ -74,6 +85,7 @@
         .collect();
     let (status, _, _) = one_node.rig.ask(&format!("{head}{chunks}0\r\n\r\n")).await;
     assert_eq!((status, one_node.log.all()[0].body.as_slice()), (200, sent.as_bytes()));
+    until_released(&one_node.rig).await;
 }
 
 /// Guards against a read that carries a body, which is refused, and is forwarded when the body is streamed.
@@ -100,6 +112,7 @@
     drop(all);
     assert_eq!(answer(&mut client).await.0, 200);
     assert_eq!(one_node.log.all()[0].body, sent.as_bytes());
+    until_released(&one_node.rig).await;
 }
 
 /// Guards against an upload that waits for memory for ever: no node has got all of it, so it is shed.
@@ -111,6 +124,27 @@
     client.write_all(request("pedido", 1, 0, 300, &body(LONG_BODY)).as_bytes()).await.unwrap();
     assert_eq!(answer(&mut client).await.0, 503);
     drop(all);
+    until_released(&one_node.rig).await;
+}
+
+/// Guards against idle connections, finished requests and replies that were read and still hold memory.
+#[rstest]
+#[tokio::test]
+async fn no_memory_is_held_at_rest(
+    #[values(20, 9000, BODY, LONG_BODY)] length: usize,
+    #[values(NodeBehavior::Store(0), NodeBehavior::Error, NodeBehavior::Reject, NodeBehavior::Reset)]
+    behavior: NodeBehavior,
+) {
+    let one_node = one_node(&[behavior]).await;
+    let mut client = TcpStream::connect(one_node.rig.front).await.unwrap();
+    for call in 1..4 {
+        client.write_all(request("pedido", call, 0, 900, &body(length)).as_bytes()).await.unwrap();
+        let (_, head, _) = answer(&mut client).await;
+        if header(&head, "connection") == Some("close") {
+            client = TcpStream::connect(one_node.rig.front).await.unwrap();
+        }
+    }
+    until_released(&one_node.rig).await;
 }
 
 /// Guards against a body that is too long for the memory, and is cut when a node takes it only as a whole.
@@ -123,6 +157,7 @@
         .replace("00000003b4d60021/7f3a9c21e0b4d655?v=1", "0000000000000001/0000000000000100");
     assert_eq!(mixed.rig.ask(&write).await.0, 200);
     assert_eq!(mixed.log.all()[0].body, sent.as_bytes());
+    until_released(&mixed.rig).await;
 }
 
 /// Guards against commands that are failed, or executed in part, because there is no memory for their data:
@@ -141,6 +176,7 @@
     let data = Bytes::from(vec![2; 64 * SMALL]);
     assert_eq!(finish(&mut host.io, 7, data.clone()).await.0.status, Status::SUCCESS);
     assert_eq!(host.read(1, 8, 64 * SMALL).await.1, data);
+    until_released(&mixed.rig).await;
 }
 
 /// Guards against a command that was aborted while it waited for memory, and is requested all the same.
@@ -160,4 +196,5 @@
     drop(all);
     assert!(timeout(SILENCE, host.io.next()).await.is_err(), "data of an aborted command is requested");
     assert!(mixed.log.all().is_empty());
+    until_released(&mixed.rig).await;
 }
--- a/crates/transport/src/node/tracked_stream.rs
+++ b/crates/transport/src/node/tracked_stream.rs
@@ -34,10 +34,12 @@
     complete: AtomicBool,
     started: AtomicBool,
     withheld: AtomicBool,
+    /// The connection has carried an attempt.
+    used: AtomicBool,
     /// The connection has carried an attempt before this one; bytes received since then belong to no request.
     reused: AtomicBool,
     stale: AtomicBool,
-    /// The current attempt, or the last one.
+    /// The current attempt until its last byte is written: an idle connection must not hold its body.
     attempt: Mutex<Option<Attempt>>,
     broken: AtomicBool,
 }
@@ -48,11 +50,11 @@
     /// byte is written once it is cancelled.
     pub fn begin(&self, content_length: impl Into<Option<usize>>, attempt: Attempt) {
         let remaining_body = content_length.into().unwrap_or(UNKNOWN_LENGTH);
-        let previous = self.lock().replace(attempt);
+        self.lock().replace(attempt);
         self.stale.store(false, Ordering::Relaxed);
         self.started.store(false, Ordering::Relaxed);
         self.withheld.store(false, Ordering::Relaxed);
-        self.reused.store(previous.is_some(), Ordering::Relaxed);
+        self.reused.store(self.used.swap(true, Ordering::Relaxed), Ordering::Relaxed);
         self.terminator_matched.store(0, Ordering::Relaxed);
         self.remaining_body.store(remaining_body, Ordering::Relaxed);
         self.last_body_bytes.store(0, Ordering::Relaxed);
@@ -122,7 +124,7 @@
             && self.record_body(rest)
             && !self.complete.swap(true, Ordering::Relaxed)
         {
-            if let Some(attempt) = &*self.lock() {
+            if let Some(attempt) = self.lock().take() {
                 attempt.mark_written();
             }
         }
