--- a/crates/scheduler/tests/pinned/check_messages.rs
+++ b/crates/scheduler/tests/pinned/check_messages.rs
@@ -99,6 +99,8 @@
         ("8c1f30d27a5be964", "none"),
         ("\"sockets\": 1024", "\"sockets\": 3"),
         ("\"sockets\": 1024", "\"sockets\": \"many\""),
+        ("\"memory_mb\": 192", "\"memory_mb\": 15"),
+        ("\"memory_mb\": 192", "\"memory_mb\": \"much\""),
         ("\"listen\": \"127.0.0.1:8080\",", ""),
         ("127.0.0.1:8080", "somewhere"),
         ("127.0.0.1:8500", "nowhere"),
