Soak of the limit on memory: bodies and replies of any size from seeds

Need: the tests of the limit play chosen loads; a fault on another path, or in a mixture, would not be found.

The exit codes of heathward-measure are decided in one place.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,11 @@
 soak: build
 	target/release/heathward-measure soak $(FIRST) $(SEEDS)
 
+# Bodies and replies of any size within the limit on memory, drawn from random seeds; CI runs a few seeds.
+.PHONY: soak-memory
+soak-memory: build
+	target/release/heathward-measure memory-soak $(FIRST) $(SEEDS)
+
 # Lists the bench runs that the current state lacks (exit code 1 if any, 2 without a bench); regression-run
 # runs them one after the other.
 .PHONY: regression regression-run journal
--- a/testing/fault-injection/src/lib.rs
+++ b/testing/fault-injection/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod link;
 pub mod lists;
+pub mod memory_soak;
 pub mod node;
 pub mod play;
 pub mod processor_time;
--- a/testing/measure/src/main.rs
+++ b/testing/measure/src/main.rs
@@ -7,6 +7,7 @@
 mod experiment;
 mod fleet;
 mod journal;
+mod memory_soak;
 mod regression;
 mod report;
 mod slowstart;
@@ -44,19 +45,24 @@
     own.with_file_name(name)
 }
 
+/// The exit code of a measurement: 0 if all was kept, 1 if not, 2 after an error.
+fn exit_code<E: std::fmt::Display>(result: Result<bool, E>) -> ExitCode {
+    match result {
+        Ok(kept) => ExitCode::from(u8::from(!kept)),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let mut figures = Figures(true);
     let rest: Vec<String> = std::env::args().skip(2).collect();
     match std::env::args().nth(1).as_deref() {
         Some("experiment") => {
             let words = std::env::args().skip(1).collect();
-            return match experiment::run(words) {
-                Ok(kept) => ExitCode::from(u8::from(!kept)),
-                Err(error) => {
-                    eprintln!("{error}");
-                    ExitCode::from(2)
-                }
-            };
+            return exit_code(experiment::run(words));
         }
         Some("journal") => {
             let folder = rest.first().map_or("docs", String::as_str);
@@ -72,15 +78,8 @@
                 rest.get(1).map_or("The runs that this state owes", String::as_str),
             );
         }
-        Some("soak") => {
-            return match soak::run(&rest) {
-                Ok(kept) => ExitCode::from(u8::from(!kept)),
-                Err(error) => {
-                    eprintln!("{error}");
-                    ExitCode::from(2)
-                }
-            };
-        }
+        Some("soak") => return exit_code(soak::run(&rest)),
+        Some("memory-soak") => return exit_code(memory_soak::run(&rest)),
         Some("report") => report::run(&mut figures),
         Some("coldstart") => coldstart::run(&mut figures),
         Some("slowstart") => slowstart::run(&rest, &mut figures),
@@ -96,7 +95,7 @@
                 "usage: heathward-measure report|fleet|coldstart|slowstart [SCHEDULERS]|\
                  capacity [--short] [FOLDER]|\
                  experiment SCENARIO|journal [FOLDER]|\
-                 regression [--run [WHY]]|soak FIRST COUNT|soak FILE"
+                 regression [--run [WHY]]|soak FIRST COUNT|soak FILE|memory-soak FIRST COUNT"
             );
             return ExitCode::from(2);
         }
