HTTP nodes: the connection and the outgoing body in files of their own

Change: moved the connection to http/connection.rs and the body of a request to http/body.rs; the link stays. No other edit but visibility.

--- /dev/null
+++ b/crates/transport/src/node/http/connection.rs
@@ -0,0 +1,273 @@
+//! A connection to an HTTP node: sends a request, and receives its reply or forwards it while it is received.
+
+use std::future::{poll_fn, Future};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+use super::super::{Connection, TrackedStream, WriteProgress};
+use super::body::OutgoingBody;
+use crate::http::{headers, MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::READ_BUFFER_BYTES;
+use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation, ReservedBuffer};
+use heathward_core::{Attempt, BodySender, MAX_BUFFERED_BODY_BYTES};
+use heathward_policy::AttemptEnd;
+
+type Driver = http1::Connection<TokioIo<TrackedStream>, OutgoingBody>;
+
+/// Memory that a connection needs for its buffers and for the task of an attempt, in bytes.
+const CONNECTION_BYTES: usize = 36 * 1024;
+/// The most time between two chunks of a reply that is buffered. Guards against waiting for a truncated reply
+/// until the deadline of the attempt, and against treating its node as slow.
+const BUFFERED_CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
+/// The most time between two chunks of a reply that is streamed to the client.
+const STREAMED_CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The most time that a chunk of a reply waits for memory: as long as a client may read nothing.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// A reply of a node.
+pub(super) enum Reply {
+    /// A complete reply.
+    Complete(AttemptEnd, Bytes),
+    /// A served reply that is not buffered, as it is too long or there is no memory for it.
+    Partial(PartialReply),
+}
+
+/// Where a reply is buffered.
+pub(super) struct ReplyBuffer {
+    memory: MemoryBudget,
+    /// The memory for the complete reply, if its length is known before the request is sent.
+    reservation: Option<Reservation>,
+}
+
+impl ReplyBuffer {
+    /// Waits for the memory of a reply whose length the request states, as its client takes it only as a
+    /// whole; `None` if there is none by the deadline of the attempt.
+    pub(super) async fn reserve(attempt: &Attempt) -> Option<Self> {
+        let memory = attempt.memory.clone();
+        let reservation = match attempt.node_request.read_length {
+            Some(bytes) => {
+                let reserving = memory.reserve(MemoryHolder::Replies, bytes);
+                Some(timeout_at(attempt.deadline, reserving).await.ok()?)
+            }
+            None => None,
+        };
+        Some(Self { memory, reservation })
+    }
+}
+
+/// A reply of which only a part was received.
+pub(super) struct PartialReply {
+    /// The length of the complete reply in bytes, if it was announced.
+    pub(super) length: Option<u64>,
+    /// The part that was received, at most [`MAX_BUFFERED_BODY_BYTES`].
+    pub(super) first_part: Bytes,
+    /// The chunk that was received after that.
+    pub(super) next_chunk: Bytes,
+    pub(super) rest: Incoming,
+}
+
+/// A connection to an HTTP node; it carries one attempt at a time and is closed when dropped.
+pub struct HttpConnection {
+    _memory: Reservation,
+    sender: http1::SendRequest<OutgoingBody>,
+    driver: Pin<Box<Driver>>,
+    pub(super) written: Arc<WriteProgress>,
+    ended: bool,
+}
+
+impl Connection for HttpConnection {
+    const SOCKETS: usize = 1;
+
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.ended = self.ended || self.driver.as_mut().poll(cx).is_ready();
+        if self.ended {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    }
+}
+
+impl HttpConnection {
+    pub(super) async fn open(address: SocketAddr, memory: &MemoryBudget) -> Option<Self> {
+        let memory = memory.charge(MemoryHolder::NodeConnections, CONNECTION_BYTES);
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let written = Arc::new(WriteProgress::default());
+        let io = TokioIo::new(TrackedStream::new(stream, written.clone()));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, driver) = builder.handshake(io).await.ok()?;
+        Some(Self { _memory: memory, sender, driver: Box::pin(driver), written, ended: false })
+    }
+
+    /// Drives the connection until `operation` on it is done.
+    async fn drive<F: Future>(&mut self, operation: F) -> F::Output {
+        let mut operation = Box::pin(operation);
+        poll_fn(|cx| {
+            self.ended = self.ended || self.driver.as_mut().poll(cx).is_ready();
+            operation.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Waits until the connection can carry a request; false if it can't any more.
+    pub(super) async fn ready(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.ended = self.ended || self.driver.as_mut().poll(cx).is_ready();
+            self.sender.poll_ready(cx)
+        })
+        .await
+        .is_ok_and(|()| !self.ended)
+    }
+
+    /// Sends a request and receives its reply; `None` if there is no valid reply. This is the only validation
+    /// of replies: the head must be readable and state at most one length, the body must not be too long, and
+    /// it must have the stated length.
+    pub(super) async fn exchange(
+        &mut self,
+        request: Request<OutgoingBody>,
+        reply_buffer: ReplyBuffer,
+    ) -> Option<Reply> {
+        let sending = self.sender.send_request(request);
+        let (head, body) = self.drive(sending).await.ok()?.into_parts();
+        let lengths = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .filter(|name| head.headers.contains_key(*name))
+            .count();
+        if lengths > 1 || body.size_hint().lower() > MAX_BODY_BYTES {
+            return None;
+        }
+        let rejected = head.headers.get(headers::REJECTED).is_some_and(|value| value == "1");
+        let end = match head.status {
+            StatusCode::OK => AttemptEnd::Served,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => AttemptEnd::Rejected,
+            _ => AttemptEnd::Error,
+        };
+        if end == AttemptEnd::Served {
+            self.buffer_reply(body, reply_buffer).await
+        } else {
+            self.discard_reply(end, body).await
+        }
+    }
+
+    /// Receives a served reply until it is complete, is too long to be buffered, or there is no memory for
+    /// more of it; `None` if it is late or broken.
+    async fn buffer_reply(&mut self, mut body: Incoming, reply_buffer: ReplyBuffer) -> Option<Reply> {
+        let length = body.size_hint().exact();
+        let expected_bytes = length.map_or(MAX_BUFFERED_BODY_BYTES, |bytes| bytes as usize);
+        let is_long = expected_bytes > MAX_BUFFERED_BODY_BYTES;
+        let ReplyBuffer { memory, reservation } = reply_buffer;
+        let mut buffered = match reservation {
+            Some(reservation) => ReservedBuffer::with_reservation(reservation),
+            None => ReservedBuffer::new(&memory, MemoryHolder::Replies, expected_bytes),
+        };
+        let mut next_chunk = Bytes::new();
+        while !is_long && next_chunk.is_empty() {
+            let Some(chunk) = self.next_buffered_chunk(&mut body).await? else {
+                return Some(Reply::Complete(AttemptEnd::Served, buffered.into_bytes()));
+            };
+            let is_too_long = buffered.len() + chunk.len() > MAX_BUFFERED_BODY_BYTES;
+            if is_too_long || buffered.append(&chunk).is_err() {
+                if !is_too_long {
+                    memory.count_unbuffered_body();
+                }
+                next_chunk = chunk;
+            }
+        }
+        let first_part = buffered.into_bytes();
+        Some(Reply::Partial(PartialReply { length, first_part, next_chunk, rest: body }))
+    }
+
+    /// Receives a reply whose body is not used; `None` if it is late, broken or too long.
+    async fn discard_reply(&mut self, end: AttemptEnd, mut body: Incoming) -> Option<Reply> {
+        let mut discarded_bytes = 0;
+        while let Some(chunk) = self.next_buffered_chunk(&mut body).await? {
+            discarded_bytes += chunk.len();
+            if discarded_bytes > MAX_BUFFERED_BODY_BYTES {
+                return None;
+            }
+        }
+        Some(Reply::Complete(end, Bytes::new()))
+    }
+
+    /// Receives a chunk of a reply that is not streamed; the inner `None` is the end of the reply, the outer
+    /// one a chunk that is late or broken.
+    async fn next_buffered_chunk(&mut self, body: &mut Incoming) -> Option<Option<Bytes>> {
+        loop {
+            let deadline = Instant::now() + BUFFERED_CHUNK_TIMEOUT;
+            match timeout_at(deadline, self.drive(body.frame())).await.ok()? {
+                None => return Some(None),
+                // Trailers are ignored, and so are empty chunks.
+                Some(frame) => match frame.ok()?.into_data() {
+                    Ok(chunk) if !chunk.is_empty() => return Some(Some(chunk)),
+                    _ => {}
+                },
+            }
+        }
+    }
+
+    /// Forwards a reply that is being received, and returns the connection if it can carry another attempt.
+    /// Gives up once no chunk arrives in time, the reply is too long or the receiver has closed the channel.
+    pub(super) async fn forward_reply(
+        mut self,
+        forwarded_part_bytes: usize,
+        next_chunk: Bytes,
+        mut rest: Incoming,
+        sender: BodySender,
+        memory: MemoryBudget,
+    ) -> Option<Self> {
+        let mut forwarded_bytes = forwarded_part_bytes as u64;
+        let mut chunk = next_chunk;
+        loop {
+            forwarded_bytes += chunk.len() as u64;
+            if forwarded_bytes > MAX_BODY_BYTES || !send_chunk(&sender, chunk, &memory).await {
+                return None;
+            }
+            let deadline = Instant::now() + STREAMED_CHUNK_TIMEOUT;
+            let Some(frame) = timeout_at(deadline, self.drive(rest.frame())).await.ok()? else { break };
+            // Trailers are ignored.
+            chunk = frame.ok()?.into_data().unwrap_or_default();
+        }
+        let is_reusable = self.is_reusable().await;
+        sender.finish().await;
+        is_reusable.then_some(self)
+    }
+
+    /// Whether the connection can carry another request: false if it has ended, or if bytes were received
+    /// after the last reply.
+    pub(super) async fn is_reusable(&mut self) -> bool {
+        poll_fn(|cx| Poll::Ready(self.poll_closed(cx).is_pending())).await && !self.sender.is_closed()
+    }
+}
+
+/// Sends a chunk of a reply to its client once there is memory for it. Returns false if the receiver was
+/// dropped, or no memory was released for as long as a client may read nothing.
+async fn send_chunk(sender: &BodySender, chunk: Bytes, memory: &MemoryBudget) -> bool {
+    if chunk.is_empty() {
+        return true;
+    }
+    let reserving = memory.reserve(MemoryHolder::Downloads, READ_BUFFER_BYTES.max(chunk.len()));
+    let reservation = tokio::select! {
+        reservation = timeout_at(Instant::now() + MEMORY_TIMEOUT, reserving) => reservation,
+        () = sender.closed() => return false,
+    };
+    match reservation {
+        Ok(reservation) => sender.send(reservation.attach(chunk)).await,
+        Err(_) => false,
+    }
+}
