Memory: chunks of streamed bodies have half of the limit for themselves

Need, found by reading: when a second process starts, the limit is halved, and copies of bodies and replies that were within half of it then fill it. Chunks of uploads that keep their pace would wait for clients that read slowly, up to their time-out, and be shed. NVMe hosts that do not read could hold all of it as well, and a command that waits stood before chunks in the one queue.

Change: a chunk is granted while chunks hold less than half of the limit, whatever copies and commands hold, and chunks wait in a queue of their own.

Result: copies_leave_half_of_the_limit_to_streams_and_do_not_hold_them_up describes it (not run on the code before, which has one queue); the 11 tests of the budget, 27 of memory_bound and 12 of memory_limit pass.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -15,8 +15,9 @@
 
 pub use buffer::{OutOfMemory, ReservedBuffer};
 
-/// [`Priority::Optional`] reservations use the limit on bodies divided by this.
-const OPTIONAL_DIVISOR: usize = 2;
+/// The limit on bodies divided by this is the most that [`Priority::Optional`] reservations use, and what chunks
+/// of streamed bodies have for themselves.
+const SHARE_DIVISOR: usize = 2;
 
 /// What a reservation is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +54,11 @@
     pub fn holds_bodies(self) -> bool {
         !matches!(self, Self::ClientConnections | Self::NodeConnections)
     }
+
+    /// Returns whether this is data of bodies that pass through in chunks.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Uploads | Self::Downloads)
+    }
 }
 
 /// How much of the limit a reservation may use.
@@ -103,20 +109,27 @@
 
     /// Returns the reserved bytes of all holders of bodies.
     pub fn bodies(&self) -> usize {
+        self.total_of(MemoryHolder::holds_bodies)
+    }
+
+    fn total_of(&self, is_counted: impl Fn(MemoryHolder) -> bool) -> usize {
         let holders = MemoryHolder::ALL.iter().zip(self.held);
-        holders.filter(|(holder, _)| holder.holds_bodies()).map(|(_, bytes)| bytes).sum()
+        holders.filter(|(holder, _)| is_counted(**holder)).map(|(_, bytes)| bytes).sum()
     }
 
     /// Returns whether the limits allow a reservation of `bytes`.
-    fn allows(&self, bytes: usize, priority: Priority) -> bool {
+    fn allows(&self, holder: MemoryHolder, bytes: usize, priority: Priority) -> bool {
         let bodies = self.bodies();
+        let share = self.limits.bodies / SHARE_DIVISOR;
         match priority {
+            // Copies that their clients do not read must not hold up streams.
+            Priority::Required if holder.is_stream() => {
+                bodies + bytes <= self.limits.bodies
+                    || self.total_of(MemoryHolder::is_stream) + bytes <= share
+            }
             // The only reservation is granted whatever its size, as no other will ever make room for it.
             Priority::Required => bodies == 0 || bodies + bytes <= self.limits.bodies,
-            Priority::Optional => {
-                bodies + bytes <= self.limits.bodies / OPTIONAL_DIVISOR
-                    && self.total() + bytes <= self.limits.total
-            }
+            Priority::Optional => bodies + bytes <= share && self.total() + bytes <= self.limits.total,
         }
     }
 }
@@ -128,12 +141,27 @@
 #[derive(Debug)]
 struct Shared {
     usage: Mutex<MemoryUsage>,
-    /// Held by the reservation that waits next, so that reservations wait in order.
+    /// Reservations for chunks of streamed bodies, and those of all others: neither wait behind the other.
+    streams: WaitQueue,
+    others: WaitQueue,
+}
+
+/// The reservations that wait.
+#[derive(Debug, Default)]
+struct WaitQueue {
+    /// Locked by the one that waits next, so that they wait in the order of their calls.
     turn: tokio::sync::Mutex<()>,
-    /// Notified when memory is released or the limit is raised.
+    /// Notified when memory is released or the limits change.
     released: Notify,
 }
 
+impl Shared {
+    fn notify_released(&self) {
+        self.streams.released.notify_one();
+        self.others.released.notify_one();
+    }
+}
+
 impl Default for MemoryBudget {
     fn default() -> Self {
         Self::new(MemoryLimits::default())
@@ -144,14 +172,14 @@
     /// Creates a budget with these limits.
     pub fn new(limits: MemoryLimits) -> Self {
         let usage = Mutex::new(MemoryUsage { limits, ..MemoryUsage::default() });
-        Self(Arc::new(Shared { usage, turn: tokio::sync::Mutex::default(), released: Notify::new() }))
+        Self(Arc::new(Shared { usage, streams: WaitQueue::default(), others: WaitQueue::default() }))
     }
 
     /// Sets the limits. What is reserved beyond a lower limit stays reserved, and nothing more is granted
     /// until enough of it is released.
     pub fn set_limits(&self, limits: MemoryLimits) {
         self.lock().limits = limits;
-        self.0.released.notify_one();
+        self.0.notify_released();
     }
 
     /// Returns the current use.
@@ -172,7 +200,7 @@
     /// Reserves `bytes`; `None` if the limits do not allow that now.
     pub fn try_reserve(&self, holder: MemoryHolder, bytes: usize, priority: Priority) -> Option<Reservation> {
         let mut usage = self.lock();
-        usage.allows(bytes, priority).then(|| self.grant(&mut usage, holder, bytes))
+        usage.allows(holder, bytes, priority).then(|| self.grant(&mut usage, holder, bytes))
     }
 
     fn grant(&self, usage: &mut MemoryUsage, holder: MemoryHolder, bytes: usize) -> Reservation {
@@ -184,19 +212,20 @@
     /// Reserves `bytes` with [`Priority::Required`], and waits for them if need be, in the order of the
     /// calls.
     pub async fn reserve(&self, holder: MemoryHolder, bytes: usize) -> Reservation {
-        if self.0.turn.try_lock().is_ok() {
+        let queue = if holder.is_stream() { &self.0.streams } else { &self.0.others };
+        if queue.turn.try_lock().is_ok() {
             if let Some(reservation) = self.try_reserve(holder, bytes, Priority::Required) {
                 return reservation;
             }
         }
         self.lock().waits += 1;
-        let _turn = self.0.turn.lock().await;
+        let _turn = queue.turn.lock().await;
         loop {
             // The notification of a release before this is kept, so that none is missed.
             if let Some(reservation) = self.try_reserve(holder, bytes, Priority::Required) {
                 return reservation;
             }
-            self.0.released.notified().await;
+            queue.released.notified().await;
         }
     }
 
@@ -230,7 +259,7 @@
     fn drop(&mut self) {
         if self.bytes > 0 {
             self.budget.lock().held[self.holder as usize] -= self.bytes;
-            self.budget.0.released.notify_one();
+            self.budget.0.notify_released();
         }
     }
 }
--- a/crates/core/src/memory/tests.rs
+++ b/crates/core/src/memory/tests.rs
@@ -103,11 +103,26 @@
     drop(first);
 }
 
+/// Guards against chunks that wait for copies whose clients read slowly, as after a lowered limit.
+#[tokio::test]
+async fn copies_leave_half_of_the_limit_to_streams_and_do_not_hold_them_up() {
+    let budget = budget(200);
+    let copies = budget.reserve(MemoryHolder::Replies, 150).await;
+    budget.set_limits(limits(100));
+    let mut command = Box::pin(budget.reserve(MemoryHolder::NvmeCommands, 10));
+    assert!(command.as_mut().now_or_never().is_none());
+    let chunk = budget.reserve(MemoryHolder::Uploads, 50).now_or_never().expect("half is for streams");
+    assert!(budget.reserve(MemoryHolder::Downloads, 1).now_or_never().is_none());
+    drop(copies);
+    timeout(Duration::from_secs(1), command).await.expect("memory was released");
+    drop(chunk);
+}
+
 #[tokio::test]
 async fn a_reservation_beyond_the_limit_is_granted_once_it_is_the_only_one() {
     let budget = budget(100);
-    let first = budget.reserve(HOLDER, 1).await;
-    let mut waiting = Box::pin(budget.reserve(HOLDER, 200));
+    let first = budget.reserve(MemoryHolder::NvmeCommands, 1).await;
+    let mut waiting = Box::pin(budget.reserve(MemoryHolder::NvmeCommands, 200));
     assert!(waiting.as_mut().now_or_never().is_none());
     drop(first);
     timeout(Duration::from_secs(1), waiting).await.expect("nothing else is reserved");
