NVMe targets: an upload that gets no memory in time is shed, not held

The front gives it up once the target's side has accepted nothing for as long as the client waits; the link did not hear of that, and waited for the rest of the body, so its client got no answer for an hour.

Change: the link gives up with the upload, and the request is shed, as no byte of it was written.

an_upload_to_an_nvme_target_without_memory_is_shed_in_time failed before (no answer within 20 s), and passes now, with the 27 others of memory_bound.

--- a/crates/scheduler/tests/net/memory_bound.rs
+++ b/crates/scheduler/tests/net/memory_bound.rs
@@ -147,19 +147,34 @@
     until_released(&one_node.rig).await;
 }
 
+/// Returns a write to the blocks that the NVMe target holds.
+fn write_to_target(budget_ms: u32, body: &str) -> String {
+    request("pedido", 1, 1, budget_ms, body)
+        .replace("00000003b4d60021/7f3a9c21e0b4d655?v=1", "0000000000000001/0000000000000100")
+}
+
 /// Guards against a body that is too long for the memory, and is cut when a node takes it only as a whole.
 #[tokio::test]
 async fn a_streamed_body_is_written_completely_to_an_nvme_target() {
     let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
     forbid_buffering(&mixed.rig);
     let sent = body(20 * 1024);
-    let write = request("pedido", 1, 1, 900, &sent)
-        .replace("00000003b4d60021/7f3a9c21e0b4d655?v=1", "0000000000000001/0000000000000100");
-    assert_eq!(mixed.rig.ask(&write).await.0, 200);
+    assert_eq!(mixed.rig.ask(&write_to_target(900, &sent)).await.0, 200);
     assert_eq!(mixed.log.all()[0].body, sent.as_bytes());
     until_released(&mixed.rig).await;
 }
 
+/// Guards against an upload that hangs when its target, which takes it only as a whole, gets no memory for it.
+#[tokio::test]
+async fn an_upload_to_an_nvme_target_without_memory_is_shed_in_time() {
+    let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
+    let all = exhaust(&mixed.rig);
+    assert_eq!(mixed.rig.ask(&write_to_target(300, &body(20 * 1024))).await.0, 503);
+    assert!(mixed.log.all().is_empty());
+    drop(all);
+    until_released(&mixed.rig).await;
+}
+
 /// Guards against commands that are failed, or executed in part, because there is no memory for their data:
 /// data that the host sends unasked interrupts its command, other data is requested once there is memory.
 #[tokio::test]
--- a/crates/transport/src/nvme/link.rs
+++ b/crates/transport/src/nvme/link.rs
@@ -101,6 +101,7 @@
         let prepared = tokio::select! {
             biased;
             () = attempt.cancel.cancelled() => None,
+            () = upload_expired(&attempt) => None,
             prepared = timeout_at(attempt.deadline, self.prepare(&attempt)) => prepared.ok().flatten(),
         };
         let Some((blocks, mut data)) = prepared else {
@@ -155,6 +156,14 @@
     }
 }
 
+/// Returns once the time of a streamed body is over, or it was abandoned. Never returns without one.
+async fn upload_expired(attempt: &Attempt) {
+    match &attempt.node_request.upload {
+        Some(upload) => upload.expired().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl tower::Service<LinkRequest<NvmeConnection>> for NvmeLink {
     type Response = LinkResponse<NvmeConnection>;
     type Error = Infallible;
