Memory tests: streamed bodies behind a node that never answers have their answer in time

Need: a body that is streamed at the bound counts its time from its last byte, so a test should show that it is answered then. Change: one test, 30 writes of 20 KB with 0.3 s at a node that never answers.

--- a/crates/scheduler/tests/net/memory_bound.rs
+++ b/crates/scheduler/tests/net/memory_bound.rs
@@ -22,6 +22,10 @@
 const LONG_BODY: usize = 300_000;
 /// Memory is released by then: long before idle connections to nodes are closed, which is after 12.5 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Clients that write to a node which never answers: more than it is sent at a time.
+const CLIENTS_OF_SILENT_NODE: u32 = 30;
+/// Their requests have 0.3 s, and are lost half a second later.
+const MAX_LATE_ANSWER: Duration = Duration::from_millis(800);
 /// A client's connection that is observed for this long hears nothing.
 const SILENCE: Duration = Duration::from_millis(100);
 
@@ -115,6 +119,28 @@
     until_released(&one_node.rig).await;
 }
 
+/// Guards against a streamed body that waits for its node without a time limit: its client is answered in its
+/// time, also behind requests that the node never answers.
+#[tokio::test]
+async fn a_streamed_body_that_has_come_whole_is_answered_in_its_time() {
+    let one_node = one_node(&[NodeBehavior::Silent]).await;
+    forbid_buffering(&one_node.rig);
+    let mut clients = Vec::new();
+    for call in 0..CLIENTS_OF_SILENT_NODE {
+        let mut client = TcpStream::connect(one_node.rig.front).await.unwrap();
+        let write = request("pedido", call, 0, 300, &body(20_000));
+        client.write_all(write.as_bytes()).await.unwrap();
+        clients.push((client, Instant::now()));
+    }
+    for (mut client, sent_at) in clients {
+        let (status, _, _) = answer(&mut client).await;
+        let waited = sent_at.elapsed();
+        assert!(matches!(status, 502..=504), "{status}");
+        assert!(waited < MAX_LATE_ANSWER, "answered after {waited:?}");
+    }
+    until_released(&one_node.rig).await;
+}
+
 /// Guards against an upload that waits for memory for ever: no node has got all of it, so it is shed.
 #[tokio::test]
 async fn an_upload_without_memory_is_shed_in_time() {
