Memory soak: comments by nouns of the field, and one that was wrong

Need: comments of the new soak named things by clauses, and one told of a single connection for all requests, which no client uses. Change: comments only.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -15,8 +15,8 @@
 
 pub use buffer::{OutOfMemory, ReservedBuffer};
 
-/// The limit on bodies divided by this is the most that [`Priority::Optional`] reservations use, and what chunks
-/// of streamed bodies have for themselves.
+/// The limit on bodies divided by this is the most that [`Priority::Optional`] reservations use, and what
+/// chunks of streamed bodies have for themselves.
 const SHARE_DIVISOR: usize = 2;
 
 /// What a reservation is for.
--- a/crates/scheduler/tests/net/memory_bound.rs
+++ b/crates/scheduler/tests/net/memory_bound.rs
@@ -190,7 +190,8 @@
     until_released(&mixed.rig).await;
 }
 
-/// Guards against an upload that hangs when its target, which takes it only as a whole, gets no memory for it.
+/// Guards against an upload that hangs when its target, which takes it only as a whole, gets no memory for
+/// it.
 #[tokio::test]
 async fn an_upload_to_an_nvme_target_without_memory_is_shed_in_time() {
     let mixed = start_mixed(&[NodeBehavior::Store(SMALL)], 0).await;
--- a/testing/fault-injection/src/memory_soak/client.rs
+++ b/testing/fault-injection/src/memory_soak/client.rs
@@ -18,7 +18,7 @@
 /// The buffer of the system for the input of a slow reader, in bytes.
 const SLOW_READ_BUFFER: u32 = 4096;
 
-/// How a request ended for its client.
+/// The end of a request, as its client observed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
     /// The complete reply of its node.
@@ -91,7 +91,7 @@
     )
 }
 
-/// Keeps a pace: waits until so many bytes are due.
+/// Waits until `bytes` bytes are due at a pace.
 async fn keep_pace(pace: Option<u64>, since: Instant, bytes: usize) {
     if let Some(pace) = pace {
         sleep_until(since + Duration::from_secs_f64(bytes as f64 / pace as f64)).await;
--- a/testing/fault-injection/src/memory_soak/memory.rs
+++ b/testing/fault-injection/src/memory_soak/memory.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::interval;
 
-/// How often the platform looks.
+/// Interval at which the memory is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 /// The pages of a release build of the program that are resident, in kilobytes. They count in place of those
 /// of the build that is played, as a debug build has twice as many.
--- a/testing/fault-injection/src/memory_soak/object.rs
+++ b/testing/fault-injection/src/memory_soak/object.rs
@@ -1,5 +1,4 @@
-//! What a request asks of its node. It is coded into the key of its object, so that nodes need no list of
-//! requests.
+//! The node's part in a request, coded into the key of its object, so that nodes need no list of requests.
 
 /// The form of a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,14 +17,14 @@
 /// Bits of the key for the form of the reply.
 const FRAMING_BITS: u32 = 8;
 
-/// What a node does for a request.
+/// The node's part in a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Object {
     /// Length of the reply in bytes, below 16 MB.
     pub reply_bytes: usize,
     /// The form of the reply.
     pub framing: ReplyFraming,
-    /// How long the node waits before it reads a body, in milliseconds, below 65,536.
+    /// The node's delay before it reads a body, in milliseconds, below 65,536.
     pub stall_ms: u64,
 }
 
--- a/testing/fault-injection/src/memory_soak/plan.rs
+++ b/testing/fault-injection/src/memory_soak/plan.rs
@@ -22,23 +22,23 @@
 /// The longest wait of a node before it reads a body, in milliseconds.
 const MAX_STALL_MS: u64 = 800;
 
-/// What a client does: requests one after the other, each on a connection of its own or all on one.
+/// The requests of a client: it sends each on a new connection, after the answer to the one before.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClientPlan {
-    /// When it sends the first one, in milliseconds.
+    /// Start of the first request, in milliseconds.
     pub starts_at_ms: u64,
     /// Its requests.
     pub requests: Vec<RequestPlan>,
 }
 
-/// A request, and how its client sends and reads.
+/// A request, and the pace of its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestPlan {
     /// Length of the body in bytes; `None` for a read.
     pub body_bytes: Option<usize>,
-    /// Whether the body is sent in chunks, without a length.
+    /// The body is sent in chunks, without a length.
     pub is_chunked: bool,
-    /// What its node does.
+    /// The node's part.
     pub object: Object,
     /// The pace at which the body is sent and the answer is read, in bytes a second; `None` as fast as
     /// possible.
@@ -47,7 +47,7 @@
     pub leaves_after: Option<usize>,
 }
 
-/// Which requests most clients of a play send.
+/// The kind of request that most clients of a play send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Focus {
     /// Any.
@@ -64,7 +64,7 @@
 /// The share of a play's requests that are of its focus: seven of eight.
 const FOCUS_OF: u32 = 8;
 
-/// What happens in one play.
+/// The limits, the clients and the upgrade of one play.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
     /// The seed that it was drawn from.
@@ -73,9 +73,9 @@
     pub memory_mb: usize,
     /// The limit on descriptors.
     pub sockets: usize,
-    /// Which requests most clients send.
+    /// The kind of request that most clients send.
     pub focus: Focus,
-    /// When a second process starts, in milliseconds.
+    /// Start of a second process, in milliseconds; `None` for a play without an upgrade.
     pub upgrade_at_ms: Option<u64>,
     /// The clients.
     pub clients: Vec<ClientPlan>,
