--- a/testing/fault-injection/src/memory_soak/client.rs
+++ b/testing/fault-injection/src/memory_soak/client.rs
@@ -83,7 +83,8 @@
     };
     let key = request.body_bytes.map_or(String::new(), |_| format!("Idempotency-Key: k{call}\r\n"));
     format!(
-        "{method} /{class}/00000003b4d60021/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: {call:016x}\r\n\
+        "{method} /{class}/00000003b4d60021/{:016x} HTTP/1.1\r\nHost: origin.svc\r\n\
+         X-Call-Id: {call:016x}\r\n\
          X-Call-Class: {class}\r\nX-Plan: prioritario\r\nX-Budget-Ms: 5000\r\n{framing}{key}\
          X-IO: units=2,shard={},hosts=1\r\n\r\n",
         request.object.key(),
--- a/testing/fault-injection/src/memory_soak/play.rs
+++ b/testing/fault-injection/src/memory_soak/play.rs
@@ -59,8 +59,8 @@
         let Plan { seed, memory_mb, sockets, focus, upgrade_at_ms, clients } = &self.plan;
         write!(
             f,
-            "seed {seed}: {memory_mb} MB, {sockets} descriptors, {} clients, {focus:?}, upgrade {}; {} requests: {} served, \
-             {} shed, {} failed, {} left; {} kB at most",
+            "seed {seed}: {memory_mb} MB, {sockets} descriptors, {} clients, {focus:?}, upgrade {}; \
+             {} requests: {} served, {} shed, {} failed, {} left; {} kB at most",
             clients.len(),
             upgrade_at_ms.map_or("none".to_owned(), |at| format!("at {at} ms")),
             self.endings.len(),
