--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -29,4 +29,5 @@
 mod request_writer;
 mod shutdown;
 mod shutdown_stall;
+mod slow_answers;
 mod support;
