HTTP nodes: an answer is not cut off while its node writes it slowly

Callers got 503 for long answers without a length whose node paused for over 50 ms.

Cause: BUFFERED_CHUNK_TIMEOUT bounded the time between any two chunks of a reply that is buffered for another attempt, and a reply without a length is buffered up to 64 KB. A reply of 60 kB with a length met the same bound, and then the timeout of its attempt.

Change: reply_pace decides. Only a reply that stops after 1 to 4095 bytes is taken for truncated, and is given up early enough for another attempt. Without a length, all others are streamed at a pause of 50 ms, or 100 ms after the head; with one, they may take until the client stops waiting once 4 kB have come. A streamed reply may pause for 10 s in place of 3.

--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -90,6 +90,7 @@
         number: key.number,
         node: key.node,
         deadline,
+        client_deadline: open_request.request.deadline,
         connect_deadline: open_request.connect_deadline(now, deadline),
         node_request: open_request.request.node_request.clone(),
         send_gate: target.send_gate.clone(),
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -24,6 +24,8 @@
     pub node: NodeId,
     /// The instant at which the attempt is given up.
     pub deadline: Instant,
+    /// When the client stops waiting: a long reply that is being received may take until then.
+    pub client_deadline: Instant,
     /// The instant by which the attempt must have a connection; otherwise it ends without having been
     /// executed. For an attempt that is sent in the first half of the request's time budget, this is no
     /// later than the end of that half, so that the client learns of the failure early enough to retry
--- a/crates/transport/src/node/http.rs
+++ b/crates/transport/src/node/http.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod connection;
+mod reply_pace;
 
 use std::convert::Infallible;
 use std::future::pending;
@@ -102,6 +103,7 @@
             return LinkResponse::closed(AttemptEnd::NotSent);
         };
         let written = connection.written.clone();
+        let receiving_long_reply = connection.receiving_long_reply.clone();
         written.begin(length, attempt.clone());
         let exchange = connection.exchange(request, reply_buffer);
         let expired = async {
@@ -109,6 +111,9 @@
                 Some(upload) => upload.expired().await,
                 None => sleep_until(attempt.deadline).await,
             }
+            if receiving_long_reply.is_set() {
+                sleep_until(attempt.client_deadline).await;
+            }
         };
         let cancelled = async {
             attempt.cancel.cancelled().await;
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -3,6 +3,7 @@
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -19,6 +20,7 @@
 
 use super::super::{Connection, TrackedStream, WriteProgress};
 use super::body::OutgoingBody;
+use super::reply_pace::{ReplyDeadlines, ReplyPace};
 use crate::http::{headers, MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::READ_BUFFER_BYTES;
 use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation, ReservedBuffer};
@@ -29,11 +31,10 @@
 
 /// Memory that a connection needs for its buffers and for the task of an attempt, in bytes.
 const CONNECTION_BYTES: usize = 36 * 1024;
-/// The most time between two chunks of a reply that is buffered. Guards against waiting for a truncated reply
-/// until the deadline of the attempt, and against treating its node as slow.
-const BUFFERED_CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
+/// The most time between two chunks of a reply whose body is discarded.
+const DISCARDED_CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
 /// The most time between two chunks of a reply that is streamed to the client.
-const STREAMED_CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
+const STREAMED_CHUNK_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The most time that a chunk of a reply waits for memory: as long as a client may read nothing.
 const MEMORY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -51,6 +52,7 @@
     memory: MemoryBudget,
     /// The memory for the complete reply, if its length is known before the request is sent.
     reservation: Option<Reservation>,
+    deadlines: ReplyDeadlines,
 }
 
 impl ReplyBuffer {
@@ -65,7 +67,8 @@
             }
             None => None,
         };
-        Some(Self { memory, reservation })
+        let deadlines = ReplyDeadlines { attempt: attempt.deadline, client: attempt.client_deadline };
+        Some(Self { memory, reservation, deadlines })
     }
 }
 
@@ -75,20 +78,47 @@
     pub(super) length: Option<u64>,
     /// The part that was received, at most [`MAX_BUFFERED_BODY_BYTES`].
     pub(super) first_part: Bytes,
-    /// The chunk that was received after that.
+    /// The chunk that was received after that; empty if there is none yet.
     pub(super) next_chunk: Bytes,
     pub(super) rest: Incoming,
 }
 
+/// Why a chunk of a reply was not received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChunkError {
+    Late,
+    Broken,
+}
+
 /// A connection to an HTTP node; it carries one attempt at a time and is closed when dropped.
 pub struct HttpConnection {
     _memory: Reservation,
     sender: http1::SendRequest<OutgoingBody>,
     driver: Pin<Box<Driver>>,
     pub(super) written: Arc<WriteProgress>,
+    /// Set while a reply is received that may outlast its attempt.
+    pub(super) receiving_long_reply: Flag,
     ended: bool,
 }
 
+/// A flag that its clones share.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Flag(Arc<AtomicBool>);
+
+impl Flag {
+    fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn clear(&self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 impl Connection for HttpConnection {
     const SOCKETS: usize = 1;
 
@@ -112,7 +142,15 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) = builder.handshake(io).await.ok()?;
-        Some(Self { _memory: memory, sender, driver: Box::pin(driver), written, ended: false })
+        let receiving_long_reply = Flag::default();
+        Some(Self {
+            _memory: memory,
+            sender,
+            driver: Box::pin(driver),
+            written,
+            receiving_long_reply,
+            ended: false,
+        })
     }
 
     /// Drives the connection until `operation` on it is done.
@@ -143,6 +181,7 @@
         request: Request<OutgoingBody>,
         reply_buffer: ReplyBuffer,
     ) -> Option<Reply> {
+        self.receiving_long_reply.clear();
         let sending = self.sender.send_request(request);
         let (head, body) = self.drive(sending).await.ok()?.into_parts();
         let lengths = [CONTENT_LENGTH, TRANSFER_ENCODING]
@@ -165,21 +204,25 @@
         }
     }
 
-    /// Receives a served reply until it is complete, is too long to be buffered, or there is no memory for
-    /// more of it; `None` if it is late or broken.
+    /// Receives a served reply until it is complete, is too long to be buffered, is written too slowly for
+    /// that, or there is no memory for more of it; `None` if it is late or broken.
     async fn buffer_reply(&mut self, mut body: Incoming, reply_buffer: ReplyBuffer) -> Option<Reply> {
         let length = body.size_hint().exact();
         let expected_bytes = length.map_or(MAX_BUFFERED_BODY_BYTES, |bytes| bytes as usize);
-        let is_long = expected_bytes > MAX_BUFFERED_BODY_BYTES;
-        let ReplyBuffer { memory, reservation } = reply_buffer;
+        let ReplyBuffer { memory, reservation, deadlines } = reply_buffer;
+        let pace = ReplyPace::new(length.is_none() && reservation.is_none(), deadlines);
         let mut buffered = match reservation {
             Some(reservation) => ReservedBuffer::with_reservation(reservation),
             None => ReservedBuffer::new(&memory, MemoryHolder::Replies, expected_bytes),
         };
         let mut next_chunk = Bytes::new();
-        while !is_long && next_chunk.is_empty() {
-            let Some(chunk) = self.next_buffered_chunk(&mut body).await? else {
-                return Some(Reply::Complete(AttemptEnd::Served, buffered.into_bytes()));
+        let mut is_streamed = expected_bytes > MAX_BUFFERED_BODY_BYTES;
+        while !is_streamed {
+            let chunk = match self.next_chunk(&mut body, pace.chunk_deadline(buffered.len())).await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => return Some(Reply::Complete(AttemptEnd::Served, buffered.into_bytes())),
+                Err(ChunkError::Late) if pace.is_streamed_when_late(buffered.len()) => break,
+                Err(_) => return None,
             };
             let is_too_long = buffered.len() + chunk.len() > MAX_BUFFERED_BODY_BYTES;
             if is_too_long || buffered.append(&chunk).is_err() {
@@ -187,7 +230,12 @@
                     memory.count_unbuffered_body();
                 }
                 next_chunk = chunk;
+                break;
+            }
+            if ReplyPace::outlasts_attempt(buffered.len()) {
+                self.receiving_long_reply.set();
             }
+            is_streamed = pace.is_streamed();
         }
         let first_part = buffered.into_bytes();
         Some(Reply::Partial(PartialReply { length, first_part, next_chunk, rest: body }))
@@ -196,7 +244,9 @@
     /// Receives a reply whose body is not used; `None` if it is late, broken or too long.
     async fn discard_reply(&mut self, end: AttemptEnd, mut body: Incoming) -> Option<Reply> {
         let mut discarded_bytes = 0;
-        while let Some(chunk) = self.next_buffered_chunk(&mut body).await? {
+        while let Some(chunk) =
+            self.next_chunk(&mut body, Instant::now() + DISCARDED_CHUNK_TIMEOUT).await.ok()?
+        {
             discarded_bytes += chunk.len();
             if discarded_bytes > MAX_BUFFERED_BODY_BYTES {
                 return None;
@@ -205,18 +255,22 @@
         Some(Reply::Complete(end, Bytes::new()))
     }
 
-    /// Receives a chunk of a reply that is not streamed; the inner `None` is the end of the reply, the outer
-    /// one a chunk that is late or broken.
-    async fn next_buffered_chunk(&mut self, body: &mut Incoming) -> Option<Option<Bytes>> {
+    /// Receives a chunk of a reply that is not streamed; `None` at the end of the reply.
+    ///
+    /// # Errors
+    /// The chunk is not received by `deadline`, or the reply is broken.
+    async fn next_chunk(
+        &mut self,
+        body: &mut Incoming,
+        deadline: Instant,
+    ) -> Result<Option<Bytes>, ChunkError> {
         loop {
-            let deadline = Instant::now() + BUFFERED_CHUNK_TIMEOUT;
-            match timeout_at(deadline, self.drive(body.frame())).await.ok()? {
-                None => return Some(None),
-                // Trailers are ignored, and so are empty chunks.
-                Some(frame) => match frame.ok()?.into_data() {
-                    Ok(chunk) if !chunk.is_empty() => return Some(Some(chunk)),
-                    _ => {}
-                },
+            let frame = timeout_at(deadline, self.drive(body.frame())).await.map_err(|_| ChunkError::Late)?;
+            let Some(frame) = frame else { return Ok(None) };
+            // Trailers are ignored, and so are empty chunks.
+            match frame.map_err(|_| ChunkError::Broken)?.into_data() {
+                Ok(chunk) if !chunk.is_empty() => return Ok(Some(chunk)),
+                _ => {}
             }
         }
     }
--- a/testing/fakes/src/node.rs
+++ b/testing/fakes/src/node.rs
@@ -74,6 +74,7 @@
         number: 0,
         node: NodeId(0),
         deadline: until,
+        client_deadline: until,
         connect_deadline: until,
         node_request: work.into(),
         send_gate: gate,
