HTTP front: a body that stops is answered 2.5 s after its last chunk

Clients that sent half of 400 kB at once and stopped got 408 only after 6.7 s, where bad clients are owed an error within 3 s: each chunk was due when a client that sends at the least rate from the beginning of the request would have sent it, so that a fast start bought seconds of silence. They held memory and a connection meanwhile.

A chunk is now due 2.5 s after the one before it as well.

--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -34,6 +34,8 @@
     body: Incoming,
     /// When the request began, moved later by the time for which chunks waited for the node.
     began_at: Instant,
+    /// Since when the next chunk is waited for.
+    waiting_since: Instant,
     received_bytes: u64,
     /// A chunk that was received but is not in the buffered part.
     pending_chunk: Option<Bytes>,
@@ -43,7 +45,7 @@
 impl RequestBody {
     /// Creates the body of a request that began at `began_at`.
     pub(super) fn new(body: Incoming, began_at: Instant, client: Arc<ClientConnection>) -> Self {
-        Self { body, began_at, received_bytes: 0, pending_chunk: None, client }
+        Self { body, began_at, waiting_since: began_at, received_bytes: 0, pending_chunk: None, client }
     }
 
     /// Reads until the body is complete, is too long to be buffered, or there is no memory for more of it.
@@ -80,16 +82,17 @@
         }
     }
 
-    /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after a
-    /// client that sends at the minimum rate from the beginning of the request has sent the bytes before it.
+    /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after the
+    /// one before it, or after a client that sends at the minimum rate from the beginning of the request has
+    /// sent the bytes before it, whichever is earlier.
     ///
     /// # Errors
     /// The status of the answer to a chunk that is late or broken, or a body that is too long.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, StatusCode> {
         loop {
-            let deadline = self.began_at
-                + REQUEST_TIMEOUT
-                + Duration::from_millis(self.received_bytes / MIN_BODY_BYTES_PER_MS);
+            let at_min_rate =
+                self.began_at + Duration::from_millis(self.received_bytes / MIN_BODY_BYTES_PER_MS);
+            let deadline = at_min_rate.min(self.waiting_since) + REQUEST_TIMEOUT;
             self.client.set_phase(Phase::ReceivingBody { since: self.began_at, deadline });
             match timeout_at(deadline, self.body.frame()).await {
                 Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
@@ -99,6 +102,7 @@
                     // Trailers are ignored.
                     let Ok(chunk) = frame.into_data() else { continue };
                     self.received_bytes += chunk.len() as u64;
+                    self.waiting_since = Instant::now();
                     return if self.received_bytes > MAX_BODY_BYTES {
                         Err(StatusCode::PAYLOAD_TOO_LARGE)
                     } else {
@@ -136,6 +140,7 @@
             return pending().await;
         }
         request_body.began_at += handed_over_at.elapsed();
+        request_body.waiting_since = Instant::now();
     }
     request_body.client.set_phase(Phase::Processing);
     upload.into_iter().for_each(Upload::mark_complete);
