Memory: connections to nodes are bounded together with bodies

Bodies were bounded, at a quarter of the limit, but connections were only counted: 480 of clients at 20 kB and 384 to nodes at about 35 kB, beside 5.5 MB of the program itself, which no limit took into account.

A connection to a node now reserves its memory from what the program, as measured at its start, and the connections of clients leave, together with bodies, which keep an eighth of their limit. Idle ones are evicted for others. Clients' connections get nine twentieths at most. The pages that two processes map count once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod observe;
 mod operator;
 mod request;
+mod resident_memory;
 mod stall_detection;
 mod upload;
 
@@ -41,6 +42,7 @@
 pub use message::{report_attempt_end, CoreMessage, CoreStatus, NodeConnector};
 pub use operator::{CommandError, Draining, ForwardedCommand, OperatorCommand};
 pub use request::{Answer, ClientRequest, NodeRequest};
+pub use resident_memory::{resident_memory, ResidentMemory};
 pub use upload::Upload;
 
 /// The longest body of a request or of a reply, in bytes, that is buffered completely; a longer one is
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -18,6 +18,8 @@
 /// The limit on bodies divided by this is the most that [`Priority::Optional`] reservations use, and what
 /// chunks of streamed bodies have for themselves.
 const SHARE_DIVISOR: usize = 2;
+/// The part of the limit on bodies that connections to nodes leave to them.
+const GUARANTEED_DIVISOR: usize = 8;
 
 /// What a reservation is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,12 +79,15 @@
     pub bodies: usize,
     /// The limit on bodies and connections together, in bytes, which holds for [`Priority::Optional`].
     pub total: usize,
+    /// The limit on bodies and connections to nodes together, in bytes. An eighth of the limit on bodies is
+    /// left to them whatever the connections hold.
+    pub shared: usize,
 }
 
 /// The limits until [`MemoryBudget::set_limits`] is called.
 impl Default for MemoryLimits {
     fn default() -> Self {
-        Self { bodies: 32 << 20, total: 64 << 20 }
+        Self { bodies: 32 << 20, total: 64 << 20, shared: 64 << 20 }
     }
 }
 
@@ -121,15 +126,31 @@
     fn allows(&self, holder: MemoryHolder, bytes: usize, priority: Priority) -> bool {
         let bodies = self.bodies();
         let share = self.limits.bodies / SHARE_DIVISOR;
+        let guaranteed = self.limits.bodies / GUARANTEED_DIVISOR;
+        let connections = self.held[MemoryHolder::NodeConnections as usize];
+        if holder == MemoryHolder::NodeConnections {
+            return connections + bytes + bodies.max(guaranteed) <= self.limits.shared;
+        }
+        let fits_beside_connections = bodies + bytes <= self.limits.shared.saturating_sub(connections);
         match priority {
+            Priority::Required if holder.is_stream() && !fits_beside_connections => {
+                self.total_of(MemoryHolder::is_stream) + bytes <= guaranteed
+            }
             // Copies that their clients do not read must not hold up streams.
             Priority::Required if holder.is_stream() => {
                 bodies + bytes <= self.limits.bodies
                     || self.total_of(MemoryHolder::is_stream) + bytes <= share
             }
             // The only reservation is granted whatever its size, as no other will ever make room for it.
-            Priority::Required => bodies == 0 || bodies + bytes <= self.limits.bodies,
-            Priority::Optional => bodies + bytes <= share && self.total() + bytes <= self.limits.total,
+            Priority::Required => {
+                bodies == 0 || (fits_beside_connections && bodies + bytes <= self.limits.bodies)
+            }
+            // Half of what connections leave is kept for further connections and for streams.
+            Priority::Optional => {
+                2 * (bodies + bytes) <= self.limits.shared.saturating_sub(connections)
+                    && bodies + bytes <= share
+                    && self.total() + bytes <= self.limits.total
+            }
         }
     }
 }
--- a/crates/core/src/memory/tests.rs
+++ b/crates/core/src/memory/tests.rs
@@ -12,7 +12,7 @@
 
 /// Limits that leave enough for connections.
 fn limits(bodies: usize) -> MemoryLimits {
-    MemoryLimits { bodies, total: usize::MAX }
+    MemoryLimits { bodies, total: usize::MAX, shared: usize::MAX }
 }
 
 fn budget(bodies: usize) -> MemoryBudget {
@@ -40,7 +40,7 @@
 /// them.
 #[test]
 fn connections_leave_less_for_optional_reservations_only() {
-    let budget = MemoryBudget::new(MemoryLimits { bodies: 100, total: 200 });
+    let budget = MemoryBudget::new(MemoryLimits { bodies: 100, total: 200, shared: usize::MAX });
     let connections = budget.charge(MemoryHolder::ClientConnections, 300);
     assert!(budget.try_reserve(HOLDER, 1, Priority::Optional).is_none());
     let required = budget.try_reserve(HOLDER, 100, Priority::Required).unwrap();
@@ -164,3 +164,26 @@
     buffer.append(&[7; 40]).unwrap();
     assert_eq!((buffer.into_bytes().len(), budget.usage().peak_bodies), (100, 100));
 }
+
+/// Guards against connections to nodes that leave nothing to bodies, and against bodies and connections that
+/// together hold more than there is.
+#[test]
+fn connections_to_nodes_share_memory_with_bodies_and_leave_them_an_eighth() {
+    let budget = MemoryBudget::new(MemoryLimits { bodies: 80, total: usize::MAX, shared: 100 });
+    let connect = |bytes| budget.try_reserve(MemoryHolder::NodeConnections, bytes, Priority::Required);
+    let stream = |bytes| budget.try_reserve(MemoryHolder::Uploads, bytes, Priority::Required);
+    let connections = connect(90).unwrap();
+    assert!(connect(1).is_none(), "the rest is for bodies");
+    let chunk = stream(10).unwrap();
+    assert!(stream(1).is_none());
+    drop(connections);
+    let connections = connect(60).unwrap();
+    let chunks = stream(30).unwrap();
+    assert!(connect(1).is_none() && stream(1).is_none(), "{:?}", budget.usage());
+    drop((chunk, chunks));
+    assert!(budget.try_reserve(MemoryHolder::Replies, 21, Priority::Optional).is_none());
+    let copy = budget.try_reserve(MemoryHolder::Replies, 20, Priority::Optional);
+    assert!(copy.is_some(), "half of what connections leave");
+    drop((connections, copy));
+    assert_eq!(held(&budget), 0);
+}
--- a/crates/scheduler/src/descriptor_budget.rs
+++ b/crates/scheduler/src/descriptor_budget.rs
@@ -33,6 +33,13 @@
     pub current: usize,
 }
 
+impl ClientConnectionLimits {
+    /// Returns these limits, but at most `max_connections` connections.
+    pub fn limited_to(self, max_connections: usize) -> Self {
+        Self { capacity: self.capacity.min(max_connections), current: self.current.min(max_connections) }
+    }
+}
+
 impl DescriptorBudget {
     /// Returns the limits on connections to storage nodes: 3/8 of the descriptors, or 5/32 while a peer
     /// process runs, so that both processes together stay below 3/8. Idle connections are limited per node,
--- a/crates/scheduler/src/memory_budget.rs
+++ b/crates/scheduler/src/memory_budget.rs
@@ -1,25 +1,63 @@
 //! Divides the memory that the platform allows the scheduler.
 //!
-//! Bodies of requests and replies may hold a quarter of it. Bodies that could also be streamed are buffered
-//! only while bodies and connections together hold less than five eighths. The rest is for what does not grow
-//! with them: the program, the endpoint list, and the heap's own losses. While a peer process of the same
-//! scheduler runs, both count against the same limit and each takes half.
+//! The program takes what it holds at its start, and some for what grows with the endpoint list and the
+//! volumes. Of the rest, clients' connections may take nine twentieths, which limits their number. What they
+//! can't take is shared by bodies and connections to storage nodes.
+//!
+//! Bodies of requests and replies may hold a quarter of all memory at most. Bodies that could also be streamed
+//! are buffered only while bodies and connections together hold less than five eighths. While a peer process
+//! of the same scheduler runs, both count against the same limit and each takes half.
 
 use heathward_core::memory::MemoryLimits;
+use heathward_core::ResidentMemory;
+use heathward_transport::CLIENT_CONNECTION_BYTES;
+
+/// Memory that the endpoint list, the volumes and the heap's own losses may need beyond what the program holds
+/// at its start, in bytes.
+const GROWTH_BYTES: usize = 3 << 19;
+/// What may be loaded of the program beyond what is loaded at its start, in bytes.
+const FILE_GROWTH_BYTES: usize = 1 << 20;
+/// At least this part of the limit is for bodies and connections, whatever the program holds.
+const MIN_AVAILABLE_DIVISOR: usize = 4;
 
 /// The memory of this process, and whether a peer process shares it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryShares {
     /// Memory that the configuration allows the scheduler, in bytes.
     pub max_bytes: usize,
+    /// Memory that the program held at its start.
+    pub program: ResidentMemory,
     /// Whether a peer process of the same scheduler runs.
     pub peer_running: bool,
 }
 
 impl MemoryShares {
-    /// Returns the limits on bodies and connections.
-    pub fn limits(&self) -> MemoryLimits {
-        let share = if self.peer_running { self.max_bytes / 2 } else { self.max_bytes };
-        MemoryLimits { bodies: share / 4, total: share / 8 * 5 }
+    /// Returns the share of this process in memory that the scheduler holds.
+    fn share_of(&self, bytes: usize) -> usize {
+        if self.peer_running {
+            bytes / 2
+        } else {
+            bytes
+        }
+    }
+
+    /// Returns what bodies and connections of this process may hold together, in bytes.
+    fn available(&self) -> usize {
+        let ResidentMemory { total, files } = self.program;
+        let own_bytes = total - files + GROWTH_BYTES;
+        let available = self.share_of(self.max_bytes.saturating_sub(files + FILE_GROWTH_BYTES));
+        available.saturating_sub(own_bytes).max(self.share_of(self.max_bytes) / MIN_AVAILABLE_DIVISOR)
+    }
+
+    /// Returns how many connections of clients there is memory for.
+    pub fn max_client_connections(&self) -> usize {
+        (self.available() / 20 * 9 / CLIENT_CONNECTION_BYTES).max(1)
+    }
+
+    /// Returns the limits on bodies and connections beside this many connections of clients.
+    pub fn limits(&self, client_connections: usize) -> MemoryLimits {
+        let share = self.share_of(self.max_bytes);
+        let shared = self.available().saturating_sub(client_connections * CLIENT_CONNECTION_BYTES);
+        MemoryLimits { bodies: share / 4, total: share / 8 * 5, shared }
     }
 }
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -160,9 +160,10 @@
     }
 
     fn apply_budgets(&self) {
-        self.core.memory().set_limits(self.memory.limits());
+        let client_limits = self.descriptors.client_limits().limited_to(self.memory.max_client_connections());
+        self.core.memory().set_limits(self.memory.limits(client_limits.current));
         self.node_limits.send_replace(self.descriptors.node_limits(&self.core.deployment()));
-        self.fronts.set_limits(self.descriptors.client_limits());
+        self.fronts.set_limits(client_limits);
     }
 }
 
--- a/crates/scheduler/src/startup.rs
+++ b/crates/scheduler/src/startup.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use heathward_config::{Config, FileArguments};
-use heathward_core::{CoreHandle, CoreMessage, CoreStopped};
+use heathward_core::{resident_memory, CoreHandle, CoreMessage, CoreStopped};
 use heathward_discovery_pacing::FleetPosition;
 use heathward_logs::Logs;
 use heathward_transport::backoff::ReconnectPolicy;
@@ -56,11 +56,16 @@
     let http_socket = sockets::inherit_or_bind(&mut inherited, listen_address)?;
     let deployment = Arc::new(config.deployment);
     let descriptors = DescriptorBudget { max_descriptors, peer_running: received.is_some() };
-    let memory = MemoryShares { max_bytes: max_memory_bytes, peer_running: received.is_some() };
+    let memory = MemoryShares {
+        max_bytes: max_memory_bytes,
+        program: resident_memory().unwrap_or_default(),
+        peer_running: received.is_some(),
+    };
+    let client_limits = descriptors.client_limits().limited_to(memory.max_client_connections());
     let (node_limits, pool_limits) = watch::channel(descriptors.node_limits(&deployment));
     let nvme_map = config.nvme_map.map(Arc::new);
     let core = core_start::start(deployment, seed, ConnectionPool::new(pool_limits), nvme_map.clone())?;
-    core.memory().set_limits(memory.limits());
+    core.memory().set_limits(memory.limits(client_limits.current));
     // The watch begins with the changes after the newer of the inherited and the cached list.
     let inherited_revision = received.as_ref().map_or(0, |received| received.state.endpoint_list.revision);
     let revision = inherited_revision.max(cached_endpoints.revision);
@@ -70,8 +75,7 @@
         None => None,
         Some(map) => Some(open_nvme_front(map, &mut inherited, core.clone(), seed)?),
     };
-    let limits = descriptors.client_limits();
-    let fronts = Fronts::new(core.clone(), listen_address, http_socket, nvme, limits);
+    let fronts = Fronts::new(core.clone(), listen_address, http_socket, nvme, client_limits);
     let (discovery_address, watched_address) =
         watch::channel(DiscoveryAddress::from_now(config.discovery_address));
     let recording = EventRecording::default();
--- a/crates/scheduler/tests/memory_limit/crowd.rs
+++ b/crates/scheduler/tests/memory_limit/crowd.rs
@@ -14,7 +14,7 @@
 use crate::http::{serve_all, shard, write_request};
 
 /// The most descriptors that the pages name.
-const MAX_SOCKETS: usize = 1024;
+pub const MAX_SOCKETS: usize = 1024;
 /// More clients than there is memory for, if each has a connection to a node as well.
 const UPLOADS: usize = 470;
 /// At least this many of them are served: the debug build takes 5 MB more than the release build.
@@ -22,7 +22,7 @@
 /// Clients of each kind in the mixed crowd.
 const MIXED: usize = 80;
 /// The time between two clients of a crowd.
-const ARRIVAL_INTERVAL: Duration = Duration::from_millis(3);
+pub const ARRIVAL_INTERVAL: Duration = Duration::from_millis(3);
 /// A client that does not go on gets its error or the end of its connection within this time.
 const ERROR_TIMEOUT: Duration = Duration::from_secs(3);
 /// What the machine may add to that while all clients run on it.
@@ -31,7 +31,7 @@
 const REPLY: usize = 1_000_000;
 
 /// Sends a body at this pace, and returns the status of its answer.
-async fn upload(listen: SocketAddr, call: usize, size: usize, piece: usize, pause: Duration) -> u16 {
+pub async fn upload(listen: SocketAddr, call: usize, size: usize, piece: usize, pause: Duration) -> u16 {
     let mut stream = TcpStream::connect(listen).await.unwrap();
     stream.write_all(write_request(call, size).as_bytes()).await.unwrap();
     write_in_pieces(&mut stream, &vec![b'x'; size], piece, pause).await;
--- a/crates/scheduler/tests/memory_limit/upgrade.rs
+++ b/crates/scheduler/tests/memory_limit/upgrade.rs
@@ -5,9 +5,11 @@
 
 use heathward_fakes::Program;
 use tokio::sync::Barrier;
-use tokio::time::interval;
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep};
 
-use crate::fixture::{start, turn, MEMORY_MB, SOCKETS};
+use crate::crowd::{upload, ARRIVAL_INTERVAL, MAX_SOCKETS};
+use crate::fixture::{start, start_with_sockets, turn, MEMORY_MB, SOCKETS};
 use crate::http::{serve_all, upload_beside, LONG_BODY};
 
 /// How often the platform looks at the memory of both processes.
@@ -16,6 +18,8 @@
 /// Clients of each process: it holds five thirty-seconds of the descriptors for connections to nodes.
 const CLIENTS_OF_EACH: usize = SOCKETS * 5 / 32;
 const CLIENTS: usize = 2 * CLIENTS_OF_EACH;
+/// Clients that are gone when the second process starts.
+const CROWD: usize = 300;
 
 /// Returns the memory of both processes, in kilobytes; the pages of the program count once.
 fn joint_memory_kb(old: &Program, new: &Program) -> usize {
@@ -62,3 +66,26 @@
     println!("{peak_kb} kB at most");
     assert!(peak_kb <= MEMORY_MB * 1024, "over {MEMORY_MB} MB together: {peak_kb} kB");
 }
+
+/// Guards against a process that keeps the memory of a crowd that is gone: a process that takes over later
+/// finds too little.
+#[tokio::test]
+async fn a_process_that_takes_over_after_a_crowd_finds_the_memory_that_was_released() {
+    let _turn = turn().await;
+    let (instance, mut old) = start_with_sockets(serve_all, MAX_SOCKETS).await;
+    let mut clients = JoinSet::new();
+    for call in 0..CROWD {
+        let listen = instance.listen;
+        clients.spawn(async move {
+            sleep(ARRIVAL_INTERVAL * call as u32).await;
+            upload(listen, call, 150_000, 5_000, Duration::from_millis(75)).await
+        });
+    }
+    clients.join_all().await;
+    let new = instance.start();
+    old.until("peer process: serving");
+    sleep(Duration::from_secs(1)).await;
+    let together = joint_memory_kb(&old, &new);
+    println!("{:?}, {:?}", old.held(), new.held());
+    assert!(together <= MEMORY_MB * 1024, "over {MEMORY_MB} MB together: {together} kB");
+}
--- a/crates/scheduler/tests/net/memory_bound.rs
+++ b/crates/scheduler/tests/net/memory_bound.rs
@@ -42,7 +42,7 @@
 /// Reserves all memory for bodies.
 fn exhaust(rig: &Rig) -> Reservation {
     let memory = rig.core.memory();
-    memory.set_limits(MemoryLimits { bodies: 1 << 20, total: 1 << 20 });
+    memory.set_limits(MemoryLimits { bodies: 1 << 20, total: 1 << 20, shared: 64 << 20 });
     memory.try_reserve(MemoryHolder::Uploads, 1 << 20, Priority::Required).unwrap()
 }
 
--- a/crates/transport/src/admin/codec.rs
+++ b/crates/transport/src/admin/codec.rs
@@ -114,7 +114,7 @@
         /// The values of the metrics.
         metrics: Box<CoreMetrics>,
         /// The resident memory of the process in bytes, if the system tells it.
-        resident_bytes: Option<u64>,
+        resident_bytes: Option<usize>,
         /// The names of the request classes, in the order of their indices.
         class_names: Vec<String>,
     },
@@ -137,7 +137,7 @@
 fn write_metrics(
     f: &mut fmt::Formatter<'_>,
     metrics: &CoreMetrics,
-    resident_bytes: Option<u64>,
+    resident_bytes: Option<usize>,
     class_names: &[String],
 ) -> fmt::Result {
     let CoreMetrics { counters, active_requests, listed_nodes, avoided_nodes, memory } = metrics;
@@ -164,6 +164,7 @@
 fn write_memory_usage(f: &mut fmt::Formatter<'_>, usage: &MemoryUsage) -> fmt::Result {
     writeln!(f, "app.memory.bodies_limit={}", usage.limits.bodies)?;
     writeln!(f, "app.memory.total_limit={}", usage.limits.total)?;
+    writeln!(f, "app.memory.shared_limit={}", usage.limits.shared)?;
     writeln!(f, "app.memory.bodies_peak={}", usage.peak_bodies)?;
     for (holder, bytes) in MemoryHolder::ALL.iter().zip(usage.held) {
         writeln!(f, "app.memory.held.{}={bytes}", holder_name(*holder))?;
--- a/crates/transport/src/admin/server.rs
+++ b/crates/transport/src/admin/server.rs
@@ -73,14 +73,6 @@
     }
 }
 
-/// Returns the resident memory of this process; `None` if the system does not tell it.
-fn resident_bytes() -> Option<u64> {
-    let status = std::fs::read_to_string("/proc/self/status").ok()?;
-    let kibibytes = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    let kibibytes: u64 = kibibytes.split_ascii_whitespace().next()?.parse().ok()?;
-    Some(kibibytes * 1024)
-}
-
 async fn reply_to(line: &[u8], core: &CoreHandle) -> Reply {
     let request = match Request::parse(line) {
         Ok(request) => request,
@@ -92,7 +84,7 @@
         Request::Metrics => match core.metrics().await {
             Some(metrics) => {
                 let class_names = core.deployment().class_names.clone();
-                let resident_bytes = resident_bytes();
+                let resident_bytes = heathward_core::resident_memory().map(|memory| memory.total);
                 Reply::Metrics { metrics: Box::new(metrics), resident_bytes, class_names }
             }
             None => Reply::NotReady,
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -17,6 +17,7 @@
 use super::front::{ConnectionService, Front};
 use super::stream::ClientStream;
 use super::MAX_HEAD_BYTES;
+use crate::CLIENT_CONNECTION_BYTES;
 use heathward_core::memory::MemoryHolder;
 use heathward_core::Draining;
 
@@ -34,8 +35,6 @@
 /// or after its last answer, whichever is later. The limit is longer than during a pause, as a handover
 /// allows more time, and a client whose request crosses the close has to send it again.
 const REPLACED_IDLE_TIMEOUT: Duration = Duration::from_millis(2030);
-/// Memory that a connection needs for its buffers and its task, in bytes.
-const CONNECTION_BYTES: usize = 24 * 1024;
 /// Input after the last answer is discarded in pieces of this many bytes.
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -116,7 +115,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let _memory = front.memory().charge(MemoryHolder::ClientConnections, CONNECTION_BYTES);
+    let _memory = front.memory().charge(MemoryHolder::ClientConnections, CLIENT_CONNECTION_BYTES);
     let client = slot.client.clone();
     let last_request = *stopping.borrow_and_update();
     let stream = ClientStream::new(stream, client.clone());
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,9 @@
 pub mod node;
 pub mod nvme;
 
+/// Memory that a connection of a client needs for its buffers and its task, in bytes.
+pub const CLIENT_CONNECTION_BYTES: usize = 24 * 1024;
+
 /// The most bytes that are read from an HTTP connection at a time. hyper's read buffer has 8 KB, and grows
 /// for good when a read fills it.
 const READ_LIMIT_BYTES: usize = READ_BUFFER_BYTES - 1;
--- a/crates/transport/src/node/http.rs
+++ b/crates/transport/src/node/http.rs
@@ -57,11 +57,10 @@
 async fn obtain_connection(
     address: SocketAddr,
     idle_connection: Option<HttpConnection>,
-    memory: &MemoryBudget,
 ) -> Option<HttpConnection> {
     let mut connection = match idle_connection {
         Some(connection) => connection,
-        None => HttpConnection::open(address, memory).await?,
+        None => HttpConnection::open(address).await?,
     };
     connection.ready().await.then_some(connection)
 }
@@ -77,7 +76,7 @@
         let reused = idle_connection.is_some();
         let connecting = timeout_at(
             dial_deadline.min(attempt.connect_deadline),
-            obtain_connection(address, idle_connection.take(), &attempt.memory),
+            obtain_connection(address, idle_connection.take()),
         );
         let connected = tokio::select! {
             biased;
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -29,8 +29,6 @@
 
 type Driver = http1::Connection<TokioIo<TrackedStream>, OutgoingBody>;
 
-/// Memory that a connection needs for its buffers and for the task of an attempt, in bytes.
-const CONNECTION_BYTES: usize = 36 * 1024;
 /// The most time between two chunks of a reply whose body is discarded.
 const DISCARDED_CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
 /// The most time between two chunks of a reply that is streamed to the client.
@@ -92,7 +90,6 @@
 
 /// A connection to an HTTP node; it carries one attempt at a time and is closed when dropped.
 pub struct HttpConnection {
-    _memory: Reservation,
     sender: http1::SendRequest<OutgoingBody>,
     driver: Pin<Box<Driver>>,
     pub(super) written: Arc<WriteProgress>,
@@ -133,8 +130,7 @@
 }
 
 impl HttpConnection {
-    pub(super) async fn open(address: SocketAddr, memory: &MemoryBudget) -> Option<Self> {
-        let memory = memory.charge(MemoryHolder::NodeConnections, CONNECTION_BYTES);
+    pub(super) async fn open(address: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Arc::new(WriteProgress::default());
@@ -143,14 +139,7 @@
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) = builder.handshake(io).await.ok()?;
         let receiving_long_reply = Flag::default();
-        Some(Self {
-            _memory: memory,
-            sender,
-            driver: Box::pin(driver),
-            written,
-            receiving_long_reply,
-            ended: false,
-        })
+        Some(Self { sender, driver: Box::pin(driver), written, receiving_long_reply, ended: false })
     }
 
     /// Drives the connection until `operation` on it is done.
--- a/crates/transport/src/node/pool.rs
+++ b/crates/transport/src/node/pool.rs
@@ -9,6 +9,10 @@
 use tokio::time::Instant;
 
 use super::PoolLimits;
+use heathward_core::memory::{MemoryBudget, MemoryHolder, Priority, Reservation};
+
+/// Memory that a connection needs for its buffers and for the task of an attempt, in bytes.
+const CONNECTION_BYTES: usize = 36 * 1024;
 
 /// The connection pool that the actors of all nodes share: the current limits, the descriptors in use, and
 /// the idle connections.
@@ -47,15 +51,13 @@
         *self.limits.borrow()
     }
 
-    /// Returns a permit for a connection of `descriptors` file descriptors. If too few are free, the
-    /// connections that have been idle the longest, to any node, are evicted; `None` if evicting all idle
-    /// ones does not suffice.
-    pub(super) fn acquire(&self, descriptors: usize) -> Option<Permit> {
+    /// Returns a permit for a connection of `descriptors` file descriptors and [`CONNECTION_BYTES`] of
+    /// memory. If there are too few, the connections that have been idle the longest, to any node, are
+    /// evicted; `None` if evicting all idle ones does not suffice.
+    pub(super) fn acquire(&self, descriptors: usize, memory: &MemoryBudget) -> Option<Permit> {
         loop {
-            let open_descriptors = self.open_descriptors.load(Ordering::Relaxed) + descriptors;
-            if open_descriptors <= self.limits().max_descriptors {
-                self.open_descriptors.store(open_descriptors, Ordering::Relaxed);
-                return Some(Permit { descriptors, open_descriptors: self.open_descriptors.clone() });
+            if let Some(permit) = self.try_acquire(descriptors, memory) {
+                return Some(permit);
             }
             let (_, slot) = self.lock().pop_first()?;
             drop(slot.lock().take());
@@ -63,6 +65,18 @@
         }
     }
 
+    /// Returns a permit, unless an idle connection has to be evicted for it.
+    fn try_acquire(&self, descriptors: usize, memory: &MemoryBudget) -> Option<Permit> {
+        let open_descriptors = self.open_descriptors.load(Ordering::Relaxed) + descriptors;
+        if open_descriptors > self.limits().max_descriptors {
+            return None;
+        }
+        let holder = MemoryHolder::NodeConnections;
+        let memory = memory.try_reserve(holder, CONNECTION_BYTES, Priority::Required)?;
+        self.open_descriptors.store(open_descriptors, Ordering::Relaxed);
+        Some(Permit { descriptors, _memory: memory, open_descriptors: self.open_descriptors.clone() })
+    }
+
     /// Records that the connection of a permit is idle from now on; `owner` is notified when it is evicted.
     pub(super) fn add_idle(&self, permit: Permit, owner: &Arc<Notify>) -> IdleEntry {
         let key = (Instant::now(), self.next_sequence.fetch_add(1, Ordering::Relaxed));
@@ -76,10 +90,11 @@
     }
 }
 
-/// The descriptors that a connection holds of the pool; released when dropped.
+/// The descriptors and the memory that a connection holds; released when dropped.
 #[derive(Debug)]
 pub(super) struct Permit {
     descriptors: usize,
+    _memory: Reservation,
     open_descriptors: Arc<AtomicUsize>,
 }
 
--- a/crates/transport/src/node/pool/tests.rs
+++ b/crates/transport/src/node/pool/tests.rs
@@ -28,11 +28,14 @@
     #[case] requested: usize,
     #[case] granted: bool,
 ) {
-    let (pool, owner) = (pool(max_descriptors), Arc::default());
-    let _in_use: Vec<_> = in_use.iter().map(|descriptors| pool.acquire(*descriptors).unwrap()).collect();
-    let idle: Vec<_> =
-        idle.iter().map(|descriptors| pool.add_idle(pool.acquire(*descriptors).unwrap(), &owner)).collect();
-    let permit = pool.acquire(requested);
+    let (pool, owner, memory) = (pool(max_descriptors), Arc::default(), MemoryBudget::default());
+    let _in_use: Vec<_> =
+        in_use.iter().map(|descriptors| pool.acquire(*descriptors, &memory).unwrap()).collect();
+    let idle: Vec<_> = idle
+        .iter()
+        .map(|descriptors| pool.add_idle(pool.acquire(*descriptors, &memory).unwrap(), &owner))
+        .collect();
+    let permit = pool.acquire(requested, &memory);
     assert_eq!(permit.is_some(), granted);
     assert!(pool.open_descriptors.load(Ordering::Relaxed) <= max_descriptors);
     // The connections that have been idle the longest are evicted first.
@@ -48,9 +51,9 @@
 
 #[tokio::test]
 async fn the_owner_of_an_evicted_connection_is_notified_and_cannot_take_it() {
-    let (pool, owner) = (pool(1), Arc::new(Notify::new()));
-    let entry = pool.add_idle(pool.acquire(1).unwrap(), &owner);
-    let _permit = pool.acquire(1).unwrap();
+    let (pool, owner, memory) = (pool(1), Arc::new(Notify::new()), MemoryBudget::default());
+    let entry = pool.add_idle(pool.acquire(1, &memory).unwrap(), &owner);
+    let _permit = pool.acquire(1, &memory).unwrap();
     owner.notified().await;
     assert!(!entry.is_valid() && entry.take().is_none());
 }
--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -17,12 +17,11 @@
 use super::pdu_stream::{PduStream, StreamError};
 use super::queue::{Queue, Role};
 use super::subsystem::{lock, AbortRequest, Controller, Subsystem};
+use crate::CLIENT_CONNECTION_BYTES;
 use heathward_core::memory::{MemoryHolder, Reservation};
 
 /// The time in which a host must connect a queue, and in which it must read a TermReq.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Memory that a queue needs for its buffers and its task, in bytes.
-const CONNECTION_BYTES: usize = 24 * 1024;
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The most abort requests that wait for a queue.
@@ -55,7 +54,7 @@
 
 async fn serve_connection(stream: TcpStream, subsystem: Arc<Subsystem>, mut stopping: watch::Receiver<bool>) {
     let memory = subsystem.core.memory().clone();
-    let _memory = memory.charge(MemoryHolder::ClientConnections, CONNECTION_BYTES);
+    let _memory = memory.charge(MemoryHolder::ClientConnections, CLIENT_CONNECTION_BYTES);
     let Ok(wire) = PduStream::new(stream) else { return };
     let mut queue = Queue {
         subsystem,
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -14,7 +14,7 @@
 use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
 use crate::node::Connection;
-use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation};
+use heathward_core::memory::Reservation;
 use heathward_core::Attempt;
 use heathward_policy::AttemptEnd;
 
@@ -24,8 +24,6 @@
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Controller configuration: enabled, with queue entries of 64 and 16 bytes.
 const ENABLED_CONFIGURATION: u64 = 4 << 20 | 6 << 16 | 1;
-/// Memory that an association needs for its buffers and for the task of an attempt, in bytes.
-const CONNECTION_BYTES: usize = 36 * 1024;
 /// Size of the data structure that Identify returns, in bytes.
 const PAGE_BYTES: u32 = 4096;
 /// Offset of the capsule size, in units of 16 bytes, in the Identify Controller data structure.
@@ -33,7 +31,6 @@
 
 /// An association with a target, with an admin queue and one I/O queue; both are closed when it is dropped.
 pub struct NvmeConnection {
-    _memory: Reservation,
     admin: PduStream,
     io: PduStream,
     /// The most data in a capsule, in bytes.
@@ -125,12 +122,7 @@
     ///
     /// # Errors
     /// The target could not be reached, or a step of the setup failed.
-    pub(super) async fn open(
-        address: SocketAddr,
-        subsystem: &str,
-        memory: &MemoryBudget,
-    ) -> Result<Self, StreamError> {
-        let memory = memory.charge(MemoryHolder::NodeConnections, CONNECTION_BYTES);
+    pub(super) async fn open(address: SocketAddr, subsystem: &str) -> Result<Self, StreamError> {
         let host = format!("nqn.2014-08.org.nvmexpress:uuid:heathward-{}", std::process::id());
         let names =
             |controller| ConnectData { controller, subsystem: subsystem.to_owned(), host: host.clone() };
@@ -154,7 +146,7 @@
         let (mut io, max_h2c) = open_queue(address).await?;
         connect(&mut io, 1, names(id)).await?;
         let max_in_capsule = size.saturating_mul(16).saturating_sub(64).min(MAX_DATA_BYTES);
-        Ok(Self { _memory: memory, admin, io, max_in_capsule, max_h2c, cid: 0 })
+        Ok(Self { admin, io, max_in_capsule, max_h2c, cid: 0 })
     }
 
     /// Whether the I/O queue is open and no unexpected input has arrived on it.
--- a/crates/transport/src/nvme/link.rs
+++ b/crates/transport/src/nvme/link.rs
@@ -116,7 +116,7 @@
             let mut connection = match idle_connection.take() {
                 Some(connection) => connection,
                 None => {
-                    let connecting = NvmeConnection::open(self.address, &self.subsystem, &attempt.memory);
+                    let connecting = NvmeConnection::open(self.address, &self.subsystem);
                     let connecting = timeout_at(connect_deadline, connecting);
                     let connected = tokio::select! {
                         biased;
--- a/crates/transport/tests/stored/admin.rs
+++ b/crates/transport/tests/stored/admin.rs
@@ -77,7 +77,7 @@
         ..Counters::default()
     };
     let memory = MemoryUsage {
-        limits: MemoryLimits { bodies: 71, total: 72 },
+        limits: MemoryLimits { bodies: 71, total: 72, shared: 73 },
         held: [81, 82, 83, 84, 85, 86, 87],
         peak_bodies: 91,
         unbuffered_bodies: 92,
