Uploads: the time of a client counts from when it can have written its last byte

Callers whose node read a long body slowly got their answer seconds after its time: 2.4 and 3.7 s after the last byte of 5 and 10 MB where 0.9 s were left (release build, node at 800 kB and 1.6 MB a second); such an answer is lost once it is 0.5 s late.

Cause: the time budget began when the scheduler had handed the last byte on. It reads no faster than the node, so megabytes lie in the buffers of the system meanwhile. A body that had come whole and waited for its node or for memory had no deadline at all in the core, and its node was told the whole budget.

Change: UploadClock asks the system how much has arrived and is unread. The client cannot have written its last byte while less than the rest has arrived and the buffer is not full, or while more than a send buffer (4 MB) is missing; its time counts from the last such moment. The core learns the deadline as soon as it is known. A body that was held up by a lack of memory here ends its attempt as not sent; before, the log blamed its node (NotConnected).

--- a/crates/core/src/actor/handle.rs
+++ b/crates/core/src/actor/handle.rs
@@ -179,12 +179,26 @@
         let id = RequestId(self.next_request_id.fetch_add(1, Ordering::Relaxed));
         let (messages, client_disconnects) = (self.messages.clone(), self.client_disconnects.clone());
         Box::pin(async move {
-            let (reply, answer) = oneshot::channel();
+            let (reply, mut answer) = oneshot::channel();
             let cancel = CancellationToken::new();
+            let upload = request.node_request.upload.clone();
             let message = CoreMessage::RequestReceived { id, request, reply, cancel: cancel.clone() };
             messages.send(message).await.map_err(|_| CoreStopped)?;
             // If this future is dropped before the answer, the client has disconnected.
             let guard = CancelOnDrop::new(client_disconnects, id, cancel);
+            if let Some(upload) = upload {
+                tokio::select! {
+                    biased;
+                    answer = &mut answer => {
+                        guard.disarm();
+                        return answer.map_err(|_| CoreStopped);
+                    }
+                    deadline = upload.deadline() => {
+                        let message = CoreMessage::DeadlineKnown { id, deadline };
+                        messages.send(message).await.map_err(|_| CoreStopped)?;
+                    }
+                }
+            }
             let answer = answer.await.map_err(|_| CoreStopped);
             guard.disarm();
             answer
--- a/crates/core/src/actor/mod.rs
+++ b/crates/core/src/actor/mod.rs
@@ -229,6 +229,7 @@
             CoreMessage::RequestReceived { id, request, reply, cancel } => {
                 self.receive_request(id, request, reply, cancel);
             }
+            CoreMessage::DeadlineKnown { id, deadline } => self.requests.set_deadline(id, deadline),
             CoreMessage::MalformedRequest => self.counters.malformed_requests += 1,
             CoreMessage::AttemptEnded(attempt) => self.attempt_ended(attempt),
             CoreMessage::EndpointUpdate(update) => self.apply_endpoint_update(update),
--- a/crates/core/src/actor/open_requests.rs
+++ b/crates/core/src/actor/open_requests.rs
@@ -277,6 +277,17 @@
         Some(id)
     }
 
+    /// Sets when the client of a request stops waiting, if that is earlier than what was known.
+    pub(super) fn set_deadline(&mut self, id: RequestId, deadline: Instant) {
+        let deadline = self.limit_deadline(deadline);
+        let Some(open_request) = self.by_id.get_mut(&id) else { return };
+        // A request that is answered, or was overdue, is in no schedule.
+        if self.overdue_schedule.remove(&(open_request.overdue_at(), id)) {
+            open_request.request.deadline = deadline.min(open_request.request.deadline);
+            self.overdue_schedule.insert((open_request.overdue_at(), id));
+        }
+    }
+
     /// Limits the deadlines of all open and all later requests. Clients may wait for longer than the
     /// platform lets the program run, and a closed connection is not an answer.
     pub(super) fn set_shutdown_deadline(&mut self, deadline: Instant) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,7 +43,7 @@
 pub use operator::{CommandError, Draining, ForwardedCommand, OperatorCommand};
 pub use request::{Answer, ClientRequest, NodeRequest};
 pub use resident_memory::{resident_memory, ResidentMemory};
-pub use upload::Upload;
+pub use upload::{AbandonCause, Upload};
 
 /// The longest body of a request or of a reply, in bytes, that is buffered completely; a longer one is
 /// streamed.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -30,6 +30,14 @@
         /// Cancelled once the client no longer waits for the answer.
         cancel: CancellationToken,
     },
+    /// The complete body of a request has arrived, or it is not received any more: from now on the request has
+    /// a deadline.
+    DeadlineKnown {
+        /// The core's own id for the request.
+        id: RequestId,
+        /// When its client stops waiting.
+        deadline: Instant,
+    },
     /// A front end has rejected a malformed request.
     MalformedRequest,
     /// An attempt has ended.
--- a/crates/core/src/upload.rs
+++ b/crates/core/src/upload.rs
@@ -5,7 +5,6 @@
 
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
-use tokio_util::sync::CancellationToken;
 
 use super::body::BodyStream;
 
@@ -20,8 +19,17 @@
     time_budget: Duration,
     body: Mutex<Option<BodyStream>>,
     completed_at: watch::Sender<Option<Instant>>,
-    /// Cancelled when the node has stopped reading the body.
-    abandoned: CancellationToken,
+    /// Why the upload was abandoned, if it was.
+    abandoned: watch::Sender<Option<AbandonCause>>,
+}
+
+/// Why the rest of a body is not received any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbandonCause {
+    /// There was no memory for a chunk.
+    NoMemory,
+    /// The node did not read a chunk, or there was none that could be sent it.
+    NotRead,
 }
 
 impl Upload {
@@ -33,7 +41,7 @@
             time_budget,
             body: Mutex::new(Some(body)),
             completed_at: watch::channel(None).0,
-            abandoned: CancellationToken::new(),
+            abandoned: watch::channel(None).0,
         }))
     }
 
@@ -47,30 +55,51 @@
         self.0.time_budget
     }
 
-    /// Records that the last byte has arrived now.
-    pub fn mark_complete(&self) {
-        self.0.completed_at.send_replace(Some(Instant::now()));
+    /// Records that the last byte has arrived. The time of the client counts from `written_at`: the earliest
+    /// time at which it can have written that byte.
+    pub fn mark_complete(&self, written_at: Instant) {
+        self.0.completed_at.send_replace(Some(written_at));
+    }
+
+    /// Returns how long the client still waits for its answer.
+    pub fn time_left(&self) -> Duration {
+        match self.completed_at() {
+            Some(at) => (at + self.0.time_budget).saturating_duration_since(Instant::now()),
+            None => self.0.time_budget,
+        }
     }
 
-    /// Returns when the last byte arrived; `None` while the body is still being received.
+    /// Returns from when the time of the client counts; `None` while the body is still being received.
     pub fn completed_at(&self) -> Option<Instant> {
         *self.0.completed_at.borrow()
     }
 
-    /// Abandons the upload because the node did not read a chunk in time; its attempt ends.
-    pub fn abandon(&self) {
-        self.0.abandoned.cancel();
+    /// Abandons the upload as a chunk was not taken while the client waits; its attempt ends.
+    pub fn abandon(&self, cause: AbandonCause) {
+        self.0.abandoned.send_replace(Some(cause));
     }
 
-    /// Returns once the time budget after the last byte is used up, or the upload was abandoned.
-    pub async fn expired(&self) {
-        let mut completed_at = self.0.completed_at.subscribe();
-        // The wait can't fail: `self` holds the sender.
+    /// Returns why the upload was abandoned; `None` if it was not.
+    pub fn abandoned(&self) -> Option<AbandonCause> {
+        *self.0.abandoned.borrow()
+    }
+
+    /// Waits until it is known when the client stops waiting for its answer, and returns that time: now, if
+    /// the upload was abandoned.
+    pub async fn deadline(&self) -> Instant {
+        let (mut completed_at, mut abandoned) =
+            (self.0.completed_at.subscribe(), self.0.abandoned.subscribe());
+        // The waits can't fail: `self` holds the senders.
         let completed_at = tokio::select! {
             completed_at = completed_at.wait_for(Option::is_some) => completed_at.ok().and_then(|at| *at),
-            () = self.0.abandoned.cancelled() => return,
+            _ = abandoned.wait_for(Option::is_some) => None,
         };
-        sleep_until(completed_at.unwrap_or_else(Instant::now) + self.0.time_budget).await;
+        completed_at.map_or_else(Instant::now, |at| at + self.0.time_budget)
+    }
+
+    /// Returns once the time budget after the last byte is used up, or the upload was abandoned.
+    pub async fn expired(&self) {
+        sleep_until(self.deadline().await).await;
     }
 
     fn lock_body(&self) -> MutexGuard<'_, Option<BodyStream>> {
--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -30,4 +30,5 @@
 mod shutdown;
 mod shutdown_stall;
 mod slow_answers;
+mod slow_uploads;
 mod support;
--- a/crates/transport/src/http/front.rs
+++ b/crates/transport/src/http/front.rs
@@ -21,6 +21,7 @@
 use super::body::AnswerBody;
 use super::connections::{ClientConnection, Framing, Phase};
 use super::request_body::{forward_body, BufferedBody, RequestBody};
+use super::stream::ClientStream;
 use super::{decode, format_retry_after, headers, InvalidRequest, RequestData, MAX_BODY_BYTES};
 use heathward_core::memory::MemoryBudget;
 use heathward_core::{body_channel, Answer, ClientRequest, CoreHandle, Draining, NodeReply, Upload};
@@ -52,6 +53,7 @@
         self,
         request: Request<Incoming>,
         client: &Arc<ClientConnection>,
+        stream: ClientStream,
     ) -> Response<AnswerBody> {
         let began_at = client.begin_request();
         let framing = client.take_framing();
@@ -67,7 +69,7 @@
         if body.size_hint().lower() > MAX_BODY_BYTES {
             return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body");
         }
-        let mut request_body = RequestBody::new(body, began_at, client.clone());
+        let mut request_body = RequestBody::new(body, began_at, client.clone(), stream);
         match request_body.buffer(self.core.memory()).await {
             Err(status) => self.refuse(status, "body"),
             Ok(BufferedBody::Complete(body)) => self.answer_buffered(&head, body, client).await,
@@ -212,12 +214,13 @@
 pub(super) struct ConnectionService {
     front: Front,
     client: Arc<ClientConnection>,
+    stream: ClientStream,
 }
 
 impl ConnectionService {
     /// Creates the service for one connection.
-    pub(super) fn new(front: Front, client: Arc<ClientConnection>) -> Self {
-        Self { front, client }
+    pub(super) fn new(front: Front, client: Arc<ClientConnection>, stream: ClientStream) -> Self {
+        Self { front, client, stream }
     }
 }
 
@@ -231,10 +234,10 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let Self { front, client } = self.clone();
+        let Self { front, client, stream } = self.clone();
         Box::pin(async move {
             let draining = front.core.draining();
-            let mut answer = front.answer(request, &client).await;
+            let mut answer = front.answer(request, &client, stream).await;
             // The client is to use another connection or scheduler from now on.
             if draining.borrow().closes_connections() || client.closes_after_answer() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod front;
 mod request_body;
 mod stream;
+mod upload_clock;
 
 pub use connection::serve;
 pub use connections::{closing_capacity, ConnectionTable};
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -1,6 +1,7 @@
 //! Receives the body of a request and enforces a minimum rate.
 
-use std::future::pending;
+use std::future::{pending, Future};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,18 +9,25 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::StatusCode;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::connections::{ClientConnection, Phase, REQUEST_TIMEOUT};
+use super::stream::ClientStream;
+use super::upload_clock::UploadClock;
 use super::MAX_BODY_BYTES;
 use crate::READ_BUFFER_BYTES;
 use heathward_core::memory::{MemoryBudget, MemoryHolder, ReservedBuffer};
-use heathward_core::{BodySender, Upload, MAX_BUFFERED_BODY_BYTES};
+use heathward_core::{AbandonCause, BodySender, Upload, MAX_BUFFERED_BODY_BYTES};
 
 /// The minimum rate at which a client must send a body; a client that follows the protocol sends 64 bytes per
 /// ms.
 const MIN_BODY_BYTES_PER_MS: u64 = 48;
 
+/// Bytes that have arrived are read in less than this time.
+const READ_TIME: Duration = Duration::from_millis(5);
+/// How often the input is checked while a chunk waits for the node.
+const INPUT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The part of a body that was received before its request is decoded.
 pub(super) enum BufferedBody {
     /// The complete body.
@@ -40,12 +48,27 @@
     /// A chunk that was received but is not in the buffered part.
     pending_chunk: Option<Bytes>,
     client: Arc<ClientConnection>,
+    clock: UploadClock,
 }
 
 impl RequestBody {
     /// Creates the body of a request that began at `began_at`.
-    pub(super) fn new(body: Incoming, began_at: Instant, client: Arc<ClientConnection>) -> Self {
-        Self { body, began_at, waiting_since: began_at, received_bytes: 0, pending_chunk: None, client }
+    pub(super) fn new(
+        body: Incoming,
+        began_at: Instant,
+        client: Arc<ClientConnection>,
+        stream: ClientStream,
+    ) -> Self {
+        let clock = UploadClock::new(stream, body.size_hint().exact(), began_at);
+        Self {
+            body,
+            began_at,
+            waiting_since: began_at,
+            received_bytes: 0,
+            pending_chunk: None,
+            client,
+            clock,
+        }
     }
 
     /// Reads until the body is complete, is too long to be buffered, or there is no memory for more of it.
@@ -94,7 +117,16 @@
                 self.began_at + Duration::from_millis(self.received_bytes / MIN_BODY_BYTES_PER_MS);
             let deadline = at_min_rate.min(self.waiting_since) + REQUEST_TIMEOUT;
             self.client.set_phase(Phase::ReceivingBody { since: self.began_at, deadline });
-            match timeout_at(deadline, self.body.frame()).await {
+            let mut frame = self.body.frame();
+            let frame = match timeout(READ_TIME, &mut frame).await {
+                Ok(frame) => Ok(frame),
+                Err(_) => {
+                    let frame = timeout_at(deadline, frame).await;
+                    self.clock.record_wait();
+                    frame
+                }
+            };
+            match frame {
                 Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
                 Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
                 Ok(None) => return Ok(None),
@@ -103,6 +135,7 @@
                     let Ok(chunk) = frame.into_data() else { continue };
                     self.received_bytes += chunk.len() as u64;
                     self.waiting_since = Instant::now();
+                    self.clock.check(self.received_bytes);
                     return if self.received_bytes > MAX_BODY_BYTES {
                         Err(StatusCode::PAYLOAD_TOO_LARGE)
                     } else {
@@ -114,9 +147,17 @@
     }
 }
 
+/// How long a chunk may wait.
+#[derive(Clone, Copy, Debug)]
+struct WaitLimits {
+    chunk_timeout: Duration,
+    /// The client stops waiting this long after it can have written the last byte.
+    time_budget: Duration,
+}
+
 /// Forwards the rest of a body, as it is received, to the node. If there is no memory for a chunk, or the
-/// node does not accept it, within `chunk_timeout`, or the receiver of the chunks was dropped, the upload is
-/// abandoned and this never returns: that is not the client's fault.
+/// node does not accept it, before the client stops waiting or within `chunk_timeout`, or the receiver of the
+/// chunks was dropped, the upload is abandoned and this never returns: that is not the client's fault.
 ///
 /// # Errors
 /// The status of the answer to a client whose body is late, broken or too long.
@@ -127,23 +168,66 @@
     chunk_timeout: Duration,
     memory: &MemoryBudget,
 ) -> Result<(), StatusCode> {
+    let time_budget = upload.map_or(Duration::ZERO, Upload::time_budget);
+    let limits = WaitLimits { chunk_timeout, time_budget };
     while let Some(chunk) = request_body.next_unbuffered_chunk().await? {
         request_body.client.set_phase(Phase::ForwardingBody);
         let handed_over_at = Instant::now();
-        let sending = async {
-            let reservation = memory.reserve(MemoryHolder::Uploads, READ_BUFFER_BYTES.max(chunk.len())).await;
-            sender.send(reservation.attach(chunk)).await
-        };
-        if !timeout_at(handed_over_at + chunk_timeout, sending).await.unwrap_or(false) {
+        if let Err(cause) = request_body.hand_over(chunk, &sender, limits, memory).await {
             // The request's answer reports why its body was not accepted.
-            upload.into_iter().for_each(Upload::abandon);
+            upload.into_iter().for_each(|upload| upload.abandon(cause));
             return pending().await;
         }
         request_body.began_at += handed_over_at.elapsed();
         request_body.waiting_since = Instant::now();
     }
     request_body.client.set_phase(Phase::Processing);
-    upload.into_iter().for_each(Upload::mark_complete);
+    upload.into_iter().for_each(|upload| upload.mark_complete(request_body.clock.written_at()));
     sender.finish().await;
     Ok(())
 }
+
+impl RequestBody {
+    /// Hands a chunk over to the node's connection once there is memory for it.
+    ///
+    /// # Errors
+    /// Why the chunk was not taken within the limits, or will not be.
+    async fn hand_over(
+        &mut self,
+        chunk: Bytes,
+        sender: &BodySender,
+        limits: WaitLimits,
+        memory: &MemoryBudget,
+    ) -> Result<(), AbandonCause> {
+        let chunk_deadline = Instant::now() + limits.chunk_timeout;
+        let reserving = memory.reserve(MemoryHolder::Uploads, READ_BUFFER_BYTES.max(chunk.len()));
+        let reservation =
+            self.while_waiting(reserving, chunk_deadline, limits).await.ok_or(AbandonCause::NoMemory)?;
+        let sending = sender.send(reservation.attach(chunk));
+        match self.while_waiting(sending, chunk_deadline, limits).await {
+            Some(true) => Ok(()),
+            _ => Err(AbandonCause::NotRead),
+        }
+    }
+
+    /// Runs an operation for which the body is not read; `None` if it takes longer than `chunk_deadline`, or
+    /// than the client waits.
+    async fn while_waiting<F: Future>(
+        &mut self,
+        operation: F,
+        chunk_deadline: Instant,
+        limits: WaitLimits,
+    ) -> Option<F::Output> {
+        let mut operation = pin!(operation);
+        loop {
+            if let Ok(output) = timeout(INPUT_CHECK_INTERVAL, &mut operation).await {
+                return Some(output);
+            }
+            self.clock.check(self.received_bytes);
+            let deadline = chunk_deadline.min(self.clock.written_at() + limits.time_budget);
+            if deadline <= Instant::now() {
+                return None;
+            }
+        }
+    }
+}
--- a/crates/transport/src/node/http.rs
+++ b/crates/transport/src/node/http.rs
@@ -21,7 +21,7 @@
 use super::{LinkRequest, LinkResponse, WriteProgress};
 use crate::http::headers;
 use heathward_core::memory::MemoryBudget;
-use heathward_core::{body_channel, Attempt, NodeReply, NodeRequest, StreamedReply, Upload};
+use heathward_core::{body_channel, AbandonCause, Attempt, NodeReply, NodeRequest, StreamedReply, Upload};
 use heathward_policy::AttemptEnd;
 
 /// The link to one HTTP node: a tower service that carries out one attempt on one connection.
@@ -149,10 +149,7 @@
             // The node is up but its reply is not valid. Guards against treating the node as restarted and
             // cold: all that is known is that it may have executed the request.
             Ok(_) => return LinkResponse::closed(AttemptEnd::Error),
-            // The node has stopped reading a long body, so it has not received the complete request.
-            Err(()) if attempt.node_request.upload.is_some() && !written.is_complete() => {
-                return LinkResponse::closed(AttemptEnd::NotConnected);
-            }
+            Err(()) if !written.is_complete() => return LinkResponse::closed(end_of_unwritten(&attempt)),
             Err(()) => return LinkResponse::closed(AttemptEnd::TimedOut),
         }
     }
@@ -175,6 +172,17 @@
     }
 }
 
+/// Returns how an attempt ended that was given up before its request was written completely.
+fn end_of_unwritten(attempt: &Attempt) -> AttemptEnd {
+    match &attempt.node_request.upload {
+        // The node was waiting for a body for which there was no memory here.
+        Some(upload) if upload.abandoned() == Some(AbandonCause::NoMemory) => AttemptEnd::NotSent,
+        // The node has stopped reading a long body, so it has not received the complete request.
+        Some(_) => AttemptEnd::NotConnected,
+        None => AttemptEnd::TimedOut,
+    }
+}
+
 /// Whether the request can be sent again: no part of a streamed body has been sent.
 fn is_resendable(attempt: &Attempt) -> bool {
     attempt.node_request.upload.as_ref().is_none_or(Upload::is_unsent)
@@ -192,7 +200,7 @@
         client_request_id, class_name, is_write, target, idempotency_key, body, upload, ..
     } = &*attempt.node_request;
     let time_left = attempt.deadline.saturating_duration_since(Instant::now());
-    let time_left_ms = upload.as_ref().map_or(time_left, Upload::time_budget).as_millis();
+    let time_left_ms = upload.as_ref().map_or(time_left, Upload::time_left).as_millis();
     let length = upload
         .as_ref()
         .map_or(Some(body.len()), |upload| upload.content_length().map(|bytes| bytes as usize));
