HTTP front: an upload is not begun after its client has left unread bytes

Cause: a disconnect is detected by reading, and nothing is read while a chunk waits for its node. The system tells it behind unread bytes (POLLRDHUP): it is asked at once and every 20 ms then.

Looked for elsewhere: a body that is read sees the end itself, requests in processing read ahead, and NVMe queues read at all times but while a completion is being written.

--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
-use std::task::Poll;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
 use super::connections::{ClientConnection, ConnectionTable, Phase, Slot};
 use super::front::{ConnectionService, Front};
@@ -35,6 +35,8 @@
 /// or after its last answer, whichever is later. The limit is longer than during a pause, as a handover
 /// allows more time, and a client whose request crosses the close has to send it again.
 const REPLACED_IDLE_TIMEOUT: Duration = Duration::from_millis(2030);
+/// How often it is checked whether the client has left while its input is not read.
+const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Input after the last answer is discarded in pieces of this many bytes.
 const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -121,7 +123,7 @@
     let stream = ClientStream::new(stream, client.clone());
     let mut draining = front.draining();
     let draining_idle_timeout = idle_timeout_while_draining(*draining.borrow_and_update());
-    let service = TowerToHyperService::new(ConnectionService::new(front, client.clone()));
+    let service = TowerToHyperService::new(ConnectionService::new(front, client.clone(), stream.clone()));
     let mut builder = http1::Builder::new();
     builder.keep_alive(!last_request).max_buf_size(MAX_HEAD_BYTES);
     let mut connection = builder.serve_connection(TokioIo::new(stream.clone()), service);
@@ -173,6 +175,7 @@
     draining_changed: impl Future,
 ) -> ConnectionEvent {
     let mut timeout = pin!(sleep_until(Instant::now()));
+    let mut leaving_check = pin!(sleep_until(Instant::now()));
     let mut evicted = pin!(client.evicted.notified());
     let (mut stop_requested, mut draining_changed) = (pin!(stop_requested), pin!(draining_changed));
     poll_fn(|cx| {
@@ -184,6 +187,9 @@
         if connection.poll_without_shutdown(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::Ended);
         }
+        if client.phase() == Phase::ForwardingBody && poll_left(cx, &mut leaving_check, stream).is_ready() {
+            return Poll::Ready(ConnectionEvent::ClientDisconnected);
+        }
         let is_processing = matches!(client.phase(), Phase::Processing | Phase::StreamingAnswer(_));
         if is_processing && stream.poll_disconnected(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::ClientDisconnected);
@@ -205,6 +211,18 @@
     .await
 }
 
+/// Returns ready once the client has closed its connection. To be polled while its input is not read; the
+/// check is repeated at an interval, as the runtime reports nothing behind unread bytes.
+fn poll_left(cx: &mut Context<'_>, check: &mut Pin<&mut Sleep>, stream: &ClientStream) -> Poll<()> {
+    loop {
+        if stream.is_closed_by_client() {
+            return Poll::Ready(());
+        }
+        ready!(check.as_mut().poll(cx));
+        check.as_mut().reset(Instant::now() + LEAVING_CHECK_INTERVAL);
+    }
+}
+
 /// Whether an idle connection that timed out is kept for another interval, as the table is not crowded.
 fn may_be_kept(retention: &Retention, slot: &Slot, client: &ClientConnection) -> bool {
     retention.draining_idle_timeout.is_none()
