Uploads: what has been written is judged by growth, not by the size of the input buffer

On loopback a segment has 64 kB, and the system opens the window only for a whole one, so that MB can wait behind that.

Input is now taken for complete only if none is unread, or if it grows while nothing is read.

--- a/crates/transport/src/http/stream.rs
+++ b/crates/transport/src/http/stream.rs
@@ -9,7 +9,6 @@
 use bytes::{Buf, BytesMut};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::ioctl_fionread;
-use rustix::net::sockopt::socket_recv_buffer_size;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -20,19 +19,6 @@
 /// The most bytes that are read at a time while a request is being processed.
 const READ_AHEAD_CHUNK_BYTES: usize = 4096;
 
-/// The system stops a client once about half of the buffer for its input is filled. This part of the buffer
-/// is certainly less.
-const FULL_BUFFER_DIVISOR: u64 = 4;
-
-/// Input that has arrived and is unread.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Unread {
-    /// Its length in bytes.
-    pub(super) bytes: u64,
-    /// Whether it is all that the client has written, as the system has not stopped it.
-    pub(super) is_all: bool,
-}
-
 /// Bytes that arrived while the HTTP parser was not reading.
 #[derive(Debug, Default)]
 struct ReadAhead {
@@ -97,11 +83,9 @@
         polled.is_ok() && descriptors[0].revents().intersects(closed)
     }
 
-    /// Returns what has arrived and is unread; `None` if the system does not tell it.
-    pub(super) fn unread_input(&self) -> Option<Unread> {
-        let bytes = ioctl_fionread(&self.stream).ok()?;
-        let capacity = socket_recv_buffer_size(&self.stream).ok()? as u64;
-        Some(Unread { bytes, is_all: bytes < capacity / FULL_BUFFER_DIVISOR })
+    /// Returns how many bytes have arrived and are unread; `None` if the system does not tell it.
+    pub(super) fn unread_bytes(&self) -> Option<u64> {
+        ioctl_fionread(&self.stream).ok()
     }
 
     /// Returns the socket if this is the last clone.
