Policy: the number of remembered volumes is bounded

One client that sends requests of ever new volumes at full speed made memory grow for as long as it went on: 276 to 299 bytes for each name (release build, 14,156 names of no shard and 15,406 served ones: 5.8 to 9.6 and to 14.1 MB), as volumes and sessions are forgotten only after 30 to 60 s.

Beyond 4,096 volumes the one that was not requested for the longest time is forgotten, unless it has used a part of its rate limit: it would get all of it again. If none of the 16 oldest can be forgotten, a request of a further volume is shed. A node has at most 4,096 sessions.

Looked for elsewhere: ids of requests are bounded by the commit on ids, keys in order and requests by the requests that are open, nodes and shards by the list.

Measured: the new test of bounded_memory fails before (4,097 volumes after as many requests, and rising) and passes; the other one passes unchanged.

--- a/crates/policy/src/node/admission_history.rs
+++ b/crates/policy/src/node/admission_history.rs
@@ -13,6 +13,9 @@
 /// margin for variation.
 const MAX_ADMITTED_LOAD: f64 = 0.9;
 
+/// The most sessions at a node; the mean load of a session is then as good as 0.
+const MAX_SESSIONS: usize = 4096;
+
 /// The volumes that use a node, and their mean load in past budget periods.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdmissionHistory {
@@ -25,9 +28,11 @@
 }
 
 impl AdmissionHistory {
-    /// Opens the session of a request's volume, or keeps it open.
+    /// Opens the session of a request's volume, or keeps it open. Beyond [`MAX_SESSIONS`] none is opened.
     pub(crate) fn record_request(&mut self, now: Micros, volume: VolumeId) {
-        self.sessions.insert(volume, now);
+        if self.sessions.len() < MAX_SESSIONS || self.sessions.contains_key(&volume) {
+            self.sessions.insert(volume, now);
+        }
     }
 
     pub(crate) fn has_session(&self, volume: VolumeId) -> bool {
--- a/crates/policy/src/scheduler/arrival.rs
+++ b/crates/policy/src/scheduler/arrival.rs
@@ -17,6 +17,10 @@
         if let Some(budget) = &self.settings.retry_budget {
             self.retry_window.record_request(now, budget);
         }
+        if !self.make_room_for_volume(now, &request) {
+            actions.push(Action::Shed { request: request.id, retry_after: None });
+            return;
+        }
         let timing = request_timing(now, &request, self.class_of(&request), self.settings.client_retries);
         let quota_tier = if timing.is_late { QuotaTier::Excess } else { self.quota_tier(now, &request) };
         let priority = self.priority(&request, quota_tier, timing.is_late);
@@ -27,6 +31,15 @@
         }
     }
 
+    /// Forgets a volume if there are too many for the one of this request; returns whether there is room.
+    /// A volume that has used a part of its rate limit is not forgotten, as it would get all of it again.
+    fn make_room_for_volume(&mut self, now: Micros, request: &Request) -> bool {
+        let plans = &self.settings.plans;
+        let has_used_rate_limit =
+            |volume: &Volume| volume.has_used_rate_limit(now, &plans[usize::from(volume.plan.0)]);
+        self.volumes.make_room_for(&request.volume, has_used_rate_limit)
+    }
+
     fn has_class_and_plan(&self, request: &Request) -> bool {
         let class = self.settings.classes.get(request.class.0 as usize);
         class.is_some() && self.settings.plans.get(request.plan.0 as usize).is_some()
--- a/crates/policy/tests/bounded_memory.rs
+++ b/crates/policy/tests/bounded_memory.rs
@@ -134,3 +134,20 @@
     let expected = EntryCounts { requests: 0, volumes: 0, nodes: LISTED_NODES as usize, timestamps: 0 };
     assert_eq!(counts, expected);
 }
+
+/// Guards against memory that grows with every new name: a client sends requests of ever new volumes, far
+/// faster than volumes are forgotten. Those of a plan without a rate limit are all handled.
+#[test]
+fn the_number_of_volumes_is_bounded_at_any_rate_of_new_names() {
+    let mut run = Run::new();
+    for id in 1..=20_000 {
+        let shard = Some(ShardId((id % u64::from(LISTED_NODES)) as u32));
+        run.harness.submit(Request { volume: VolumeId(id), shard, ..sample_request(id) });
+        end_all(&mut run.harness, || AttemptEnd::Served);
+        run.harness.advance(100);
+        run.discard_old_actions();
+        let volumes = run.harness.scheduler.entry_counts().volumes;
+        assert!(volumes <= 4096, "{volumes} volumes after {id} requests");
+    }
+    assert!(run.harness.scheduler.entry_counts().volumes >= 1024);
+}
