Ids of writes that may have been executed are not executed again, also by a peer process

A write whose client had left was executed twice when its id came again, and by the other process of an upgrade. While the first one was still executing, the id was held.

Cause: an id was free as soon as its attempt had ended, and a handover passed no ids.

During an upgrade each process tells the other the ids that it has sent, at the handover and as they are sent; the other handles none of them, whatever the class. A process of an earlier version sees only lines that it knows. Ids compare as numbers, as 00AB and 00ab name one request.

Looked for elsewhere: NVMe commands get ids of their own from the scheduler, which never come again.

--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -8,7 +8,7 @@
 use crate::memory::MemoryBudget;
 use crate::observe::{NodeTreatment, Observation};
 use crate::{Answer, Attempt, EndedAttempt, NodeReply, StreamedReply, WriteCompletion, WrittenAttempts};
-use heathward_policy::{AttemptEnd, AttemptOutcome, Event, Micros, NodeId, RequestId};
+use heathward_policy::{AttemptEnd, AttemptOutcome, Event, Idempotency, Micros, NodeId, RequestId};
 
 /// Identifies one attempt of a request at a node.
 #[derive(Clone, Copy)]
@@ -38,6 +38,7 @@
         });
         let sent = in_flight.is_some();
         if let Some(in_flight) = in_flight {
+            self.peer_process.report_attempt(&open_request.request.node_request.client_request_id);
             open_request.attempt_sent(in_flight);
             self.counters.attempts_sent += 1;
         } else {
@@ -59,6 +60,10 @@
         let EndedAttempt { request, number, node, end, reply } = attempt;
         let Some(open_request) = self.requests.get_mut(request) else { return };
         let Some(finished) = open_request.attempt_ended(number, end) else { return };
+        let class = usize::from(open_request.request.class.0);
+        if self.published.deployment().settings.classes[class].idempotency != Idempotency::Idempotent {
+            open_request.retire_id_if_executed();
+        }
         let now = Instant::now();
         self.counters.count_attempt_end(end);
         self.observer.observe_at(now, Observation::AttemptEnded { request, node: &finished.node, end });
--- a/crates/core/src/actor/handle.rs
+++ b/crates/core/src/actor/handle.rs
@@ -17,8 +17,8 @@
 use crate::message::{ControlMessage, CoreMessage, CoreStatus};
 use crate::observe::Observer;
 use crate::{
-    Answer, ClientRequest, CommandError, CoreMetrics, Draining, ForwardedCommand, Handover, HandoverState,
-    OperatorCommand,
+    Answer, ClientRequest, ClientRequestId, CommandError, CoreMetrics, Draining, Handover, HandoverState,
+    OperatorCommand, PeerChannels,
 };
 use heathward_policy::settings::{ConfigError, Deployment};
 use heathward_policy::RequestId;
@@ -84,14 +84,21 @@
         handover.await.ok()
     }
 
-    /// Takes over the state of the previous process. Returns the commands that are to be forwarded to that
-    /// process; `None` if the core has stopped.
-    pub async fn take_over(&self, state: HandoverState) -> Option<mpsc::Receiver<ForwardedCommand>> {
+    /// Takes over the state of the previous process. Returns what is to be told to that process;
+    /// `None` if the core has stopped.
+    pub async fn take_over(&self, state: HandoverState) -> Option<PeerChannels> {
         let (reply, commands) = oneshot::channel();
         self.control.send(ControlMessage::TakeOver { state, reply }).await.ok()?;
         commands.await.ok()
     }
 
+    /// Records that the peer process has sent attempts of requests with these ids of clients: none of them
+    /// is handled here.
+    pub async fn record_attempts_of_peer(&self, ids: Vec<ClientRequestId>) {
+        // A core that has stopped handles no request.
+        let _ = self.control.send(ControlMessage::AttemptedByPeer(ids)).await;
+    }
+
     /// Returns the current settings.
     pub fn deployment(&self) -> Arc<Deployment> {
         self.deployment.borrow().clone()
--- a/crates/core/src/actor/handover.rs
+++ b/crates/core/src/actor/handover.rs
@@ -1,28 +1,27 @@
 //! Handover between two processes of one scheduler: the state of the process that ends, and how its successor
 //! continues from that state.
 
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::Actor;
 use crate::observe::{Observation, TreatmentCause};
-use crate::{EndpointUpdate, ForwardedCommand, Handover, HandoverState, SlowStartNode};
+use crate::{EndpointUpdate, Handover, HandoverState, PeerChannels, SlowStartNode};
 use heathward_policy::EndpointUpdateKind;
 
 impl Actor {
     /// Hands the state over to a new process, and forwards commands to it from now on.
     pub(super) fn hand_over(&mut self) -> Handover {
-        let commands = self.peer_process.connect();
+        let channels = self.peer_process.connect();
         self.observer.observe(Observation::HandedOver);
-        Handover { state: self.handover_state(), commands }
+        Handover { state: self.handover_state(), channels }
     }
 
     /// Continues from the state of the previous process, and forwards commands to it from now on.
-    pub(super) fn take_over(&mut self, state: HandoverState) -> mpsc::Receiver<ForwardedCommand> {
-        let commands = self.peer_process.connect();
+    pub(super) fn take_over(&mut self, state: HandoverState) -> PeerChannels {
+        let channels = self.peer_process.connect();
         self.observer.observe(Observation::TookOver);
         self.restore_state(state);
-        commands
+        channels
     }
 
     fn handover_state(&self) -> HandoverState {
@@ -40,10 +39,12 @@
             suspended: self.nodes.suspended().cloned().collect(),
             slow_start: slow_start.collect(),
             paused: self.published.is_paused(),
+            client_ids: Some(self.requests.client_ids()),
         }
     }
 
     fn restore_state(&mut self, state: HandoverState) {
+        self.requests.add_executed_client_ids(state.client_ids.unwrap_or_default());
         self.nodes.suspend_all(state.suspended);
         self.lease.get_mut().record_takeover(Instant::now());
         self.published.set_paused(state.paused);
--- a/crates/core/src/actor/mod.rs
+++ b/crates/core/src/actor/mod.rs
@@ -263,6 +263,7 @@
             }
             ControlMessage::HandOver(reply) => _ = reply.send(self.hand_over()),
             ControlMessage::TakeOver { state, reply } => _ = reply.send(self.take_over(state)),
+            ControlMessage::AttemptedByPeer(ids) => self.requests.add_executed_client_ids(ids),
             ControlMessage::Metrics(reply) => _ = reply.send(self.metrics()),
         }
     }
--- a/crates/core/src/actor/open_requests.rs
+++ b/crates/core/src/actor/open_requests.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::client_request_ids::{ClientRequestIdGuard, ClientRequestIds};
+use crate::client_request_ids::{ClientRequestId, ClientRequestIdGuard, ClientRequestIds};
 use crate::{Answer, ClientRequest, Upload, WriteCompletion};
 use heathward_policy::{AttemptEnd, ClassId, ClassSettings, Idempotency, Micros, RequestId};
 
@@ -177,6 +177,14 @@
         Some(FinishedAttempt { node, started_at: body_completed_at.map_or(sent_at, |at| at.max(sent_at)) })
     }
 
+    /// Keeps the client's id from being used again if the request may have been executed.
+    pub(super) fn retire_id_if_executed(&mut self) {
+        let is_served = self.last_attempt_end == Some(AttemptEnd::Served);
+        if is_served || self.first_possible_execution.is_some() {
+            self.id_guard.iter_mut().for_each(ClientRequestIdGuard::mark_executed);
+        }
+    }
+
     /// Returns when the core answers the request itself.
     fn overdue_at(&self) -> Instant {
         self.request.deadline + OVERDUE_GRACE
@@ -201,6 +209,16 @@
         self.client_ids.reserve(id)
     }
 
+    /// Returns the clients' ids of requests that are open or may have been executed.
+    pub(super) fn client_ids(&self) -> Vec<ClientRequestId> {
+        self.client_ids.all()
+    }
+
+    /// Records clients' ids of requests that may have been executed for the peer process.
+    pub(super) fn add_executed_client_ids(&self, ids: Vec<ClientRequestId>) {
+        self.client_ids.add_executed(ids);
+    }
+
     /// Returns `deadline`, or the deadline of the shutdown if that is earlier.
     pub(super) fn limit_deadline(&self, deadline: Instant) -> Instant {
         self.shutdown_deadline.map_or(deadline, |shutdown| shutdown.min(deadline))
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -8,11 +8,12 @@
 
 use super::attempt::{Attempt, EndedAttempt};
 use super::body::NodeReply;
+use super::client_request_ids::ClientRequestId;
 use super::counters::CoreMetrics;
 use super::endpoint::{Endpoint, EndpointUpdate};
-use super::handover_state::{Handover, HandoverState};
+use super::handover_state::{Handover, HandoverState, PeerChannels};
 use super::observe::Observer;
-use super::operator::{CommandError, ForwardedCommand, OperatorCommand};
+use super::operator::{CommandError, OperatorCommand};
 use super::request::{Answer, ClientRequest};
 use heathward_policy::settings::{ConfigError, Deployment};
 use heathward_policy::{AttemptEnd, RequestId};
@@ -91,8 +92,10 @@
     },
     /// Hand the state over to a new process of this scheduler.
     HandOver(oneshot::Sender<Handover>),
-    /// Continue from the state of the previous process. The reply is the stream of commands for that process.
-    TakeOver { state: HandoverState, reply: oneshot::Sender<mpsc::Receiver<ForwardedCommand>> },
+    /// Continue from the state of the previous process. The reply is what to tell that process.
+    TakeOver { state: HandoverState, reply: oneshot::Sender<PeerChannels> },
+    /// The peer process has sent attempts of requests with these ids of clients.
+    AttemptedByPeer(Vec<ClientRequestId>),
     /// Report counters and status.
     Metrics(oneshot::Sender<CoreMetrics>),
 }
--- a/crates/scheduler/tests/net/handover.rs
+++ b/crates/scheduler/tests/net/handover.rs
@@ -5,7 +5,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use heathward_core::{Endpoint, EndpointUpdate, HandoverState, SlowStartNode};
+use heathward_core::{ClientRequestId, Endpoint, EndpointUpdate, HandoverState, SlowStartNode};
 use heathward_policy::{EndpointUpdateKind, NodeState, ShardId};
 use heathward_transport::handover::{decode, encode};
 use rstest::rstest;
@@ -35,6 +35,7 @@
         suspended: vec!["s-2".into()],
         slow_start: vec![SlowStartNode { id: "s-1".into(), since: 1_700_000_000_123_456 }],
         paused: true,
+        client_ids: Some(vec![ClientRequestId(7), ClientRequestId(u64::MAX)]),
     };
     assert_eq!(decode(encode(state.clone()).as_bytes()), Ok(state));
 }
@@ -196,6 +197,7 @@
 #[case::greets("HEATHWARD 1\n")]
 #[case::other_version("HEATHWARD 9\n")]
 #[case::serves_and_dies("HEATHWARD 1\nREADY\n")]
+#[case::shares_ids_and_dies("HEATHWARD 1\nREADY REQUESTS\nATTEMPTED 00000000000000ff\n")]
 #[tokio::test]
 async fn a_peer_process_that_dies_at_any_step_changes_nothing(#[case] sent: &str) {
     let log = Log::default();
@@ -218,3 +220,51 @@
     running.until("peer process: exited");
     running.end();
 }
+
+/// Writes a request, and closes the connection once the node has received it.
+async fn leave_after_sending(listen: SocketAddr, log: &Log, request: &str) {
+    let seen = log.all().len();
+    let mut client = TcpStream::connect(listen).await.unwrap();
+    client.write_all(request.as_bytes()).await.unwrap();
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    while log.all().len() == seen {
+        assert!(Instant::now() < deadline, "the node receives nothing");
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against a request that is executed by both processes of an upgrade, as its id comes again at the
+/// other one after its client has left.
+#[tokio::test]
+async fn an_id_that_was_sent_by_one_process_is_not_sent_by_the_other() {
+    let log = Log::default();
+    let node = http_node(0, &[NodeBehavior::LateServe], &log).await;
+    let instance = SchedulerInstance::new(&member("s0", node, 0, "in_service", 0));
+    let mut old = instance.start();
+    let mut kept = Vec::new();
+    for _ in 0..2 {
+        let mut client = TcpStream::connect(instance.listen).await.unwrap();
+        client.write_all(HEALTH_CHECK.as_bytes()).await.unwrap();
+        assert_eq!(answer(&mut client).await.0, 200);
+        kept.push(client);
+    }
+    let write = |call| request("pedido", call, 0, 700, "w");
+    // Before the handover, and while both processes run: at the old one, and at the new one.
+    leave_after_sending(instance.listen, &log, &write(1)).await;
+    let new = instance.start();
+    old.until("peer process: serving");
+    kept[0].write_all(write(2).as_bytes()).await.unwrap();
+    assert_eq!(answer(&mut kept[0]).await.0, 200);
+    leave_after_sending(instance.listen, &log, &write(3)).await;
+    sleep(LATE_ANSWER_DELAY).await;
+    for call in [1, 2] {
+        let mut client = TcpStream::connect(instance.listen).await.unwrap();
+        client.write_all(write(call).as_bytes()).await.unwrap();
+        assert_eq!(answer(&mut client).await.0, 400, "request {call} at the new process");
+    }
+    kept[1].write_all(write(3).as_bytes()).await.unwrap();
+    assert_eq!(answer(&mut kept[1]).await.0, 400, "request 3 at the old process");
+    assert_eq!(log.all().len(), 3, "{:?}", log.all().iter().map(|seen| &seen.call).collect::<Vec<_>>());
+    new.kill();
+    old.kill();
+}
--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -26,6 +26,7 @@
 mod parsers;
 mod process;
 mod rejected_requests;
+mod repeated_ids;
 mod request_writer;
 mod shutdown;
 mod shutdown_stall;
--- a/crates/transport/src/handover/codec.rs
+++ b/crates/transport/src/handover/codec.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 use crate::discovery::{InvalidEndpointList, WireList};
-use heathward_core::{HandoverState, SlowStartNode};
+use heathward_core::{ClientRequestId, HandoverState, SlowStartNode};
 
 /// Why a line cannot be decoded as a handover state.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -31,6 +31,9 @@
     slow_start: Vec<WireSlowStart>,
     #[serde(rename = "paused")]
     paused: bool,
+    /// Left out by versions that do not pass them on.
+    #[serde(rename = "requests")]
+    client_ids: Option<Vec<String>>,
 }
 
 /// A node in slow start.
@@ -45,7 +48,7 @@
 
 /// Encodes the state as a line without its end.
 pub fn encode(state: HandoverState) -> String {
-    let HandoverState { endpoint_list, suspended, slow_start, paused } = state;
+    let HandoverState { endpoint_list, suspended, slow_start, paused, client_ids } = state;
     let slow_start =
         slow_start.into_iter().map(|node| WireSlowStart { node: node.id.into(), since: node.since });
     json::to_string(&WireState {
@@ -53,6 +56,7 @@
         suspended: suspended.into_iter().map(Into::into).collect(),
         slow_start: slow_start.collect(),
         paused,
+        client_ids: client_ids.map(|ids| ids.into_iter().map(encode_id).collect()),
     })
 }
 
@@ -62,7 +66,7 @@
 /// [`InvalidHandoverState`] if the line is not a state, or if an endpoint in it is invalid.
 pub fn decode(line: &[u8]) -> Result<HandoverState, InvalidHandoverState> {
     let text = std::str::from_utf8(line).map_err(|_| InvalidHandoverState::NotUtf8)?;
-    let WireState { endpoint_list, suspended, slow_start, paused } =
+    let WireState { endpoint_list, suspended, slow_start, paused, client_ids } =
         json::from_str(text).map_err(|_| InvalidHandoverState::NotAState)?;
     Ok(HandoverState {
         endpoint_list: endpoint_list.try_into()?,
@@ -72,5 +76,11 @@
             .map(|node| SlowStartNode { id: node.node.into(), since: node.since })
             .collect(),
         paused,
+        client_ids: client_ids.map(|ids| ids.iter().map(|id| ClientRequestId::new(id)).collect()),
     })
 }
+
+/// Encodes a client's id of a request.
+pub(super) fn encode_id(id: ClientRequestId) -> String {
+    format!("{:016x}", id.0)
+}
--- a/crates/transport/src/handover/mod.rs
+++ b/crates/transport/src/handover/mod.rs
@@ -7,8 +7,8 @@
 //! starting one reports when it serves. If the handover fails for any reason, the start continues without it.
 
 mod codec;
-mod command_exchange;
 mod link;
+mod peer_exchange;
 
 use std::fmt;
 use std::io;
@@ -22,9 +22,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{error::Elapsed, timeout};
 
-use command_exchange::CommandExchange;
 use heathward_core::{CoreHandle, Handover, HandoverState};
 use link::Link;
+use peer_exchange::PeerExchange;
 
 pub use codec::{decode, encode, InvalidHandoverState};
 
@@ -32,6 +32,8 @@
 const GREETING: &str = "HEATHWARD 1";
 /// The line with which the starting process reports that it serves.
 const SERVING_LINE: &str = "READY";
+/// The same, if both processes tell each other the ids of requests.
+const SERVING_AND_SHARING_LINE: &str = "READY REQUESTS";
 /// The timeout of each step of a handover except the start itself.
 const STEP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The timeout from sending the state until the starting process serves.
@@ -133,11 +135,13 @@
     /// exchanges commands with the peer process. The task ends when the peer process exits or stops reading,
     /// or when the core stops, and then sends [`PeerPhase::Exited`] to `phases`.
     pub async fn complete(mut self, core: CoreHandle, phases: mpsc::Sender<PeerPhase>) {
-        let commands = core.take_over(self.state).await;
-        let sent = timeout(STEP_TIMEOUT, self.link.send_line(SERVING_LINE)).await;
+        let shares_ids = self.state.client_ids.is_some();
+        let channels = core.take_over(self.state).await;
+        let line = if shares_ids { SERVING_AND_SHARING_LINE } else { SERVING_LINE };
+        let sent = timeout(STEP_TIMEOUT, self.link.send_line(line)).await;
         tokio::spawn(async move {
-            if let (Some(commands), Ok(Ok(()))) = (commands, sent) {
-                CommandExchange::new(&mut self.link, &core, commands).run().await;
+            if let (Some(channels), Ok(Ok(()))) = (channels, sent) {
+                PeerExchange::new(&mut self.link, &core, channels, shares_ids).run().await;
             }
             report_phase(&phases, PeerPhase::Exited).await;
         });
@@ -169,14 +173,15 @@
     sockets: Vec<OwnedFd>,
     phases: &mpsc::Sender<PeerPhase>,
 ) -> Result<(), HandoverError> {
-    let Handover { state, commands } = core.hand_over().await.ok_or(HandoverError::CoreStopped)?;
+    let Handover { state, channels } = core.hand_over().await.ok_or(HandoverError::CoreStopped)?;
     timeout(STEP_TIMEOUT, send_state(link, sockets, state)).await??;
     let line = timeout(START_TIMEOUT, link.next_line()).await?.ok_or(HandoverError::Closed)?;
-    if line != SERVING_LINE.as_bytes() {
+    let shares_ids = line == SERVING_AND_SHARING_LINE.as_bytes();
+    if !shares_ids && line != SERVING_LINE.as_bytes() {
         return Err(HandoverError::UnknownLine);
     }
     report_phase(phases, PeerPhase::Serving).await;
-    CommandExchange::new(link, core, commands).run().await;
+    PeerExchange::new(link, core, channels, shares_ids).run().await;
     Ok(())
 }
 
--- a/crates/transport/src/handover/command_exchange.rs
+++ b/crates/transport/src/handover/peer_exchange.rs
@@ -1,6 +1,7 @@
 //! Passes operators' commands between two processes of one scheduler while both run, as lines in the format
 //! of the admin interface. Each process carries out the commands that the other one has carried out, and
-//! answers them.
+//! answers them. Further lines tell the ids of requests of which a process has sent an attempt; they are not
+//! answered.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -8,15 +9,21 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
+use super::codec::encode_id;
 use super::link::Link;
 use crate::admin::{Reply, Request};
-use heathward_core::{CommandError, CoreHandle, ForwardedCommand};
+use heathward_core::{ClientRequestId, CommandError, CoreHandle, ForwardedCommand, PeerChannels};
 
 /// The time within which the peer process must answer a command: the operator expects an answer within 1 s.
 const PEER_ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// A line that cannot be sent within this time ends the exchange.
 const SEND_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The word before the ids of requests.
+const ATTEMPTED_WORD: &str = "ATTEMPTED";
+/// The most ids in a line.
+const MAX_IDS_PER_LINE: usize = 256;
+
 /// A command that was sent to the peer process and is not answered yet.
 struct PendingCommand {
     /// The time at which the command fails with [`CommandError::PeerUnresponsive`] if no answer has arrived.
@@ -35,29 +42,38 @@
 }
 
 /// The exchange with the peer process.
-pub(super) struct CommandExchange<'a> {
+pub(super) struct PeerExchange<'a> {
     link: &'a mut Link,
     core: &'a CoreHandle,
     /// The commands that this process has carried out.
     commands: mpsc::Receiver<ForwardedCommand>,
+    /// The ids of requests of which this process has sent an attempt.
+    attempted_ids: mpsc::Receiver<ClientRequestId>,
     /// The commands that the peer process has not answered, in the order in which they were sent. The answers
     /// arrive in the same order.
     pending: VecDeque<PendingCommand>,
 }
 
-impl<'a> CommandExchange<'a> {
+impl<'a> PeerExchange<'a> {
+    /// Creates the exchange. `shares_ids` tells whether the peer process takes the ids of requests.
     pub(super) fn new(
         link: &'a mut Link,
         core: &'a CoreHandle,
-        commands: mpsc::Receiver<ForwardedCommand>,
+        channels: PeerChannels,
+        shares_ids: bool,
     ) -> Self {
-        Self { link, core, commands, pending: VecDeque::new() }
+        let PeerChannels { commands, mut attempted_ids } = channels;
+        if !shares_ids {
+            attempted_ids.close();
+        }
+        Self { link, core, commands, attempted_ids, pending: VecDeque::new() }
     }
 
     /// Exchanges commands until the peer process exits or stops reading, or the core of this process stops.
     pub(super) async fn run(mut self) {
         loop {
             let deadline = self.next_deadline();
+            let mut ids = Vec::new();
             let line_to_send = tokio::select! {
                 line = self.link.next_line() => match line {
                     Some(line) => self.on_line(&line).await,
@@ -67,6 +83,7 @@
                     Some(command) => Some(self.on_command(command)),
                     None => break,
                 },
+                1.. = self.attempted_ids.recv_many(&mut ids, MAX_IDS_PER_LINE) => Some(attempted_line(&ids)),
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
                     self.on_deadline();
                     None
@@ -113,6 +130,10 @@
             }
             return None;
         }
+        if let Some(ids) = parse_attempted_line(line) {
+            self.core.record_attempts_of_peer(ids).await;
+            return None;
+        }
         let reply = match Request::parse(line) {
             Ok(Request::Command(command)) => match self.core.run_command(command, true).await {
                 Ok(Ok(())) => Reply::Ok,
@@ -126,3 +147,15 @@
         Some(reply.to_string())
     }
 }
+
+/// Encodes the ids of requests of which an attempt has been sent.
+fn attempted_line(ids: &[ClientRequestId]) -> String {
+    let ids: Vec<String> = ids.iter().copied().map(encode_id).collect();
+    format!("{ATTEMPTED_WORD} {}", ids.join(" "))
+}
+
+/// Decodes such a line; `None` if it is another one.
+fn parse_attempted_line(line: &[u8]) -> Option<Vec<ClientRequestId>> {
+    let mut words = std::str::from_utf8(line).ok()?.split_ascii_whitespace();
+    (words.next()? == ATTEMPTED_WORD).then(|| words.map(ClientRequestId::new).collect())
+}
--- a/crates/transport/tests/stored/handover.rs
+++ b/crates/transport/tests/stored/handover.rs
@@ -1,10 +1,12 @@
 //! The state that one process hands over to the next, as one line of JSON.
 
-use heathward_core::{Endpoint, EndpointUpdate, HandoverState, SlowStartNode};
+use heathward_core::{ClientRequestId, Endpoint, EndpointUpdate, HandoverState, SlowStartNode};
 use heathward_policy::{EndpointUpdateKind, NodeState, ShardId};
 use heathward_transport::handover::{decode, encode};
 
 const STATE: &str = include_str!("fixtures/handover-state.json");
+/// The same state from a version that does not pass on the ids of requests.
+const STATE_WITHOUT_IDS: &str = include_str!("fixtures/handover-state-without-ids.json");
 
 fn endpoint(
     id: &str,
@@ -58,6 +60,7 @@
             SlowStartNode { id: "s-draining".into(), since: u64::MAX },
         ],
         paused: true,
+        client_ids: Some(vec![ClientRequestId(0x9b1f_03aa_5c7e_2d41), ClientRequestId(u64::MAX)]),
     }
 }
 
@@ -70,3 +73,9 @@
 fn the_stored_bytes_of_a_handover_decode_to_the_same_state() {
     assert_eq!(decode(STATE.strip_suffix('\n').unwrap().as_bytes()), Ok(handover_state()));
 }
+
+#[test]
+fn the_stored_bytes_of_an_earlier_version_decode_to_the_same_state_without_ids() {
+    let state = HandoverState { client_ids: None, ..handover_state() };
+    assert_eq!(decode(STATE_WITHOUT_IDS.strip_suffix('\n').unwrap().as_bytes()), Ok(state));
+}
