NVMe front: a host that reads nothing for 15 s is closed; soak: crowds and pauses

Six hosts that sent eight rounds of 30 reads of 64 kB and read nothing held 5.8 MB of replies for as long as they stayed, of 8 MB for all bodies: a completion waited for its host without a limit, and so did the memory of the replies behind it. An HTTP client that reads nothing is closed after 15 s.

A write of a PDU that makes no progress for 15 s now closes the queue. Measured: the new test of memory_limit/nvme failed before (5,832,704 bytes held after 20 s) and passes; hosts that take a pause are served as before.

The memory soak draws crowds of clients that never complete a request, which are owed an error within 3 s, and nodes that pause in the middle of a reply.

--- a/crates/scheduler/tests/memory_limit/nvme.rs
+++ b/crates/scheduler/tests/memory_limit/nvme.rs
@@ -19,6 +19,12 @@
 const COMMANDS: u16 = 30;
 /// The most data of a command, in bytes.
 const LARGE: usize = 64 * 1024;
+/// Hosts that read nothing, which ask for more than the system's buffers take.
+const STALLED_HOSTS: usize = 6;
+/// How often each of them sends all its commands.
+const ROUNDS: u16 = 8;
+/// By then the queues of hosts that read nothing are closed.
+const STALLED_HOST_TIMEOUT: Duration = Duration::from_secs(20);
 /// For how long a host hears nothing before it sends the rest of the data that was requested.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -121,6 +127,38 @@
     served
 }
 
+/// Guards against a host that holds memory for as long as it likes: it reads nothing of its replies, and
+/// stays. Its queue is closed, as an HTTP client's connection is, and other hosts are served.
+#[tokio::test]
+async fn a_host_that_reads_nothing_holds_no_memory_for_ever() {
+    let _turn = turn().await;
+    let NvmeScheduler { program, front, _instance, _reserved_socket } = start_nvme(false).await;
+    let mut stalled = Vec::new();
+    for _ in 0..STALLED_HOSTS {
+        stalled.push(Host::connect(front).await);
+    }
+    // The commands of a round are complete for the scheduler once their replies are in the system's buffers.
+    for round in 0..ROUNDS {
+        for (number, host) in stalled.iter_mut().enumerate() {
+            for cid in 1..=COMMANDS {
+                let command = Body::Read(blocks(number, cid));
+                let sgl = Sgl::Transport { length: LARGE as u32 };
+                let capsule = capsule(round * COMMANDS + cid, command, sgl, Bytes::new());
+                host.io.send(&[capsule]).await.unwrap();
+            }
+        }
+        sleep(PAUSE).await;
+    }
+    assert!(!program.call("METRICS").await.contains("app.memory.held.replies=0\n"), "nothing is held");
+    let deadline = tokio::time::Instant::now() + STALLED_HOST_TIMEOUT;
+    while !program.call("METRICS").await.contains("app.memory.held.replies=0\n") {
+        assert!(tokio::time::Instant::now() < deadline, "{}", program.call("METRICS").await);
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(read_all(front, STALLED_HOSTS).await, usize::from(COMMANDS));
+    assert_within_limit(&program).await;
+}
+
 /// Guards against the data of commands that fills the memory: of writes whose hosts hold back the rest, and
 /// of reads whose hosts do not read.
 #[rstest]
--- a/crates/transport/src/nvme/pdu_stream.rs
+++ b/crates/transport/src/nvme/pdu_stream.rs
@@ -4,13 +4,17 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::pdu::{FatalError, Pdu};
 
+/// The connection is closed if the peer reads nothing for so long: as long as a client may read nothing.
+const STALLED_PEER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Data of a PDU up to this size, in bytes, is copied behind its header, so that one write sends both. Longer
 /// data is written from where it is, as the buffer for output stays as large as it once was.
 const MAX_COPIED_BYTES: usize = 4096;
@@ -81,12 +85,12 @@
             if pdu.data().len() <= MAX_COPIED_BYTES {
                 self.output.extend_from_slice(pdu.data());
             } else {
-                self.stream.write_all(&self.output).await?;
+                write_all(&mut self.stream, &self.output).await?;
                 self.output.clear();
-                self.stream.write_all(pdu.data()).await?;
+                write_all(&mut self.stream, pdu.data()).await?;
             }
         }
-        self.stream.write_all(&self.output).await
+        write_all(&mut self.stream, &self.output).await
     }
 
     /// Sends the host a TermReq with the error, and closes the connection.
@@ -119,3 +123,18 @@
         self.input.is_empty() && poll_fn(|cx| Poll::Ready(self.poll_unexpected_input(cx).is_pending())).await
     }
 }
+
+/// Writes all bytes.
+///
+/// # Errors
+/// Returns the operating system's error, or a timeout if the peer reads nothing for [`STALLED_PEER_TIMEOUT`].
+async fn write_all(stream: &mut TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = timeout(STALLED_PEER_TIMEOUT, stream.write(bytes)).await??;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        bytes = &bytes[written..];
+    }
+    Ok(())
+}
--- a/testing/fault-injection/src/memory_soak.rs
+++ b/testing/fault-injection/src/memory_soak.rs
@@ -9,6 +9,7 @@
 pub mod object;
 pub mod plan;
 pub mod play;
+mod stalled;
 
 pub use plan::Plan;
 pub use play::{play, Outcome};
--- a/testing/fault-injection/src/memory_soak/node.rs
+++ b/testing/fault-injection/src/memory_soak/node.rs
@@ -91,7 +91,7 @@
 
 /// Sends the reply of an object; `None` if the connection ends with it.
 async fn reply(stream: &mut BufReader<TcpStream>, object: Object) -> Option<()> {
-    let Object { reply_bytes, framing, .. } = object;
+    let Object { reply_bytes, framing, pause_ms, .. } = object;
     let framing_header = match framing {
         ReplyFraming::Length => format!("content-length: {reply_bytes}\r\n"),
         ReplyFraming::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
@@ -104,6 +104,9 @@
         if is_chunked {
             piece = [format!("{:x}\r\n", piece.len()).as_bytes(), &piece, b"\r\n"].concat();
         }
+        if from <= reply_bytes / 2 && reply_bytes / 2 < from + PIECE {
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
         stream.write_all(&piece).await.ok()?;
     }
     if is_chunked {
--- a/testing/fault-injection/src/memory_soak/object.rs
+++ b/testing/fault-injection/src/memory_soak/object.rs
@@ -16,6 +16,8 @@
 const LENGTH_BITS: u32 = 24;
 /// Bits of the key for the form of the reply.
 const FRAMING_BITS: u32 = 8;
+/// Bits of the key for each delay.
+const DELAY_BITS: u32 = 16;
 
 /// The node's part in a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,21 +28,25 @@
     pub framing: ReplyFraming,
     /// The node's delay before it reads a body, in milliseconds, below 65,536.
     pub stall_ms: u64,
+    /// The node's pause in the middle of the reply, in milliseconds, below 65,536.
+    pub pause_ms: u64,
 }
 
 impl Object {
     /// Returns the key of the object.
     pub fn key(&self) -> u64 {
         let framing = FRAMINGS.iter().position(|framing| *framing == self.framing).unwrap_or(0) as u64;
-        (self.stall_ms << FRAMING_BITS | framing) << LENGTH_BITS | self.reply_bytes as u64
+        let delays = self.pause_ms << DELAY_BITS | self.stall_ms;
+        (delays << FRAMING_BITS | framing) << LENGTH_BITS | self.reply_bytes as u64
     }
 
     /// Returns the object of a key; `None` if it is none of [`Self::key`].
     pub fn of_key(key: u64) -> Option<Self> {
         let reply_bytes = (key & ((1 << LENGTH_BITS) - 1)) as usize;
         let framing = (key >> LENGTH_BITS & ((1 << FRAMING_BITS) - 1)) as usize;
-        let stall_ms = key >> (LENGTH_BITS + FRAMING_BITS);
-        Some(Self { reply_bytes, framing: *FRAMINGS.get(framing)?, stall_ms })
+        let delays = key >> (LENGTH_BITS + FRAMING_BITS);
+        let (pause_ms, stall_ms) = (delays >> DELAY_BITS, delays & ((1 << DELAY_BITS) - 1));
+        Some(Self { reply_bytes, framing: *FRAMINGS.get(framing)?, stall_ms, pause_ms })
     }
 }
 
--- a/testing/fault-injection/src/memory_soak/plan.rs
+++ b/testing/fault-injection/src/memory_soak/plan.rs
@@ -21,6 +21,10 @@
 const LENGTHS: [std::ops::Range<usize>; 4] = [0..1000, 1000..65_000, 65_000..66_500, 66_500..400_000];
 /// The longest wait of a node before it reads a body, in milliseconds.
 const MAX_STALL_MS: u64 = 800;
+/// The longest pause of a node in the middle of a reply, in milliseconds.
+const MAX_PAUSE_MS: u64 = 700;
+/// The part of the descriptors that a crowd of stalled clients takes.
+const CROWD_SHARE: usize = 8;
 
 /// The requests of a client: it sends each on a new connection, after the answer to the one before.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,6 +83,28 @@
     pub upgrade_at_ms: Option<u64>,
     /// The clients.
     pub clients: Vec<ClientPlan>,
+    /// Clients that never complete a request.
+    pub crowd: Vec<StalledClient>,
+}
+
+/// A client that never completes a request, and stays until it gets an error or its connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StalledClient {
+    /// When it connects, in milliseconds.
+    pub starts_at_ms: u64,
+    /// What it sends.
+    pub kind: Stalled,
+}
+
+/// What a stalled client sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stalled {
+    /// Nothing.
+    Nothing,
+    /// A head of short fields that never ends.
+    EndlessHead,
+    /// Half of a body of this length, in bytes.
+    HalfBody(usize),
 }
 
 impl Plan {
@@ -96,7 +122,11 @@
         let focuses = [Focus::None, Focus::Bodies(range), Focus::Bodies(range), Focus::Replies(range)];
         let focus = focuses[random.usize(..focuses.len())];
         let clients = (0..clients).map(|_| draw_client(&mut random, focus)).collect();
-        Self { seed, memory_mb, sockets, focus, upgrade_at_ms, clients }
+        // A process that is upgraded has no descriptors for a crowd as well.
+        let has_crowd = upgrade_at_ms.is_none() && random.bool();
+        let crowd = if has_crowd { sockets / CROWD_SHARE } else { 0 };
+        let crowd = (0..crowd).map(|_| draw_stalled(&mut random)).collect();
+        Self { seed, memory_mb, sockets, focus, upgrade_at_ms, clients, crowd }
     }
 }
 
@@ -106,6 +136,11 @@
     ClientPlan { starts_at_ms, requests }
 }
 
+fn draw_stalled(random: &mut Rng) -> StalledClient {
+    let kinds = [Stalled::Nothing, Stalled::EndlessHead, Stalled::HalfBody(draw_length(random, 3))];
+    StalledClient { starts_at_ms: random.u64(..SENDING_MS), kind: kinds[random.usize(..kinds.len())] }
+}
+
 fn draw_length(random: &mut Rng, range: LengthRange) -> usize {
     random.usize(LENGTHS[range].clone())
 }
@@ -144,6 +179,7 @@
         reply_bytes: draw_any_length(random),
         framing: framings[random.usize(..framings.len())],
         stall_ms: if random.u32(..4) == 0 { random.u64(..MAX_STALL_MS) } else { 0 },
+        pause_ms: if random.u32(..4) == 0 { random.u64(..MAX_PAUSE_MS) } else { 0 },
     };
     let pace = random.bool().then(|| MIN_PACE * random.u64(1..=MAX_PACE_FACTOR));
     let leaves_after = body_bytes.filter(|_| random.u32(..8) == 0).map(|bytes| random.usize(..=bytes));
--- a/testing/fault-injection/src/memory_soak/play.rs
+++ b/testing/fault-injection/src/memory_soak/play.rs
@@ -12,7 +12,7 @@
 
 use super::client::{self, Ending};
 use super::plan::{Plan, RequestPlan};
-use super::{memory, node};
+use super::{memory, node, stalled};
 
 /// Nodes, each of which holds one shard.
 pub const SHARDS: u64 = 9;
@@ -26,6 +26,8 @@
     pub plan: Plan,
     /// How each request ended.
     pub endings: Vec<(RequestPlan, Ending)>,
+    /// Clients that never complete a request and got no error in time.
+    pub stalled_too_long: usize,
     /// The most memory of all processes together, in kilobytes.
     pub peak_kb: usize,
     /// What METRICS of the process that was started last shows about memory at the end.
@@ -45,6 +47,9 @@
         if self.peak_kb > limit_kb {
             breaches.push(format!("{} kB of memory, {limit_kb} allowed", self.peak_kb));
         }
+        if self.stalled_too_long > 0 {
+            breaches.push(format!("{} stalled clients without an error in time", self.stalled_too_long));
+        }
         for (request, ending) in &self.endings {
             if matches!(ending, Ending::WrongReply | Ending::Unanswered) {
                 breaches.push(format!("{ending:?}: {request:?}"));
@@ -56,12 +61,13 @@
 
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Plan { seed, memory_mb, sockets, focus, upgrade_at_ms, clients } = &self.plan;
+        let Plan { seed, memory_mb, sockets, focus, upgrade_at_ms, clients, crowd } = &self.plan;
         write!(
             f,
-            "seed {seed}: {memory_mb} MB, {sockets} descriptors, {} clients, {focus:?}, upgrade {}; \
+            "seed {seed}: {memory_mb} MB, {sockets} descriptors, {} clients, crowd of {}, {focus:?}, upgrade {}; \
              {} requests: {} served, {} shed, {} failed, {} left; {} kB at most",
             clients.len(),
+            crowd.len(),
             upgrade_at_ms.map_or("none".to_owned(), |at| format!("at {at} ms")),
             self.endings.len(),
             self.count(|ending| ending == Ending::Served),
@@ -105,6 +111,10 @@
     for (client, number) in plan.clients.iter().zip(1..) {
         clients.spawn(client::run(listen, client.clone(), number * CALLS_OF_CLIENT, from));
     }
+    let mut crowd = JoinSet::new();
+    for client in &plan.crowd {
+        crowd.spawn(stalled::run(listen, *client, from));
+    }
     let (mut peak_kb, mut new) = (0, None);
     if let Some(at_ms) = plan.upgrade_at_ms {
         let upgrade = sleep_until(from + Duration::from_millis(at_ms));
@@ -113,10 +123,11 @@
     }
     let processes: Vec<u32> = std::iter::once(&old).chain(&new).map(Program::id).collect();
     let endings = memory::record_peak(&processes, &mut peak_kb, clients.join_all()).await.concat();
+    let stalled_too_long = crowd.join_all().await.iter().filter(|in_time| !**in_time).count();
     let last = new.as_ref().unwrap_or(&old);
     let metrics = last.call("METRICS").await;
     let metrics = metrics.lines().filter(|line| line.starts_with("app.memory")).map(str::to_owned).collect();
     drop((old, new, reserved_socket));
     std::fs::remove_dir_all(&folder)?;
-    Ok(Outcome { plan, endings, peak_kb, metrics })
+    Ok(Outcome { plan, endings, stalled_too_long, peak_kb, metrics })
 }
