Uploads: input that refills the buffer after a read does not show what was written

One of two plays of the whole net suite answered 5 MB 1.33 s after the last byte (0.6 s left): once the scheduler has read, the client's system sends what it holds, and that growth was taken for proof that it held nothing. Growth counts only 10 ms after the last read now.

--- a/crates/transport/src/http/upload_clock.rs
+++ b/crates/transport/src/http/upload_clock.rs
@@ -1,5 +1,7 @@
 //! Finds out when a client can have written the last byte of a body that is not read as fast as it arrives.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 use super::stream::ClientStream;
@@ -8,12 +10,17 @@
 /// What a client may have written to its own system's buffer while no more of it arrives here, in bytes.
 const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
 
+/// After a read, a client's system sends what it holds within this time.
+const REFILL_TIME: Duration = Duration::from_millis(10);
+
 /// How much of a body had arrived at a time.
 #[derive(Clone, Copy, Debug)]
 struct Arrival {
     at: Instant,
     read_bytes: u64,
     unread_bytes: u64,
+    /// Since when nothing has been read.
+    read_until: Instant,
 }
 
 impl Arrival {
@@ -23,10 +30,11 @@
     }
 
     /// Returns how much the client had written at most, judged by what has arrived until `next`. It had
-    /// written no more than had arrived if nothing was unread, or if more arrived while nothing was read: its
-    /// system was not waiting for the scheduler to read then.
+    /// written no more than had arrived if nothing was unread, or if more arrived although nothing had been
+    /// read for a while: its system was not waiting for the scheduler to read then.
     fn max_written_bytes(self, next: Self) -> u64 {
-        let has_grown = next.read_bytes == self.read_bytes && next.unread_bytes > self.unread_bytes;
+        let was_read = next.read_bytes > self.read_bytes || self.at < self.read_until + REFILL_TIME;
+        let has_grown = !was_read && next.unread_bytes > self.unread_bytes;
         if self.unread_bytes == 0 || has_grown {
             self.max_bytes()
         } else {
@@ -67,7 +75,10 @@
             self.incomplete_at = self.incomplete_at.max(progress.at);
         }
         let Some(unread_bytes) = self.stream.unread_bytes() else { return };
-        let arrival = Arrival { at: Instant::now(), read_bytes, unread_bytes };
+        let at = Instant::now();
+        let was_read = |last: &Arrival| last.read_bytes < read_bytes;
+        let read_until = self.last_arrival.filter(|last| !was_read(last)).map_or(at, |last| last.read_until);
+        let arrival = Arrival { at, read_bytes, unread_bytes, read_until };
         let last_arrival = self.last_arrival.replace(arrival).unwrap_or(arrival);
         let max_written_bytes = last_arrival.max_written_bytes(arrival);
         self.record(Progress { at: last_arrival.at, max_written_bytes });
