Sockets: a send buffer of 128 kB shows that a slow peer reads

All connections of clients and to nodes now get a buffer of 128 kB, which Linux doubles. Measured: with a client that reads nothing the system held 3,866,624 bytes; the new test allows 15 s of the pace, 960,000, and passes. Not measured: an answer of 30 MB at that pace, which takes 8 minutes.

--- a/crates/scheduler/tests/net/slow_answers.rs
+++ b/crates/scheduler/tests/net/slow_answers.rs
@@ -95,3 +95,29 @@
     assert!(status == 200 && body == test_data(pace.size), "{status}, {} bytes", body.len());
     assert_eq!(rig.counters().await.attempts_sent, 1);
 }
+
+/// Returns how many bytes the system holds for clients of the front that are still to be sent.
+fn unsent_bytes(front: std::net::SocketAddr) -> u64 {
+    let local_port = format!(":{:04X}", front.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let queue = |line: &str| {
+        let fields: Vec<&str> = line.split_ascii_whitespace().collect();
+        let sent = fields.get(4)?.split(':').next()?;
+        fields.get(1)?.ends_with(&local_port).then(|| u64::from_str_radix(sent, 16).unwrap())
+    };
+    sockets.lines().filter_map(queue).max().unwrap_or(0)
+}
+
+/// Guards against a client that reads 64 kB a second and is taken for one that reads nothing: the system shows
+/// progress only once a third of its buffer is free, and a buffer of 4 MB takes over 15 s for that.
+#[tokio::test]
+async fn the_system_holds_little_of_a_long_answer_for_a_slow_client() {
+    let pace = Pace::new(12_000_000, 0, 1_000_000, 0);
+    let rig = rig_before_slow_node(Framing::Length, pace).await;
+    let mut client = TcpStream::connect(rig.front).await.unwrap();
+    client.write_all(request("consulta", 1, 0, 900, "").as_bytes()).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    let unsent = unsent_bytes(rig.front);
+    assert!(unsent <= 64_000 * 15, "{unsent} bytes");
+    assert_eq!(answer(&mut client).await.2.len(), pace.size);
+}
--- a/crates/transport/src/nvme/pdu_stream.rs
+++ b/crates/transport/src/nvme/pdu_stream.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::pdu::{FatalError, Pdu};
+use crate::socket_buffers::limit_send_buffer;
 
 /// The connection is closed if the peer reads nothing for so long: as long as a client may read nothing.
 const STALLED_PEER_TIMEOUT: Duration = Duration::from_secs(15);
@@ -51,6 +52,7 @@
     /// The error of the operating system, if the option `TCP_NODELAY` can't be set.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
+        limit_send_buffer(&stream);
         Ok(Self { stream, input: BytesMut::new(), output: BytesMut::new(), alignment: 4 })
     }
 
