--- a/crates/core/src/actor/mod.rs
+++ b/crates/core/src/actor/mod.rs
@@ -37,6 +37,7 @@
 mod requests;
 mod settings;
 mod shared_lease;
+mod unserved_log;
 mod zones;
 
 pub use handle::{CoreHandle, CoreStopped};
@@ -49,6 +50,7 @@
 use policy_driver::PolicyDriver;
 use published::PublishedState;
 use shared_lease::SharedLease;
+use unserved_log::UnservedLog;
 
 /// Capacity of the channel for requests, ends of attempts and settings; a sender waits while it is full.
 const REQUEST_CHANNEL_CAPACITY: usize = 4096;
@@ -98,6 +100,7 @@
         written_attempts: WrittenAttempts::default(),
         memory: memory.clone(),
         observer: ObserverSlot::new(now),
+        unserved: UnservedLog::new(now),
         published,
     };
     let handle = CoreHandle {
@@ -136,6 +139,7 @@
     /// Shared with the handles and the attempts, which reserve memory for bodies.
     memory: MemoryBudget,
     observer: ObserverSlot,
+    unserved: UnservedLog,
     published: PublishedState,
 }
 
--- a/crates/core/src/actor/open_requests.rs
+++ b/crates/core/src/actor/open_requests.rs
@@ -1,6 +1,7 @@
 //! The open requests with their deadlines and the attempts that are in flight.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
@@ -8,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::client_request_ids::{ClientRequestId, ClientRequestIdGuard, ClientRequestIds};
-use crate::{Answer, ClientRequest, Upload, WriteCompletion};
+use crate::{Answer, ClientRequest, NodeRequest, Upload, WriteCompletion};
 use heathward_policy::{AttemptEnd, ClassId, ClassSettings, Idempotency, Micros, RequestId};
 
 /// How long after its deadline the core itself answers a request that the policy has left open. It is well
@@ -67,6 +68,8 @@
 pub(super) struct AnsweredRequest {
     pub(super) class: ClassId,
     pub(super) received_at: Instant,
+    /// The request, for its client's id.
+    pub(super) node_request: Arc<NodeRequest>,
     /// The channel for the final answer.
     pub(super) reply: oneshot::Sender<Answer>,
     /// Number of attempts that were sent or that could not be sent.
@@ -257,6 +260,7 @@
         let answered = AnsweredRequest {
             class: open_request.request.class,
             received_at: open_request.received_at,
+            node_request: open_request.request.node_request.clone(),
             reply,
             attempts: open_request.attempts,
             last_attempt_end: open_request.last_attempt_end,
--- a/crates/core/src/actor/requests.rs
+++ b/crates/core/src/actor/requests.rs
@@ -68,6 +68,12 @@
         }
         if let Some(answer) = answer {
             let counts = self.counters.answers_of_class(answered.class);
+            self.unserved.record(
+                &answered.node_request.client_request_id,
+                &answer,
+                answered.attempts,
+                answered.last_attempt_end,
+            );
             match &answer {
                 Answer::Duplicate => {}
                 Answer::Served(_) => counts.served += 1,
--- a/crates/core/src/client_request_ids/tests.rs
+++ b/crates/core/src/client_request_ids/tests.rs
@@ -29,6 +29,7 @@
 async fn the_number_of_ids_is_bounded_and_the_oldest_are_forgotten_first() {
     let ids = ClientRequestIds::default();
     ids.add_executed((0..MAX_EXECUTED_IDS + 10).map(|number| ClientRequestId::new(&id(number))));
-    assert_eq!((ids.lock().executed.len(), ids.all().len()), (MAX_EXECUTED_IDS, MAX_EXECUTED_IDS));
+    let count = ids.lock().executed.len();
+    assert_eq!((count, ids.all().len()), (MAX_EXECUTED_IDS, MAX_EXECUTED_IDS));
     assert!(ids.reserve(&id(9)).is_some() && ids.reserve(&id(10)).is_none());
 }
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod load_listing;
 mod memory_budget;
+mod memory_watch;
 mod recording;
 mod serve;
 mod server;
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -13,11 +13,13 @@
 use tokio::time::{interval, Instant};
 
 use crate::handover::{HandoverSocket, HandoverStart};
+use crate::memory_watch::MemoryWatch;
 use crate::server::{PendingReload, Server};
 use crate::signals::{SignalRequest, Signals};
 use crate::{shutdown, startup};
 
-/// How often losses are logged: dropped log lines, and events that could not be written to disk.
+/// How often losses are logged: dropped log lines, and events that could not be written to disk; and how often
+/// the memory is compared with its limit.
 const LOSS_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Serves until SIGTERM or SIGINT, and returns once every request is answered or the time for the shutdown is
@@ -57,6 +59,7 @@
 ) -> io::Result<Instant> {
     let mut loss_reports = interval(LOSS_REPORT_INTERVAL);
     let mut reported_lines = 0;
+    let mut memory_watch = MemoryWatch::default();
     let mut reload: Option<PendingReload> = None;
     let mut reload_announced_at = Instant::now();
     loop {
@@ -65,6 +68,7 @@
             _ = loss_reports.tick() => {
                 report_dropped_lines(&server.logs, &mut reported_lines);
                 server.recording.report_disk_faults();
+                memory_watch.check(server.memory.max_bytes, server.core.memory());
             }
             signalled_at = signals.shutdown.requested() => return Ok(signalled_at),
             // A further signal waits until the reload is finished, as it may announce newer files.
--- a/crates/scheduler/tests/memory_limit/nvme.rs
+++ b/crates/scheduler/tests/memory_limit/nvme.rs
@@ -19,6 +19,11 @@
 const COMMANDS: u16 = 30;
 /// The most data of a command, in bytes.
 const LARGE: usize = 64 * 1024;
+/// Commands of another host beside one that floods the front, and the time between them.
+const FLOOD_PROBES: u16 = 60;
+const FLOOD_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// The other host has its completions by then in the mean: the time that the protocol adds to each limit.
+const FLOOD_MEAN_TIMEOUT: Duration = Duration::from_millis(50);
 /// Hosts that read nothing, which ask for more than the system's buffers take.
 const STALLED_HOSTS: usize = 6;
 /// How often each of them sends all its commands.
@@ -159,6 +164,61 @@
     assert_within_limit(&program).await;
 }
 
+/// What a host sends as fast as it can.
+#[derive(Clone, Copy, Debug)]
+enum Flood {
+    /// Reads beyond the end of the namespace.
+    OutOfRange,
+    /// Small reads that are served.
+    Reads,
+}
+
+/// Sends commands in batches until it is aborted.
+async fn flood(mut host: Host, flood: Flood) {
+    for batch in 0u64.. {
+        for cid in 1..=COMMANDS {
+            let first = match flood {
+                Flood::OutOfRange => 1 << 40,
+                Flood::Reads => (batch * u64::from(COMMANDS) + u64::from(cid)) % 1_000_000,
+            };
+            let range = BlockRange { nsid: 1, first, count: 1 };
+            let sgl = Sgl::Transport { length: SMALL as u32 };
+            host.io.send(&[capsule(cid, Body::Read(range), sgl, Bytes::new())]).await.unwrap();
+        }
+        let mut completed = 0;
+        while completed < COMMANDS {
+            completed += u16::from(matches!(next_pdu(&mut host.io).await, Pdu::Response(_)));
+        }
+    }
+}
+
+/// Guards against a host that keeps others from their answers, or fills the memory, with small commands.
+#[rstest]
+#[tokio::test]
+async fn a_flood_of_commands_leaves_others_their_answers(
+    #[values(Flood::OutOfRange, Flood::Reads)] kind: Flood,
+    #[values(true, false)] is_target: bool,
+) {
+    let _turn = turn().await;
+    let NvmeScheduler { program, front, _instance, _reserved_socket } = start_nvme(is_target).await;
+    let flooding = tokio::spawn(flood(Host::connect(front).await, kind));
+    let (mut host, mut delays) = (Host::connect(front).await, Vec::new());
+    for number in 1..=FLOOD_PROBES {
+        let sent_at = tokio::time::Instant::now();
+        let (command, sgl) = (Body::Read(blocks(1, number)), Sgl::Transport { length: LARGE as u32 });
+        host.io.send(&[capsule(number, command, sgl, Bytes::new())]).await.unwrap();
+        while !matches!(next_pdu(&mut host.io).await, Pdu::Response(_)) {}
+        delays.push(sent_at.elapsed());
+        sleep(FLOOD_PROBE_INTERVAL).await;
+    }
+    assert!(!flooding.is_finished(), "the host still floods");
+    flooding.abort();
+    let mean = delays.iter().sum::<Duration>() / delays.len() as u32;
+    println!("{mean:?} in the mean, {:?} at most", delays.iter().max());
+    assert_within_limit(&program).await;
+    assert!(mean <= FLOOD_MEAN_TIMEOUT, "{mean:?}");
+}
+
 /// Guards against the data of commands that fills the memory: of writes whose hosts hold back the rest, and
 /// of reads whose hosts do not read.
 #[rstest]
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -153,9 +153,13 @@
             }
             ConnectionEvent::Ended => break Close::Lingering,
             ConnectionEvent::ClientDisconnected => break Close::Immediate,
-            ConnectionEvent::TimedOut | ConnectionEvent::Evicted => break answer_timeout(&client, &stream),
+            ConnectionEvent::TimedOut | ConnectionEvent::Evicted => {
+                tracing::debug!(phase = ?client.phase(), ?event, "client connection given up");
+                break answer_timeout(&client, &stream);
+            }
         }
     };
+    tracing::debug!(phase = ?client.phase(), ?close, "client connection closed");
     if close == Close::Immediate {
         return;
     }
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -174,6 +174,7 @@
         request_body.client.set_phase(Phase::ForwardingBody);
         let handed_over_at = Instant::now();
         if let Err(cause) = request_body.hand_over(chunk, &sender, limits, memory).await {
+            tracing::debug!(?cause, bytes = request_body.received_bytes, "upload abandoned");
             // The request's answer reports why its body was not accepted.
             upload.into_iter().for_each(|upload| upload.abandon(cause));
             return pending().await;
