--- a/crates/core/src/actor/unserved_log.rs
+++ b/crates/core/src/actor/unserved_log.rs
@@ -1,4 +1,5 @@
-//! Logs why requests were not served: a line a second at most, with counts by reason and the id of one request.
+//! Logs why requests were not served: a line a second at most, with counts by reason and the id of one
+//! request.
 
 use std::collections::BTreeMap;
 use std::fmt;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -31,8 +31,8 @@
         /// Cancelled once the client no longer waits for the answer.
         cancel: CancellationToken,
     },
-    /// The complete body of a request has arrived, or it is not received any more: from now on the request has
-    /// a deadline.
+    /// The complete body of a request has arrived, or it is not received any more: from now on the request
+    /// has a deadline.
     DeadlineKnown {
         /// The core's own id for the request.
         id: RequestId,
--- a/crates/scheduler/src/memory_budget.rs
+++ b/crates/scheduler/src/memory_budget.rs
@@ -4,16 +4,16 @@
 //! volumes. Of the rest, clients' connections may take nine twentieths, which limits their number. What they
 //! can't take is shared by bodies and connections to storage nodes.
 //!
-//! Bodies of requests and replies may hold a quarter of all memory at most. Bodies that could also be streamed
-//! are buffered only while bodies and connections together hold less than five eighths. While a peer process
+//! Bodies of requests and replies may hold a quarter of all memory at most. Bodies that could also be
+//! streamed are buffered only while bodies and connections together hold less than five eighths. While a peer process
 //! of the same scheduler runs, both count against the same limit and each takes half.
 
 use heathward_core::memory::MemoryLimits;
 use heathward_core::ResidentMemory;
 use heathward_transport::CLIENT_CONNECTION_BYTES;
 
-/// Memory that the endpoint list, the volumes and the heap's own losses may need beyond what the program holds
-/// at its start, in bytes.
+/// Memory that the endpoint list, the volumes and the heap's own losses may need beyond what the program
+/// holds at its start, in bytes.
 const GROWTH_BYTES: usize = 3 << 19;
 /// What may be loaded of the program beyond what is loaded at its start, in bytes.
 const FILE_GROWTH_BYTES: usize = 1 << 20;
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -18,8 +18,8 @@
 use crate::signals::{SignalRequest, Signals};
 use crate::{shutdown, startup};
 
-/// How often losses are logged: dropped log lines, and events that could not be written to disk; and how often
-/// the memory is compared with its limit.
+/// How often losses are logged: dropped log lines, and events that could not be written to disk; and how
+/// often the memory is compared with its limit.
 const LOSS_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Serves until SIGTERM or SIGINT, and returns once every request is answered or the time for the shutdown is
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after the
-    /// one before it, or after a client that sends at the minimum rate from the beginning of the request has
+    /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after
+    /// the one before it, or after a client that sends at the minimum rate from the beginning of the request has
     /// sent the bytes before it, whichever is earlier.
     ///
     /// # Errors
--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -212,7 +212,8 @@
             None => (None, self.pool.acquire(C::SOCKETS, &attempt.memory)),
         };
         if permit.is_none() {
-            // There is no free descriptor or memory: the attempt was never sent, which says nothing about the node.
+            // There is no free descriptor or memory: the attempt was never sent, which says nothing about the
+            // node.
             let response = LinkResponse::closed(AttemptEnd::NotSent);
             let attempt = Box::new(attempt);
             return self.in_flight.push(Box::pin(async move { Finished::Attempt(attempt, response, None) }));
--- a/testing/fault-injection/src/memory_soak/play.rs
+++ b/testing/fault-injection/src/memory_soak/play.rs
@@ -64,8 +64,8 @@
         let Plan { seed, memory_mb, sockets, focus, upgrade_at_ms, clients, crowd } = &self.plan;
         write!(
             f,
-            "seed {seed}: {memory_mb} MB, {sockets} descriptors, {} clients, crowd of {}, {focus:?}, upgrade {}; \
-             {} requests: {} served, {} shed, {} failed, {} left; {} kB at most",
+            "seed {seed}: {memory_mb} MB, {sockets} descriptors, {} clients, crowd of {}, {focus:?}, \
+             upgrade {}; {} requests: {} served, {} shed, {} failed, {} left; {} kB at most",
             clients.len(),
             crowd.len(),
             upgrade_at_ms.map_or("none".to_owned(), |at| format!("at {at} ms")),
