--- a/crates/scheduler/src/memory_budget.rs
+++ b/crates/scheduler/src/memory_budget.rs
@@ -5,8 +5,8 @@
 //! can't take is shared by bodies and connections to storage nodes.
 //!
 //! Bodies of requests and replies may hold a quarter of all memory at most. Bodies that could also be
-//! streamed are buffered only while bodies and connections together hold less than five eighths. While a peer process
-//! of the same scheduler runs, both count against the same limit and each takes half.
+//! streamed are buffered only while bodies and connections together hold less than five eighths. While a peer
+//! process of the same scheduler runs, both count against the same limit and each takes half.
 
 use heathward_core::memory::MemoryLimits;
 use heathward_core::ResidentMemory;
--- a/crates/scheduler/tests/net/repeated_ids.rs
+++ b/crates/scheduler/tests/net/repeated_ids.rs
@@ -27,8 +27,8 @@
     }
 }
 
-/// Guards against a write that is executed a second time because its id comes again after its client has left,
-/// while the node executes it or later.
+/// Guards against a write that is executed a second time because its id comes again after its client has
+/// left, while the node executes it or later.
 #[rstest]
 #[case::while_it_is_executed(0)]
 #[case::later(400)]
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -106,8 +106,8 @@
     }
 
     /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after
-    /// the one before it, or after a client that sends at the minimum rate from the beginning of the request has
-    /// sent the bytes before it, whichever is earlier.
+    /// the one before it, or after a client that sends at the minimum rate from the beginning of the request
+    /// has sent the bytes before it, whichever is earlier.
     ///
     /// # Errors
     /// The status of the answer to a chunk that is late or broken, or a body that is too long.
