HTTP nodes: an attempt of an upload ends with its client if its reply stops

Found by reading the change again, not seen by a caller: if a node stopped in the middle of a reply of 4 to 64 kB to an upload, its client was answered in time, but the attempt stayed in flight, with its connection, its memory and the request's id, for up to an hour.

Cause: a long reply may take until the client stops waiting, and that is not known when the attempt of an upload is sent: the hour that stands for it then was used. Such a reply now ends with the time of the upload, which the link waits for already.

Measured: the new test of net/slow_uploads fails before (in flight 0.5 s after the answer) and passes; all 556 tests of net pass.

--- a/crates/scheduler/tests/net/slow_uploads.rs
+++ b/crates/scheduler/tests/net/slow_uploads.rs
@@ -167,6 +167,37 @@
     rig.until(|counters| counters.client_disconnects == 1).await;
 }
 
+/// Reads a request, answers with a part of a long reply, and stays silent.
+async fn stop_in_reply(mut stream: TcpStream) -> Option<()> {
+    read_message(&mut stream).await?;
+    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 20000\r\n\r\n").await.ok()?;
+    stream.write_all(&[b'x'; 10_000]).await.ok()?;
+    std::future::pending().await
+}
+
+/// Guards against an attempt of an upload that outlasts its client by far: its node stops in the middle of a
+/// reply that is short enough to be buffered.
+#[tokio::test]
+async fn an_attempt_of_an_upload_ends_with_its_client_if_its_reply_stops() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(stop_in_reply(stream));
+        }
+    });
+    let rig = rig(&[member("s0", address, 0, "in_service", 0)], None).await;
+    let mut client = TcpStream::connect(rig.front).await.unwrap();
+    let size = 100_000;
+    client.write_all(write_head(1, size).as_bytes()).await.unwrap();
+    client.write_all(&vec![b'x'; size]).await.unwrap();
+    assert!(matches!(answer(&mut client).await.0, 502..=504));
+    let until = Instant::now() + MAX_LATENESS;
+    while rig.attempts.in_flight_count() > 0 {
+        assert!(Instant::now() < until, "in flight after its client's time: {:?}", rig.attempts);
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against an upload that has come whole and waits for a node without a time limit: there is no node
 /// for its shard that it could be sent to.
 #[tokio::test]
--- a/crates/transport/src/node/http.rs
+++ b/crates/transport/src/node/http.rs
@@ -110,7 +110,8 @@
                 Some(upload) => upload.expired().await,
                 None => sleep_until(attempt.deadline).await,
             }
-            if receiving_long_reply.is_set() {
+            // The deadline of an upload's client is not known when its attempt is sent.
+            if attempt.node_request.upload.is_none() && receiving_long_reply.is_set() {
                 sleep_until(attempt.client_deadline).await;
             }
         };
