--- a/crates/policy/src/volume_table.rs
+++ b/crates/policy/src/volume_table.rs
@@ -7,7 +7,7 @@
 use crate::volume::Volume;
 
 /// The most volumes that are remembered; a request of a further one is shed while none can be forgotten.
-pub(crate) const MAX_VOLUMES: usize = 4096;
+pub(crate) const MAX_VOLUMES: usize = 8192;
 /// The most volumes that are visited to find one that can be forgotten.
 const MAX_CANDIDATES: usize = 16;
 
