Memory tests: a crowd after a flood of new names, failing

The tables of volumes, sessions and ids grow by 8 MB under a flood of new names, and the limits on connections and bodies leave 1.5 MB for that. A crowd that comes afterwards takes the process over its limit.

--- a/crates/scheduler/tests/memory_limit/crowd.rs
+++ b/crates/scheduler/tests/memory_limit/crowd.rs
@@ -27,6 +27,16 @@
 const ERROR_TIMEOUT: Duration = Duration::from_secs(3);
 /// What the machine may add to that while all clients run on it.
 const SLACK: Duration = Duration::from_millis(500);
+/// Clients that send writes of ever new volumes, with ever new ids and keys, each on one connection.
+const NAMING_CLIENTS: usize = 4;
+/// How many writes each of them sends: all together name more volumes and more ids than are remembered.
+const NAMED_WRITES: usize = 10_000;
+/// How many of them it has open at a time, as they fit into one head's length.
+const NAMED_BATCH: usize = 20;
+/// Clients at a time that keep their pace: a third of the descriptors.
+const PACED: usize = MAX_SOCKETS / 3;
+/// Clients beside them that stop halfway.
+const STOPPED: usize = 135;
 /// Length of the replies that are read slowly, in bytes.
 const REPLY: usize = 1_000_000;
 
@@ -167,3 +177,60 @@
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
     assert!(latest < Some(ERROR_TIMEOUT + SLACK), "the last error came after {latest:?}");
 }
+
+/// Sends writes of ever new volumes, in batches, each once the one before is answered.
+async fn send_new_names(listen: SocketAddr, client: usize) {
+    let mut stream = TcpStream::connect(listen).await.unwrap();
+    let mut received = vec![0; 65_536];
+    for batch in 0..NAMED_WRITES / NAMED_BATCH {
+        let first = (client * NAMED_WRITES + batch * NAMED_BATCH) as u32;
+        let requests: String = (first..first + NAMED_BATCH as u32)
+            .map(|number| {
+                request("pedido", 1 << 24 | number, shard(number as usize), 700, "")
+                    .replace("00000003b4d60021", &format!("{number:016x}"))
+            })
+            .collect();
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        let mut answers = Vec::new();
+        while String::from_utf8_lossy(&answers).matches("HTTP/1.1 ").count() < NAMED_BATCH {
+            let size = timeout(TEST_TIMEOUT, stream.read(&mut received)).await.expect("an answer").unwrap();
+            assert!(size > 0, "closed in batch {batch}");
+            answers.extend_from_slice(&received[..size]);
+        }
+    }
+}
+
+/// Guards against what is remembered of volumes and ids beyond what the limits were divided for: the names
+/// of a flood fill the tables, and then a crowd holds all the connections that there is memory for.
+#[tokio::test]
+async fn a_crowd_after_a_flood_of_new_names_stays_within_the_limit_of_memory() {
+    let _turn = turn().await;
+    let (instance, program) = start_with_sockets(serve_all, MAX_SOCKETS).await;
+    let listen = instance.listen;
+    let naming: JoinSet<()> = (0..NAMING_CLIENTS).map(|client| send_new_names(listen, client)).collect();
+    naming.join_all().await;
+    println!("after the flood: {:?}", program.held());
+    let (mut paced, mut stopped) = (JoinSet::new(), JoinSet::new());
+    for call in 0..PACED + STOPPED {
+        let arrival = ARRIVAL_INTERVAL * call as u32;
+        if call < PACED {
+            paced.spawn(async move {
+                sleep(arrival).await;
+                upload(listen, call, 300_000, 64_000, Duration::from_secs(1)).await
+            });
+        } else {
+            stopped.spawn(async move {
+                sleep(arrival).await;
+                stop_halfway(listen, call).await
+            });
+        }
+    }
+    let statuses = paced.join_all().await;
+    let latest = stopped.join_all().await.into_iter().max();
+    let count = |status| statuses.iter().filter(|answered| **answered == status).count();
+    println!("{} served, {} shed", count(200), count(503));
+    assert_within_limit(&program).await;
+    assert_eq!(count(200) + count(503), PACED, "{statuses:?}");
+    assert!(count(200) >= MIN_SERVED, "{} served", count(200));
+    assert!(latest < Some(ERROR_TIMEOUT + SLACK), "the last error came after {latest:?}");
+}
