HTTP front: an upload that keeps its pace is not ended in favour of other connections

Callers saw 408 in the middle of uploads at 64 kB a second while heads that never end took all places. The cause: a connection whose body is being received was ranked by the time since its request began, so the longest uploads were the first to be evicted, however they kept their pace. It is ranked now by how long its client has been behind that pace, and evicted only after 1.25 s of that, as a client may send a second's bytes at once. Clients that stop or drip are behind from the start.

Measured: clients_that_keep_their_pace_are_served_beside_a_crowd_of_endless_heads failed before with 408 for the uploads and passes.

--- a/crates/scheduler/tests/memory_limit/crowd.rs
+++ b/crates/scheduler/tests/memory_limit/crowd.rs
@@ -37,6 +37,12 @@
 const PACED: usize = MAX_SOCKETS / 3;
 /// Clients beside them that stop halfway.
 const STOPPED: usize = 135;
+/// Clients that keep their pace beside heads that never end.
+const PACED_BESIDE_HEADS: usize = 150;
+/// More heads than there are places beside those clients.
+const ENDLESS_HEADS: usize = 450;
+/// The heads begin once those clients have all begun.
+const HEADS_DELAY: Duration = Duration::from_millis(1200);
 /// Length of the replies that are read slowly, in bytes.
 const REPLY: usize = 1_000_000;
 
@@ -234,3 +240,30 @@
     assert!(count(200) >= MIN_SERVED, "{} served", count(200));
     assert!(latest < Some(ERROR_TIMEOUT + SLACK), "the last error came after {latest:?}");
 }
+
+/// Guards against uploads that are ended in favour of other connections although their clients keep their
+/// pace: heads that never end take all places.
+#[tokio::test]
+async fn clients_that_keep_their_pace_are_served_beside_a_crowd_of_endless_heads() {
+    let _turn = turn().await;
+    let (instance, program) = start_with_sockets(serve_all, MAX_SOCKETS).await;
+    let listen = instance.listen;
+    let (mut paced, mut heads) = (JoinSet::new(), JoinSet::new());
+    for call in 0..PACED_BESIDE_HEADS {
+        paced.spawn(async move {
+            sleep(ARRIVAL_INTERVAL * call as u32).await;
+            upload(listen, call, 400_000, 64_000, Duration::from_secs(1)).await
+        });
+    }
+    for number in 0..ENDLESS_HEADS {
+        heads.spawn(async move {
+            sleep(HEADS_DELAY + ARRIVAL_INTERVAL * number as u32).await;
+            send_endless_head(listen).await
+        });
+    }
+    let statuses = paced.join_all().await;
+    let latest = heads.join_all().await.into_iter().max();
+    assert_within_limit(&program).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert!(latest < Some(ERROR_TIMEOUT + SLACK), "the last error came after {latest:?}");
+}
--- a/crates/transport/src/http/connections.rs
+++ b/crates/transport/src/http/connections.rs
@@ -34,8 +34,11 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// A connection is evicted only after this time in its phase: its client may be about to send or close.
 const MIN_EVICTION_AGE: Duration = Duration::from_millis(50);
-/// A connection whose request is being received is evicted only after this time in its phase.
+/// A connection whose head is being received is evicted only after this time in its phase.
 const MIN_REQUEST_EVICTION_AGE: Duration = Duration::from_millis(700);
+/// A connection whose body is being received is evicted only after its client has been behind for this time:
+/// one that keeps its pace may send the bytes of a second at once.
+const MIN_BODY_EVICTION_AGE: Duration = Duration::from_millis(1250);
 
 /// The phase of a connection, and since when it has been in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,8 +49,8 @@
     ReceivingRequest(Instant),
     /// A body is being received.
     ReceivingBody {
-        /// When its request began.
-        since: Instant,
+        /// Since when the client has sent nothing, or less than a client that keeps its pace.
+        behind_since: Instant,
         /// When the next chunk is due.
         deadline: Instant,
     },
@@ -98,8 +101,9 @@
                 (IDLE_RANK, since, CROWDED_IDLE_TIMEOUT)
             }
             Self::Connected(since) => (CONNECTED_RANK, since, MIN_EVICTION_AGE),
-            Self::ReceivingRequest(since) | Self::ReceivingBody { since, .. } => {
-                (SLOW_REQUEST_RANK, since, MIN_REQUEST_EVICTION_AGE)
+            Self::ReceivingRequest(since) => (SLOW_REQUEST_RANK, since, MIN_REQUEST_EVICTION_AGE),
+            Self::ReceivingBody { behind_since, .. } => {
+                (SLOW_REQUEST_RANK, behind_since, MIN_BODY_EVICTION_AGE)
             }
             // Evicted when many clients send one request and stay connected: a new client whose connection is
             // closed has failed, while the client of an idle connection can use another one.
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -19,8 +19,9 @@
 use heathward_core::memory::{MemoryBudget, MemoryHolder, ReservedBuffer};
 use heathward_core::{AbandonCause, BodySender, Upload, MAX_BUFFERED_BODY_BYTES};
 
-/// The minimum rate at which a client must send a body; a client that follows the protocol sends 64 bytes per
-/// ms.
+/// The rate at which a client that follows the protocol sends a body.
+const PACE_BYTES_PER_MS: u64 = 64;
+/// The minimum rate at which a client must send a body.
 const MIN_BODY_BYTES_PER_MS: u64 = 48;
 
 /// Bytes that have arrived are read in less than this time.
@@ -105,6 +106,12 @@
         }
     }
 
+    /// Returns by when a client that sends this many bytes a millisecond from the beginning of the request has
+    /// sent those that were received.
+    fn received_at(&self, bytes_per_ms: u64) -> Instant {
+        self.began_at + Duration::from_millis(self.received_bytes / bytes_per_ms)
+    }
+
     /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after
     /// the one before it, or after a client that sends at the minimum rate from the beginning of the request
     /// has sent the bytes before it, whichever is earlier.
@@ -113,10 +120,9 @@
     /// The status of the answer to a chunk that is late or broken, or a body that is too long.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, StatusCode> {
         loop {
-            let at_min_rate =
-                self.began_at + Duration::from_millis(self.received_bytes / MIN_BODY_BYTES_PER_MS);
-            let deadline = at_min_rate.min(self.waiting_since) + REQUEST_TIMEOUT;
-            self.client.set_phase(Phase::ReceivingBody { since: self.began_at, deadline });
+            let deadline = self.received_at(MIN_BODY_BYTES_PER_MS).min(self.waiting_since) + REQUEST_TIMEOUT;
+            let behind_since = self.received_at(PACE_BYTES_PER_MS).min(self.waiting_since);
+            self.client.set_phase(Phase::ReceivingBody { behind_since, deadline });
             let mut frame = self.body.frame();
             let frame = match timeout(READ_TIME, &mut frame).await {
                 Ok(frame) => Ok(frame),
