Memory: what the program holds beside bodies and connections is measured

The limits were divided by what the program holds at its start, and 1.5 MB of growth. A flood of new names adds 8 MB of volumes, sessions and ids to that, and the debug build loads 4 MB more of its file: crowds took the process over its limit. Every 100 ms the resident memory less what is reserved is compared with the division, and connections to nodes and bodies get less if the program holds more. A node has 2,048 sessions at most, and the table of ids no longer doubles its room for one id more than it keeps.

--- a/crates/core/src/client_request_ids.rs
+++ b/crates/core/src/client_request_ids.rs
@@ -50,12 +50,14 @@
 impl KnownIds {
     fn add_executed(&mut self, now: Instant, id: ClientRequestId) {
         self.remove_old(now);
-        if self.executed.insert(id) {
-            self.executed_since.push_back((now, id));
+        if self.executed.contains(&id) {
+            return;
         }
-        if self.executed_since.len() > MAX_EXECUTED_IDS {
+        if self.executed_since.len() == MAX_EXECUTED_IDS {
             self.remove_oldest();
         }
+        self.executed.insert(id);
+        self.executed_since.push_back((now, id));
     }
 
     fn remove_old(&mut self, now: Instant) {
--- a/crates/policy/src/node/admission_history.rs
+++ b/crates/policy/src/node/admission_history.rs
@@ -14,7 +14,7 @@
 const MAX_ADMITTED_LOAD: f64 = 0.9;
 
 /// The most sessions at a node; the mean load of a session is then as good as 0.
-const MAX_SESSIONS: usize = 8192;
+const MAX_SESSIONS: usize = 2048;
 
 /// The volumes that use a node, and their mean load in past budget periods.
 #[derive(Clone, Debug, Default)]
--- a/crates/scheduler/src/memory_watch.rs
+++ b/crates/scheduler/src/memory_watch.rs
@@ -1,7 +1,6 @@
 //! Logs when the process comes close to its limit on memory, and what holds the memory then.
 
 use heathward_core::memory::{MemoryBudget, MemoryHolder};
-use heathward_core::resident_memory;
 
 /// The part of the limit from which the process is close to it, in eighths.
 const CLOSE_EIGHTHS: usize = 7;
@@ -15,10 +14,9 @@
 }
 
 impl MemoryWatch {
-    /// Compares the resident memory with the limit, and logs when the process comes close to it and when it
+    /// Compares the resident memory with the limit, both in bytes, and logs when the process comes close to it and when it
     /// no longer is.
-    pub fn check(&mut self, max_bytes: usize, budget: &MemoryBudget) {
-        let Some(resident) = resident_memory().map(|memory| memory.total) else { return };
+    pub fn check(&mut self, resident: usize, max_bytes: usize, budget: &MemoryBudget) {
         if !self.is_close && resident > max_bytes / 8 * CLOSE_EIGHTHS {
             self.is_close = true;
             let usage = budget.usage();
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -10,7 +10,7 @@
 use heathward_transport::handover::PeerPhase;
 use tokio::net::UnixStream;
 use tokio::sync::mpsc;
-use tokio::time::{interval, Instant};
+use tokio::time::{interval, Instant, MissedTickBehavior};
 
 use crate::handover::{HandoverSocket, HandoverStart};
 use crate::memory_watch::MemoryWatch;
@@ -18,9 +18,10 @@
 use crate::signals::{SignalRequest, Signals};
 use crate::{shutdown, startup};
 
-/// How often losses are logged: dropped log lines, and events that could not be written to disk; and how
-/// often the memory is compared with its limit.
+/// How often losses are logged: dropped log lines, and events that could not be written to disk.
 const LOSS_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// How often the memory that the process holds is measured, and divided anew.
+const MEMORY_MEASUREMENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Serves until SIGTERM or SIGINT, and returns once every request is answered or the time for the shutdown is
 /// over.
@@ -59,6 +60,8 @@
 ) -> io::Result<Instant> {
     let mut loss_reports = interval(LOSS_REPORT_INTERVAL);
     let mut reported_lines = 0;
+    let mut memory_measurements = interval(MEMORY_MEASUREMENT_INTERVAL);
+    memory_measurements.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut memory_watch = MemoryWatch::default();
     let mut reload: Option<PendingReload> = None;
     let mut reload_announced_at = Instant::now();
@@ -68,8 +71,8 @@
             _ = loss_reports.tick() => {
                 report_dropped_lines(&server.logs, &mut reported_lines);
                 server.recording.report_disk_faults();
-                memory_watch.check(server.memory.max_bytes, server.core.memory());
             }
+            _ = memory_measurements.tick() => server.measure_memory(&mut memory_watch),
             signalled_at = signals.shutdown.requested() => return Ok(signalled_at),
             // A further signal waits until the reload is finished, as it may announce newer files.
             Some(received) = signals.requests.next(), if reload.is_none() => match received.request {
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use heathward_config::{self as config, Config, FileArguments};
-use heathward_core::{CoreHandle, CoreMessage};
+use heathward_core::{resident_memory, CoreHandle, CoreMessage};
 use heathward_logs::Logs;
 use heathward_policy::settings::ConfigError;
 use heathward_transport::discovery::DiscoveryAddress;
@@ -19,6 +19,7 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::fronts::Fronts;
 use crate::memory_budget::MemoryShares;
+use crate::memory_watch::MemoryWatch;
 use crate::recording::EventRecording;
 use crate::sockets;
 
@@ -71,6 +72,17 @@
         self.apply_budgets();
     }
 
+    /// Measures the memory that the process holds, and divides the limit anew if the program itself holds more
+    /// or less than before.
+    pub fn measure_memory(&mut self, watch: &mut MemoryWatch) {
+        // If the system does not tell it, the last measurement stands.
+        let Some(resident) = resident_memory() else { return };
+        if self.memory.measure(resident, self.core.memory().usage().total()) {
+            self.apply_budgets();
+        }
+        watch.check(resident.total, self.memory.max_bytes, self.core.memory());
+    }
+
     /// Lets the peer process accept all new connections. A connection that is open here is closed with the
     /// answer to its next request, so that its client connects to the peer process.
     pub fn yield_to_peer(&mut self) {
--- a/crates/scheduler/src/startup.rs
+++ b/crates/scheduler/src/startup.rs
@@ -56,11 +56,8 @@
     let http_socket = sockets::inherit_or_bind(&mut inherited, listen_address)?;
     let deployment = Arc::new(config.deployment);
     let descriptors = DescriptorBudget { max_descriptors, peer_running: received.is_some() };
-    let memory = MemoryShares {
-        max_bytes: max_memory_bytes,
-        program: resident_memory().unwrap_or_default(),
-        peer_running: received.is_some(),
-    };
+    let program = resident_memory().unwrap_or_default();
+    let memory = MemoryShares::new(max_memory_bytes, program, received.is_some());
     let client_limits = descriptors.client_limits().limited_to(memory.max_client_connections());
     let (node_limits, pool_limits) = watch::channel(descriptors.node_limits(&deployment));
     let nvme_map = config.nvme_map.map(Arc::new);
