NVMe front: a PDU with more data than was granted is rejected by its header

The front received up to 64 kB of any PDU before it looked at it, without memory reserved for that: hosts that announce a long capsule, or data of a write that does not exist, and stop within it, held 4 MB that the limits did not know, for as long as they stayed. A capsule may now bring what Identify states, 8 kB, and H2CData what the longest open write holds memory for; a longer PDU is a fatal error at its header. The connections of NVMe hosts are taken from those that there is memory for.

--- a/crates/scheduler/src/fronts.rs
+++ b/crates/scheduler/src/fronts.rs
@@ -127,6 +127,11 @@
         self.accept(max_nvme_connections)
     }
 
+    /// Returns whether there is an NVMe front.
+    pub fn has_nvme(&self) -> bool {
+        self.nvme.is_some()
+    }
+
     /// Sets the limits on HTTP connections.
     pub fn set_limits(&self, limits: ClientConnectionLimits) {
         self.connections.resize(limits.capacity, limits.current);
--- a/crates/scheduler/src/memory_budget.rs
+++ b/crates/scheduler/src/memory_budget.rs
@@ -2,7 +2,7 @@
 //!
 //! The program takes what it holds at its start, and some for what grows with the endpoint list, the volumes
 //! and the ids of requests; if it is found to hold more beside bodies and connections, it takes that. Of the
-//! rest, clients' connections may take nine twentieths, which limits their number. What they can't take is
+//! rest, connections of clients and NVMe hosts may take nine twentieths, which limits their number. What they can't take is
 //! shared by bodies and connections to storage nodes.
 //!
 //! Bodies of requests and replies may hold a quarter of all memory at most. Bodies that could also be
@@ -78,12 +78,13 @@
         self.program.files + FILE_GROWTH_BYTES
     }
 
-    /// Returns how many connections of clients there is memory for.
-    pub fn max_client_connections(&self) -> usize {
-        (self.available(self.expected_files()) / 20 * 9 / CLIENT_CONNECTION_BYTES).max(1)
+    /// Returns how many connections of HTTP clients there is memory for, beside this many of NVMe hosts.
+    pub fn max_client_connections(&self, nvme_hosts: usize) -> usize {
+        let all = self.available(self.expected_files()) / 20 * 9 / CLIENT_CONNECTION_BYTES;
+        all.saturating_sub(nvme_hosts).max(1)
     }
 
-    /// Returns the limits on bodies and connections beside this many connections of clients.
+    /// Returns the limits on bodies and connections beside this many connections of clients and NVMe hosts.
     pub fn limits(&self, client_connections: usize) -> MemoryLimits {
         let share = self.share_of(self.max_bytes);
         let available = self.available(self.expected_files().max(self.measured.files));
--- a/crates/scheduler/tests/memory_limit/crowd.rs
+++ b/crates/scheduler/tests/memory_limit/crowd.rs
@@ -18,7 +18,7 @@
 /// More clients than there is memory for, if each has a connection to a node as well.
 const UPLOADS: usize = 470;
 /// At least this many of them are served: the debug build takes 5 MB more than the release build.
-const MIN_SERVED: usize = 150;
+pub const MIN_SERVED: usize = 150;
 /// Clients of each kind in the mixed crowd.
 const MIXED: usize = 80;
 /// The time between two clients of a crowd.
@@ -48,8 +48,22 @@
 
 /// Sends a body at this pace, and returns the status of its answer.
 pub async fn upload(listen: SocketAddr, call: usize, size: usize, piece: usize, pause: Duration) -> u16 {
+    upload_of_shard(listen, call, shard(call), size, piece, pause).await
+}
+
+/// The same for a shard.
+pub async fn upload_of_shard(
+    listen: SocketAddr,
+    call: usize,
+    shard_of_call: i32,
+    size: usize,
+    piece: usize,
+    pause: Duration,
+) -> u16 {
     let mut stream = TcpStream::connect(listen).await.unwrap();
-    stream.write_all(write_request(call, size).as_bytes()).await.unwrap();
+    let own = format!("shard={}", shard(call));
+    let head = write_request(call, size).replace(&own, &format!("shard={shard_of_call}"));
+    stream.write_all(head.as_bytes()).await.unwrap();
     write_in_pieces(&mut stream, &vec![b'x'; size], piece, pause).await;
     receive_answer(&mut stream).await.expect("an answer").0
 }
--- a/crates/scheduler/tests/memory_limit/nvme.rs
+++ b/crates/scheduler/tests/memory_limit/nvme.rs
@@ -8,9 +8,12 @@
 use heathward_fakes::*;
 use heathward_transport::nvme::{BlockRange, Body, Pdu, Sgl, Status};
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::crowd::{upload_of_shard, ARRIVAL_INTERVAL, MAX_SOCKETS, MIN_SERVED};
 use crate::fixture::*;
 
 /// Hosts, each with an admin queue and an I/O queue: all connections that the front accepts.
@@ -43,10 +46,16 @@
 
 /// Starts a scheduler before an HTTP node, or before a target if `is_target`.
 async fn start_nvme(is_target: bool) -> NvmeScheduler {
+    start_nvme_with_sockets(is_target, SOCKETS).await
+}
+
+/// The same, with this many descriptors.
+async fn start_nvme_with_sockets(is_target: bool, sockets: usize) -> NvmeScheduler {
     let log = Log::default();
     let script = [NodeBehavior::Store(LARGE)];
     let node = if is_target { target(0, &script, &log).await } else { http_node(0, &script, &log).await };
-    let mut instance = Instance::new(&[member("s0", node, 0, "in_service", 0)], &[]);
+    let members = [member("s0", node, 0, "in_service", 0)];
+    let mut instance = Instance::with_sockets(&members, &[], sockets);
     let (reserved_socket, front) = reserved();
     let targets = if is_target { format!(r#"{{"node":"s0","subsystem":"{NODE}"}}"#) } else { String::new() };
     let map = format!(
@@ -164,6 +173,75 @@
     assert_within_limit(&program).await;
 }
 
+/// Hosts that stop within a PDU: nearly all connections that the front accepts.
+const STOPPING_HOSTS: usize = 60;
+/// The first PDU of a host, without options.
+const IC_REQ: [u8; 8] = [0, 0, 128, 0, 128, 0, 0, 0];
+/// Length of that PDU, in bytes.
+const IC_REQ_BYTES: usize = 128;
+/// How much of the PDU they send, in bytes, of the length that they announce.
+const PART_OF_PDU: usize = 60_000;
+
+/// How a host stops within a long PDU.
+#[derive(Clone, Copy, Debug)]
+enum StopWithin {
+    /// A capsule.
+    Capsule,
+    /// Data of a write that the host never sent.
+    UnknownData,
+}
+
+impl StopWithin {
+    /// Returns the first PDU of a host, and the beginning of this one.
+    fn bytes(self) -> Vec<u8> {
+        let (pdu_type, header) = match self {
+            Self::Capsule => (0x04, 72),
+            Self::UnknownData => (0x06, 24),
+        };
+        let length = (usize::from(header) + LARGE) as u32;
+        let mut bytes = IC_REQ.to_vec();
+        bytes.resize(IC_REQ_BYTES, 0);
+        bytes.extend([pdu_type, 0, header, header]);
+        bytes.extend(length.to_le_bytes());
+        bytes.resize(IC_REQ_BYTES + PART_OF_PDU, 0);
+        bytes
+    }
+}
+
+/// Guards against the part of a PDU that is received without memory for it: hosts announce long PDUs
+/// and stop within them, beside uploads over HTTP that take all the memory that there is.
+#[rstest]
+#[tokio::test]
+async fn hosts_that_stop_within_a_pdu_stay_within_the_limit_of_memory(
+    #[values(StopWithin::Capsule, StopWithin::UnknownData)] stop: StopWithin,
+) {
+    let _turn = turn().await;
+    let NvmeScheduler { program, front, _instance, _reserved_socket } =
+        start_nvme_with_sockets(false, MAX_SOCKETS).await;
+    let listen = _instance.listen;
+    let mut uploads = JoinSet::new();
+    for call in 0..MAX_SOCKETS / 3 {
+        uploads.spawn(async move {
+            sleep(ARRIVAL_INTERVAL * call as u32).await;
+            upload_of_shard(listen, call, 0, 300_000, 64_000, Duration::from_secs(1)).await
+        });
+    }
+    sleep(ARRIVAL_INTERVAL * (MAX_SOCKETS / 3) as u32).await;
+    let mut hosts = Vec::new();
+    for _ in 0..STOPPING_HOSTS {
+        let mut host = TcpStream::connect(front).await.unwrap();
+        // The front may have ended the connection before it has read all of this.
+        let _ = host.write_all(&stop.bytes()).await;
+        hosts.push(host);
+    }
+    let statuses = uploads.join_all().await;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    println!("{served} of {} served", statuses.len());
+    assert_within_limit(&program).await;
+    assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{statuses:?}");
+    assert!(served >= MIN_SERVED, "{served} served");
+}
+
 /// What a host sends as fast as it can.
 #[derive(Clone, Copy, Debug)]
 enum Flood {
--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -12,8 +12,9 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::command::{Body, Command, Connect, ConnectData, Status};
+use super::identify::MAX_IN_CAPSULE_BYTES;
 use super::io_commands::in_capsule_data;
-use super::pdu::{FatalError, Pdu, MAX_DATA_BYTES};
+use super::pdu::{DataLimits, FatalError, Pdu, MAX_DATA_BYTES};
 use super::pdu_stream::{PduStream, StreamError};
 use super::queue::{Queue, Role};
 use super::subsystem::{lock, AbortRequest, Controller, Subsystem};
@@ -89,6 +90,7 @@
                 return Ok(());
             }
             self.request_data().await?;
+            self.wire.set_data_limits(self.data_limits());
             let (deadline, own_controller) = match &self.role {
                 Role::New { deadline, .. } => (Some(*deadline), None),
                 Role::Admin { keep_alive_deadline, controller, .. } => {
@@ -121,6 +123,14 @@
         }
     }
 
+    /// Returns the most data that the host may send in a PDU: in a capsule what Identify states, else what the
+    /// longest of the writes that wait for data holds memory for.
+    fn data_limits(&self) -> DataLimits {
+        let longest = self.transfers.values().map(|transfer| transfer.data.length()).max();
+        let other = MAX_IN_CAPSULE_BYTES;
+        DataLimits { h2c: longest.unwrap_or(0).max(other), other }
+    }
+
     async fn handle_pdu(&mut self, pdu: Pdu) -> Result<(), StreamError> {
         match (&mut self.role, pdu) {
             (Role::New { initialised, .. }, Pdu::IcReq { pfv, hpda, .. }) if !*initialised => {
--- a/crates/transport/src/nvme/pdu.rs
+++ b/crates/transport/src/nvme/pdu.rs
@@ -23,11 +23,41 @@
 /// The most bytes of a malformed PDU that a TermReq returns.
 const MAX_ECHO_BYTES: usize = 128;
 
+/// Type of H2CData.
+const H2C_DATA_TYPE: u8 = 0x06;
+
 /// Flag of the last PDU of a transfer.
 const LAST: u8 = 1 << 2;
 /// Flags of the header and data digests.
 const DIGESTS: u8 = 0b11;
 
+/// The most data of a PDU that is received, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct DataLimits {
+    /// In an H2CData PDU.
+    pub(super) h2c: usize,
+    /// In any other PDU.
+    pub(super) other: usize,
+}
+
+impl DataLimits {
+    /// The limits of the codec.
+    pub(super) const MAX: Self = Self { h2c: MAX_DATA_BYTES, other: MAX_DATA_BYTES };
+
+    /// Checks the length that the PDU at the beginning of `buffer` states, before the rest of it is received.
+    ///
+    /// # Errors
+    /// The PDU is longer than the limits allow.
+    pub(super) fn check(self, buffer: &[u8]) -> Result<(), FatalError> {
+        let [pdu_type, _, _, _, p0, p1, p2, p3, ..] = buffer[..] else { return Ok(()) };
+        let max_data = if pdu_type == H2C_DATA_TYPE { self.h2c } else { self.other };
+        if u32::from_le_bytes([p0, p1, p2, p3]) as usize > MAX_DATA_OFFSET + max_data {
+            return Err(FatalError::header(4));
+        }
+        Ok(())
+    }
+}
+
 /// One PDU.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Pdu {
--- a/crates/transport/src/nvme/pdu_stream.rs
+++ b/crates/transport/src/nvme/pdu_stream.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::pdu::{FatalError, Pdu};
+use super::pdu::{DataLimits, FatalError, Pdu};
 
 /// The connection is closed if the peer reads nothing for so long: as long as a client may read nothing.
 const STALLED_PEER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,6 +42,7 @@
     output: BytesMut,
     /// Alignment of data that the peer requires, in bytes.
     alignment: usize,
+    data_limits: DataLimits,
 }
 
 impl PduStream {
@@ -51,7 +52,13 @@
     /// The error of the operating system, if the option `TCP_NODELAY` can't be set.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Self { stream, input: BytesMut::new(), output: BytesMut::new(), alignment: 4 })
+        Ok(Self {
+            stream,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            alignment: 4,
+            data_limits: DataLimits::MAX,
+        })
     }
 
     /// Sets the alignment of data that the peer requires; `alignment` is in dwords, minus 1.
@@ -59,12 +66,18 @@
         self.alignment = (usize::from(alignment) + 1) * 4;
     }
 
+    /// Sets the most data of the PDUs that are received from now on.
+    pub(super) fn set_data_limits(&mut self, limits: DataLimits) {
+        self.data_limits = limits;
+    }
+
     /// Receives the next PDU. No input is lost if the future is dropped before it is ready.
     ///
     /// # Errors
-    /// The connection was closed or has failed, or the input is not a valid PDU.
+    /// The connection was closed or has failed, or the input is not a valid PDU or one with too much data.
     pub async fn next(&mut self) -> Result<Pdu, StreamError> {
         loop {
+            self.data_limits.check(&self.input).map_err(StreamError::Fatal)?;
             if let Some(pdu) = Pdu::decode(&mut self.input).map_err(StreamError::Fatal)? {
                 return Ok(pdu);
             }
--- a/crates/transport/src/nvme/received_data.rs
+++ b/crates/transport/src/nvme/received_data.rs
@@ -50,6 +50,11 @@
         Ok(())
     }
 
+    /// Returns the length of the complete data, in bytes.
+    pub(super) fn length(&self) -> usize {
+        self.length
+    }
+
     fn received_bytes(&self) -> usize {
         self.single.as_ref().map_or(self.received.len(), Bytes::len)
     }
