NVMe targets: an answer is not cut off while its target sends it slowly

Hosts saw Command Interrupted for reads whose data was arriving: an attempt at an NVMe target was given up at its own deadline, 450 ms of 1,000, however much of the data had come. HTTP nodes have had until the client stops waiting since; this is the same fault on the other path. The flag for it and the length from which it holds moved to node/long_reply.rs, and a PDU that is only partly received counts as well. Tests with a proxy before a target that paces either direction, and of hosts that leave with much unread.

--- a/crates/scheduler/tests/memory_limit/main.rs
+++ b/crates/scheduler/tests/memory_limit/main.rs
@@ -7,4 +7,5 @@
 mod flood;
 mod http;
 mod nvme;
+mod nvme_slow_peers;
 mod upgrade;
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -3,7 +3,6 @@
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -18,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
-use super::super::{Connection, TrackedStream, WriteProgress};
+use super::super::{outlasts_attempt, Connection, Flag, TrackedStream, WriteProgress};
 use super::body::OutgoingBody;
 use super::reply_pace::{ReplyDeadlines, ReplyPace};
 use crate::http::{headers, MAX_BODY_BYTES, MAX_HEAD_BYTES};
@@ -98,24 +97,6 @@
     ended: bool,
 }
 
-/// A flag that its clones share.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Flag(Arc<AtomicBool>);
-
-impl Flag {
-    fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-
-    fn clear(&self) {
-        self.0.store(false, Ordering::Relaxed);
-    }
-
-    pub(super) fn is_set(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 impl Connection for HttpConnection {
     const SOCKETS: usize = 1;
 
@@ -221,7 +202,7 @@
                 next_chunk = chunk;
                 break;
             }
-            if ReplyPace::outlasts_attempt(buffered.len()) {
+            if outlasts_attempt(buffered.len()) {
                 self.receiving_long_reply.set();
             }
             is_streamed = pace.is_streamed();
--- a/crates/transport/src/node/http/reply_pace.rs
+++ b/crates/transport/src/node/http/reply_pace.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::Instant;
 
-/// A reply that has brought this many bytes is not taken for a truncated one.
-const LONG_REPLY_BYTES: usize = 4096;
+use super::super::long_reply::LONG_REPLY_BYTES;
+
 /// The most time between two chunks of a reply without a length before it is streamed.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
 /// A reply without a length that is still being received this long after its head is streamed, so that a node
@@ -68,9 +68,4 @@
     pub(super) fn is_streamed(&self) -> bool {
         self.may_stream && self.began_at.elapsed() >= BUFFERING_TIMEOUT
     }
-
-    /// Whether a reply that has brought this many bytes may take until the client stops waiting.
-    pub(super) fn outlasts_attempt(received_bytes: usize) -> bool {
-        received_bytes >= LONG_REPLY_BYTES
-    }
 }
--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to storage nodes. An actor for each node receives attempts and owns the idle connections.
 
 mod http;
+mod long_reply;
 mod pool;
 mod tracked_stream;
 
@@ -23,6 +24,7 @@
 use pool::{IdleEntry, Permit};
 
 pub use http::HttpLink;
+pub(crate) use long_reply::{outlasts_attempt, Flag};
 pub use pool::ConnectionPool;
 pub use tracked_stream::{TrackedStream, WriteProgress};
 
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -13,7 +13,7 @@
 use super::pdu::{Pdu, MAX_DATA_BYTES};
 use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
-use crate::node::Connection;
+use crate::node::{outlasts_attempt, Connection, Flag};
 use heathward_core::memory::Reservation;
 use heathward_core::Attempt;
 use heathward_policy::AttemptEnd;
@@ -156,11 +156,13 @@
 
     /// Carries out one read or write until its completion. Once the attempt is cancelled, no
     /// more of the command is written; a command that was written completely goes on to its completion.
+    /// `receiving_long_reply` is set once so much of a read has been received that it may outlast its attempt.
     pub(super) async fn exchange(
         &mut self,
         attempt: &Attempt,
         blocks: BlockRange,
         data: &mut CommandData,
+        receiving_long_reply: &Flag,
     ) -> Result<Completed, ExchangeError> {
         let is_write = attempt.node_request.is_write;
         let mut command = self.send_command(attempt, blocks, data).await?;
@@ -169,7 +171,7 @@
             let next = tokio::select! {
                 biased;
                 () = attempt.cancel.cancelled(), if !command.is_written => Err(StreamError::Closed),
-                next = self.io.next() => next,
+                next = self.io.next_of_reply(receiving_long_reply) => next,
             };
             match next {
                 Err(StreamError::Closed) => return Err(command.failed(ExchangeError::ConnectionLost)),
@@ -189,6 +191,9 @@
                         .read_data
                         .append(offset, data)
                         .map_err(|_| command.failed(ExchangeError::InvalidAnswer))?;
+                    if outlasts_attempt(command.read_data.received_bytes()) {
+                        receiving_long_reply.set();
+                    }
                 }
                 _ => return Err(command.failed(ExchangeError::InvalidAnswer)),
             }
--- a/crates/transport/src/nvme/link.rs
+++ b/crates/transport/src/nvme/link.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::command::BlockRange;
 use super::initiator::{CommandData, Completed, ExchangeError, NvmeConnection};
 use super::map::NvmeMap;
 use super::pdu::MAX_DATA_BYTES;
-use crate::node::{LinkRequest, LinkResponse};
+use crate::node::{Flag, LinkRequest, LinkResponse};
 use heathward_core::memory::{MemoryHolder, ReservedBuffer};
 use heathward_core::{Attempt, NodeRequest};
 use heathward_policy::AttemptEnd;
@@ -136,8 +136,21 @@
             if !attempt.may_start() {
                 return LinkResponse::reusable(AttemptEnd::NotSent, Bytes::new(), connection);
             }
-            let exchange = connection.exchange(&attempt, blocks, &mut data);
-            return match timeout_at(deadline, exchange).await {
+            let receiving_long_reply = Flag::default();
+            let exchange = connection.exchange(&attempt, blocks, &mut data, &receiving_long_reply);
+            let expired = async {
+                sleep_until(deadline).await;
+                // As over HTTP, a reply that is being received may take for as long as its client waits.
+                if receiving_long_reply.is_set() {
+                    sleep_until(attempt.client_deadline).await;
+                }
+            };
+            let result = tokio::select! {
+                biased;
+                completed = exchange => Ok(completed),
+                () = expired => Err(()),
+            };
+            return match result {
                 Ok(Ok(Completed { end, data })) => LinkResponse::reusable(end, data, connection),
                 // The attempt was cancelled before the command was written completely.
                 Ok(Err(ExchangeError::NotWritten)) if attempt.cancel.is_cancelled() => {
@@ -150,7 +163,7 @@
                 // As over HTTP: the command may have been executed, and the target is up.
                 Ok(Err(ExchangeError::InvalidAnswer)) => LinkResponse::closed(AttemptEnd::Error),
                 Ok(Err(ExchangeError::ConnectionLost)) => LinkResponse::closed(AttemptEnd::Reset),
-                Err(_) => LinkResponse::closed(AttemptEnd::TimedOut),
+                Err(()) => LinkResponse::closed(AttemptEnd::TimedOut),
             };
         }
     }
--- a/crates/transport/src/nvme/pdu_stream.rs
+++ b/crates/transport/src/nvme/pdu_stream.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::pdu::{DataLimits, FatalError, Pdu};
+use crate::node::{outlasts_attempt, Flag};
 
 /// The connection is closed if the peer reads nothing for so long: as long as a client may read nothing.
 const STALLED_PEER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -76,6 +77,19 @@
     /// # Errors
     /// The connection was closed or has failed, or the input is not a valid PDU or one with too much data.
     pub async fn next(&mut self) -> Result<Pdu, StreamError> {
+        self.receive(None).await
+    }
+
+    /// The same; sets `receiving_long_reply` once so much of a PDU has arrived that the reply may outlast its
+    /// attempt.
+    ///
+    /// # Errors
+    /// Those of [`Self::next`].
+    pub(super) async fn next_of_reply(&mut self, receiving_long_reply: &Flag) -> Result<Pdu, StreamError> {
+        self.receive(Some(receiving_long_reply)).await
+    }
+
+    async fn receive(&mut self, receiving_long_reply: Option<&Flag>) -> Result<Pdu, StreamError> {
         loop {
             self.data_limits.check(&self.input).map_err(StreamError::Fatal)?;
             if let Some(pdu) = Pdu::decode(&mut self.input).map_err(StreamError::Fatal)? {
@@ -84,6 +98,9 @@
             if self.stream.read_buf(&mut self.input).await? == 0 {
                 return Err(StreamError::Closed);
             }
+            if outlasts_attempt(self.input.len()) {
+                receiving_long_reply.inspect(|flag| flag.set());
+            }
         }
     }
 
--- a/crates/transport/src/nvme/received_data.rs
+++ b/crates/transport/src/nvme/received_data.rs
@@ -55,7 +55,8 @@
         self.length
     }
 
-    fn received_bytes(&self) -> usize {
+    /// Returns how many bytes were received.
+    pub(super) fn received_bytes(&self) -> usize {
         self.single.as_ref().map_or(self.received.len(), Bytes::len)
     }
 
