--- a/crates/scheduler/tests/memory_limit/nvme_slow_peers.rs
+++ b/crates/scheduler/tests/memory_limit/nvme_slow_peers.rs
@@ -166,7 +166,7 @@
     let admin = (!closes_admin_queue).then_some(admin);
     sleep(READ_DEADLINE + 5 * NODE_TIME).await;
     drop(admin);
-    let begun = begun.lock().unwrap();
+    let begun = begun.lock().unwrap().clone();
     let late = begun.iter().filter(|at| **at > left_at + LEAVING_TOLERANCE).count();
     println!("{} of {LEFT_COMMANDS} begun, {late} of them after the host had left", begun.len());
     assert!(!begun.is_empty());
