--- a/crates/scheduler/src/memory_budget.rs
+++ b/crates/scheduler/src/memory_budget.rs
@@ -2,8 +2,8 @@
 //!
 //! The program takes what it holds at its start, and some for what grows with the endpoint list, the volumes
 //! and the ids of requests; if it is found to hold more beside bodies and connections, it takes that. Of the
-//! rest, connections of clients and NVMe hosts may take nine twentieths, which limits their number. What they can't take is
-//! shared by bodies and connections to storage nodes.
+//! rest, connections of clients and NVMe hosts may take nine twentieths, which limits their number. What they
+//! can't take is shared by bodies and connections to storage nodes.
 //!
 //! Bodies of requests and replies may hold a quarter of all memory at most. Bodies that could also be
 //! streamed are buffered only while bodies and connections together hold less than five eighths. While a peer
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -72,8 +72,8 @@
         self.apply_budgets();
     }
 
-    /// Measures the memory that the process holds, and divides the limit anew if the program itself holds more
-    /// or less than before.
+    /// Measures the memory that the process holds, and divides the limit anew if the program itself holds
+    /// more or less than before.
     pub fn measure_memory(&mut self, watch: &mut MemoryWatch) {
         // If the system does not tell it, the last measurement stands.
         let Some(resident) = resident_memory() else { return };
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Returns by when a client that sends this many bytes a millisecond from the beginning of the request has
-    /// sent those that were received.
+    /// Returns by when a client that sends this many bytes a millisecond, from the beginning of the request,
+    /// has sent those that were received.
     fn received_at(&self, bytes_per_ms: u64) -> Instant {
         self.began_at + Duration::from_millis(self.received_bytes / bytes_per_ms)
     }
--- a/crates/transport/src/nvme/controller.rs
+++ b/crates/transport/src/nvme/controller.rs
@@ -123,8 +123,8 @@
         }
     }
 
-    /// Returns the most data that the host may send in a PDU: in a capsule what Identify states, else what the
-    /// longest of the writes that wait for data holds memory for.
+    /// Returns the most data that the host may send in a PDU: in a capsule what Identify states, else what
+    /// the longest of the writes that wait for data holds memory for.
     fn data_limits(&self) -> DataLimits {
         let longest = self.transfers.values().map(|transfer| transfer.data.length()).max();
         let other = MAX_IN_CAPSULE_BYTES;
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -156,7 +156,8 @@
 
     /// Carries out one read or write until its completion. Once the attempt is cancelled, no
     /// more of the command is written; a command that was written completely goes on to its completion.
-    /// `receiving_long_reply` is set once so much of a read has been received that it may outlast its attempt.
+    /// `receiving_long_reply` is set once so much of a read has been received that it may outlast its
+    /// attempt.
     pub(super) async fn exchange(
         &mut self,
         attempt: &Attempt,
