--- a/crates/scheduler/src/memory_watch.rs
+++ b/crates/scheduler/src/memory_watch.rs
@@ -14,8 +14,8 @@
 }
 
 impl MemoryWatch {
-    /// Compares the resident memory with the limit, both in bytes, and logs when the process comes close to it
-    /// and when it no longer is.
+    /// Compares the resident memory with the limit, both in bytes, and logs when the process comes close to
+    /// it and when it no longer is.
     pub fn check(&mut self, resident: usize, max_bytes: usize, budget: &MemoryBudget) {
         if !self.is_close && resident > max_bytes / 8 * CLOSE_EIGHTHS {
             self.is_close = true;
