--- a/crates/scheduler/tests/net/descriptor_exhaustion.rs
+++ b/crates/scheduler/tests/net/descriptor_exhaustion.rs
@@ -1,5 +1,6 @@
 //! Idle clients that fill the descriptors while discovery is down.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -20,6 +21,15 @@
 /// latest. The bound allows for a loaded machine.
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
 
+/// Clients that hold all descriptors before the scheduler has a connection to a node.
+const HOLDING_CLIENTS: usize = DESCRIPTORS;
+/// Those of them that send requests; the others wait to be accepted.
+const SENDING_CLIENTS: usize = 20;
+/// For how long they do, which is long enough for a node that can't be reached to be avoided, and the pause
+/// after each round of requests.
+const SENDING_TIME: Duration = Duration::from_millis(2500);
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
 /// Listens at the reserved address, which no other process has taken.
 fn listen_again(reserved: &TcpSocket) -> TcpListener {
     let socket = TcpSocket::new_v4().unwrap();
@@ -106,3 +116,35 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+/// Guards against nodes that are taken for unreachable because the scheduler itself has no descriptor for a
+/// connection to them: the system's limit is lower than that of the settings, and clients hold all of it.
+#[tokio::test]
+async fn a_lack_of_descriptors_is_not_blamed_on_nodes() {
+    let node = http_node(0, &[NodeBehavior::Serve], &Log::default()).await;
+    let text = config_text("127.0.0.1:0", "127.0.0.1:1", &member("s0", node, 0, "in_service", 0));
+    let limited = format!("ulimit -n {DESCRIPTORS}; exec {}", env!("CARGO_BIN_EXE_heathward"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &limited]).env("GW_CONFIG", write_config("no-descriptors", &text));
+    let child = command.stderr(Stdio::piped()).stdout(Stdio::null()).spawn().unwrap();
+    let (mut child, mut lines, front) = wait_until_listening(child);
+    let mut clients = Vec::new();
+    for _ in 0..HOLDING_CLIENTS {
+        clients.push(TcpStream::connect(front).await.unwrap());
+    }
+    let deadline = Instant::now() + SENDING_TIME;
+    let mut call = 0;
+    while Instant::now() < deadline {
+        for client in clients.iter_mut().take(SENDING_CLIENTS) {
+            call += 1;
+            client.write_all(request("consulta", call, 0, 900, "").as_bytes()).await.unwrap();
+            timeout(TEST_TIMEOUT, read_message(client)).await.expect("in time").expect("an answer");
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let mut log = String::new();
+    lines.read_to_string(&mut log).unwrap();
+    assert!(!log.contains("node is unresponsive"), "{log}");
+}
