Memory: the limits on connections are divided in one place

Start-up and every later division computed the places of clients, those of NVMe hosts and the limits on memory each for itself, and had to agree. MemoryShares::limits does it for both now; its two steps are private. A closure that shared its name with its result has one of its own, and a comment in a test says what it bounds. No behaviour changes.

--- a/crates/scheduler/src/memory_budget.rs
+++ b/crates/scheduler/src/memory_budget.rs
@@ -13,6 +13,8 @@
 use heathward_core::ResidentMemory;
 use heathward_transport::CLIENT_CONNECTION_BYTES;
 
+use crate::descriptor_budget::{ClientConnectionLimits, DescriptorBudget};
+
 /// Memory that the endpoint list, the volumes, the ids of requests and the heap's own losses may need beyond
 /// what the program holds at its start, in bytes.
 const GROWTH_BYTES: usize = 3 << 19;
@@ -38,6 +40,15 @@
     pub peer_running: bool,
 }
 
+/// The limits that memory and descriptors set together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedLimits {
+    /// On connections of HTTP clients.
+    pub clients: ClientConnectionLimits,
+    /// On bodies, and on connections to storage nodes.
+    pub memory: MemoryLimits,
+}
+
 impl MemoryShares {
     /// Returns the share of this process in memory that the scheduler holds.
     fn share_of(&self, bytes: usize) -> usize {
@@ -66,9 +77,9 @@
     /// Returns what bodies and connections of this process may hold together, in bytes, with this much of the
     /// program loaded.
     fn available(&self, files: usize) -> usize {
-        let own_bytes = |memory: ResidentMemory, growth| memory.total - memory.files + growth;
+        let with_growth = |memory: ResidentMemory, growth| memory.total - memory.files + growth;
         let own_bytes =
-            own_bytes(self.program, GROWTH_BYTES).max(own_bytes(self.measured, MEASUREMENT_MARGIN_BYTES));
+            with_growth(self.program, GROWTH_BYTES).max(with_growth(self.measured, MEASUREMENT_MARGIN_BYTES));
         let available = self.share_of(self.max_bytes.saturating_sub(files));
         available.saturating_sub(own_bytes).max(self.share_of(self.max_bytes) / MIN_AVAILABLE_DIVISOR)
     }
@@ -78,14 +89,21 @@
         self.program.files + FILE_GROWTH_BYTES
     }
 
+    /// Returns the limits beside these descriptors, with or without an NVMe front.
+    pub fn limits(&self, descriptors: &DescriptorBudget, has_nvme: bool) -> SharedLimits {
+        let nvme_hosts = if has_nvme { descriptors.nvme_host_connections() } else { 0 };
+        let clients = descriptors.client_limits().limited_to(self.max_client_connections(nvme_hosts));
+        SharedLimits { clients, memory: self.memory_limits(clients.current + nvme_hosts) }
+    }
+
     /// Returns how many connections of HTTP clients there is memory for, beside this many of NVMe hosts.
-    pub fn max_client_connections(&self, nvme_hosts: usize) -> usize {
+    fn max_client_connections(&self, nvme_hosts: usize) -> usize {
         let all = self.available(self.expected_files()) / 20 * 9 / CLIENT_CONNECTION_BYTES;
         all.saturating_sub(nvme_hosts).max(1)
     }
 
     /// Returns the limits on bodies and connections beside this many connections of clients and NVMe hosts.
-    pub fn limits(&self, client_connections: usize) -> MemoryLimits {
+    fn memory_limits(&self, client_connections: usize) -> MemoryLimits {
         let share = self.share_of(self.max_bytes);
         let available = self.available(self.expected_files().max(self.measured.files));
         let shared = available.saturating_sub(client_connections * CLIENT_CONNECTION_BYTES);
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -172,12 +172,10 @@
     }
 
     fn apply_budgets(&self) {
-        let nvme_hosts = if self.fronts.has_nvme() { self.descriptors.nvme_host_connections() } else { 0 };
-        let max_connections = self.memory.max_client_connections(nvme_hosts);
-        let client_limits = self.descriptors.client_limits().limited_to(max_connections);
-        self.core.memory().set_limits(self.memory.limits(client_limits.current + nvme_hosts));
+        let limits = self.memory.limits(&self.descriptors, self.fronts.has_nvme());
+        self.core.memory().set_limits(limits.memory);
         self.node_limits.send_replace(self.descriptors.node_limits(&self.core.deployment()));
-        self.fronts.set_limits(client_limits);
+        self.fronts.set_limits(limits.clients);
     }
 }
 
--- a/crates/scheduler/src/startup.rs
+++ b/crates/scheduler/src/startup.rs
@@ -58,12 +58,11 @@
     let descriptors = DescriptorBudget { max_descriptors, peer_running: received.is_some() };
     let program = resident_memory().unwrap_or_default();
     let memory = MemoryShares::new(max_memory_bytes, program, received.is_some());
-    let nvme_hosts = config.nvme_map.as_ref().map_or(0, |_| descriptors.nvme_host_connections());
-    let client_limits = descriptors.client_limits().limited_to(memory.max_client_connections(nvme_hosts));
+    let limits = memory.limits(&descriptors, config.nvme_map.is_some());
     let (node_limits, pool_limits) = watch::channel(descriptors.node_limits(&deployment));
     let nvme_map = config.nvme_map.map(Arc::new);
     let core = core_start::start(deployment, seed, ConnectionPool::new(pool_limits), nvme_map.clone())?;
-    core.memory().set_limits(memory.limits(client_limits.current + nvme_hosts));
+    core.memory().set_limits(limits.memory);
     // The watch begins with the changes after the newer of the inherited and the cached list.
     let inherited_revision = received.as_ref().map_or(0, |received| received.state.endpoint_list.revision);
     let revision = inherited_revision.max(cached_endpoints.revision);
@@ -73,7 +72,7 @@
         None => None,
         Some(map) => Some(open_nvme_front(map, &mut inherited, core.clone(), seed)?),
     };
-    let fronts = Fronts::new(core.clone(), listen_address, http_socket, nvme, client_limits);
+    let fronts = Fronts::new(core.clone(), listen_address, http_socket, nvme, limits.clients);
     let (discovery_address, watched_address) =
         watch::channel(DiscoveryAddress::from_now(config.discovery_address));
     let recording = EventRecording::default();
--- a/crates/scheduler/tests/memory_limit/crowd.rs
+++ b/crates/scheduler/tests/memory_limit/crowd.rs
@@ -31,7 +31,7 @@
 const NAMING_CLIENTS: usize = 4;
 /// How many writes each of them sends: all together name more volumes and more ids than are remembered.
 const NAMED_WRITES: usize = 10_000;
-/// How many of them it has open at a time, as they fit into one head's length.
+/// How many of them it sends at a time: they fit into what is read ahead of an answer.
 const NAMED_BATCH: usize = 20;
 /// Clients at a time that keep their pace: a third of the descriptors.
 const PACED: usize = MAX_SOCKETS / 3;
