--- a/review/stands-2/cut_answer.rs
+++ b/review/stands-2/cut_answer.rs
@@ -1,30 +1,74 @@
-//! Case: clients read long answers as slowly as the page allows. The scheduler holds the end of an answer
-//! that the system has not taken yet, takes the connection for an idle one and closes it.
+//! Cases: clients read long answers as slowly as the page allows.
+//!
+//! Without an argument: the scheduler holds the end of an answer that the system has not taken yet, takes the
+//! connection for an idle one and closes it. With the argument `memory`: under a small limit on memory, the
+//! readers that are behind hold all memory for chunks, and the answers that wait for some are cut.
 
 mod stands;
 
 use std::io::Read;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use stands::{
-    free_port, give_up, has_trouble, listen, new_id, set_receive_buffer, start_watchdog, Config, Connection,
-    Discovery, Folder, Member, Process, Record, Request, BROKEN, HELD,
+    call_ops, free_port, give_up, has_trouble, listen, new_id, set_receive_buffer, start_watchdog, Config,
+    Connection, Discovery, Folder, Member, Process, Record, Request, BROKEN, HELD,
 };
 
 /// What a client reads in a second, in bytes: "64 kB a second on a body".
 const BYTES_PER_S: f64 = 65_536.0;
 /// A client reads this many bytes at a time.
 const PIECE: usize = 4096;
-const CLIENTS: usize = 200;
 /// The lengths of the answers are spread over this many bytes.
 const SPREAD: usize = 640_000;
+/// A storage node that writes slowly begins with so many pieces of [`PIECE`] bytes, one every
+/// [`PIECE_PAUSE`], and then writes the rest at once.
+const SLOW_PIECES: usize = 25;
+const PIECE_PAUSE: Duration = Duration::from_millis(100);
 /// The receive buffer of a client, in bytes.
 const RECEIVE_BUFFER: i32 = 65_536;
-const CELLS: u32 = 4;
+
+/// What the two cases differ in.
+struct Plan {
+    clients: usize,
+    cells: u32,
+    memory_mb: u32,
+    /// The pause between the starts of two clients.
+    start_gap: Duration,
+    /// The length of the answer to a client, of which there are `clients`.
+    length: fn(number: usize, clients: usize) -> usize,
+    has_slow_nodes: bool,
+}
+
+impl Plan {
+    fn chosen() -> Self {
+        match std::env::args().nth(1).as_deref() {
+            Some("memory") => Self {
+                clients: 330,
+                cells: 8,
+                memory_mb: 32,
+                start_gap: Duration::from_millis(3),
+                length: |_, _| 5_400_000,
+                has_slow_nodes: has_trouble(),
+            },
+            _ => Self {
+                clients: 200,
+                cells: 4,
+                memory_mb: 192,
+                start_gap: Duration::from_millis(30),
+                length: |number, clients| {
+                    static CAPACITY: OnceLock<usize> = OnceLock::new();
+                    let shortest = CAPACITY.get_or_init(system_capacity).saturating_sub(SPREAD / 8 * 7);
+                    shortest + SPREAD / clients * number
+                },
+                has_slow_nodes: false,
+            },
+        }
+    }
+}
 
 /// The byte at a position of each answer.
 fn byte_at(position: usize) -> u8 {
@@ -55,20 +99,20 @@
 }
 
 /// A storage node that answers each read at once, with as many bytes as the key says.
-fn start_node(cell: u32, record: &Record) -> Member {
+fn start_node(cell: u32, is_slow: bool, record: &Record) -> Member {
     let listener = listen();
     let port = listener.local_addr().map_or(0, |address| address.port());
     let record = record.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let record = record.clone();
-            thread::spawn(move || drop(serve(stream, &record)));
+            thread::spawn(move || drop(serve(stream, is_slow, &record)));
         }
     });
     Member::new(&format!("s-7c11d0{cell:02x}"), port, cell)
 }
 
-fn serve(stream: TcpStream, record: &Record) -> std::io::Result<()> {
+fn serve(stream: TcpStream, is_slow: bool, record: &Record) -> std::io::Result<()> {
     let mut connection = Connection::new(stream);
     loop {
         let head = connection.read_head()?;
@@ -77,7 +121,14 @@
         let length = usize::from_str_radix(key, 16).unwrap_or(0);
         connection.write(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").as_bytes())?;
         let body: Vec<u8> = (0..length).map(byte_at).collect();
-        connection.write(&body)?;
+        let mut rest = &body[..];
+        for _ in 0..if is_slow { SLOW_PIECES } else { 0 } {
+            let (piece, after) = rest.split_at(PIECE.min(rest.len()));
+            connection.write(piece)?;
+            rest = after;
+            thread::sleep(PIECE_PAUSE);
+        }
+        connection.write(rest)?;
         record.add(&format!("node wrote all {length} bytes of the answer to {id}"));
     }
 }
@@ -154,20 +205,21 @@
 
 fn main() {
     start_watchdog(Duration::from_secs(115));
-    let (record, folder) = (Record::create(), Folder::create());
-    let capacity = system_capacity();
-    record.say(&format!("the system takes {capacity} bytes of a connection that is not read"));
-    let shortest = capacity.saturating_sub(SPREAD / 8 * 7);
-    if (shortest + SPREAD) as f64 / BYTES_PER_S > 95.0 {
+    let (record, folder, plan) = (Record::create(), Folder::create(), Plan::chosen());
+    let length = |number| (plan.length)(number, plan.clients);
+    let longest = length(plan.clients - 1);
+    record.say(&format!("{} clients, answers of {} to {longest} bytes", plan.clients, length(0)));
+    if longest as f64 / BYTES_PER_S > 95.0 {
         give_up("the system takes too much for the time of a case");
     }
-    let members: Vec<Member> = (0..CELLS).map(|cell| start_node(cell, &record)).collect();
+    let cells = 0..plan.cells;
+    let members: Vec<Member> = cells.map(|cell| start_node(cell, plan.has_slow_nodes, &record)).collect();
     let discovery = Discovery::start(members);
     let config = Config {
         listen: free_port(),
         ops: free_port(),
         discovery: discovery.port,
-        memory_mb: 192,
+        memory_mb: plan.memory_mb,
         sockets: 1024,
         known: discovery.complete_list(),
         settings: stands::settings(),
@@ -175,14 +227,19 @@
     let mut process = Process::start(&config, &folder, "n0");
     process.wait_until_ready(config.listen);
     let totals = Arc::<Totals>::default();
-    let clients: Vec<_> = (0..CLIENTS)
+    let clients: Vec<_> = (0..plan.clients)
         .map(|number| {
-            thread::sleep(Duration::from_millis(30));
+            thread::sleep(plan.start_gap);
             let (record, totals, port) = (record.clone(), totals.clone(), config.listen);
-            let length = shortest + SPREAD / CLIENTS * number;
-            thread::spawn(move || run_client(port, length, number as u32 % CELLS, &record, &totals))
+            let (length, cell) = (length(number), number as u32 % plan.cells);
+            thread::spawn(move || run_client(port, length, cell, &record, &totals))
         })
         .collect();
+    for _ in 0..3 {
+        thread::sleep(Duration::from_secs(6));
+        let metrics = call_ops(config.ops, "METRICS");
+        metrics.lines().filter(|line| line.starts_with("app.memory")).for_each(|line| record.add(line));
+    }
     clients.into_iter().for_each(|client| drop(client.join()));
     let count = |total: &AtomicUsize| total.load(Ordering::Relaxed);
     let (cut, wrong) = (count(&totals.cut), count(&totals.wrong));
--- a/review/stands-2/stands.rs
+++ b/review/stands-2/stands.rs
@@ -158,6 +158,8 @@
 /// A process of the scheduler, killed when dropped.
 pub struct Process {
     child: Child,
+    /// A shell that kills the process once this program has ended, however that ended.
+    guard: Option<Child>,
     config: PathBuf,
     pub log: PathBuf,
 }
@@ -189,7 +191,12 @@
         if let Ok(mut ids) = STARTED.lock() {
             ids.push(child.id());
         }
-        Self { child, config: config_file, log }
+        let guard = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!("cat >/dev/null; kill -KILL {} 2>/dev/null", child.id()))
+            .stdin(Stdio::piped())
+            .spawn();
+        Self { child, guard: guard.ok(), config: config_file, log }
     }
 
     /// The id of the process.
@@ -231,6 +238,11 @@
             let id = self.child.id();
             ids.retain(|started| *started != id);
         }
+        if let Some(mut guard) = self.guard.take() {
+            // Closes its input, at which it ends.
+            drop(guard.stdin.take());
+            let _ = guard.wait();
+        }
     }
 }
 
