--- a/review/stands-2/stands.rs
+++ b/review/stands-2/stands.rs
@@ -291,6 +291,7 @@
 #[derive(Clone)]
 pub struct Member {
     pub id: String,
+    pub host: String,
     pub port: u16,
     pub cell: u32,
     pub phase: &'static str,
@@ -300,13 +301,14 @@
 impl Member {
     /// A storage node in service that started long ago.
     pub fn new(id: &str, port: u16, cell: u32) -> Self {
-        Self { id: id.to_owned(), port, cell, phase: "in_service", up_since_ms: 0 }
+        let host = Ipv4Addr::LOCALHOST.to_string();
+        Self { id: id.to_owned(), host, port, cell, phase: "in_service", up_since_ms: 0 }
     }
 
     fn json(&self) -> String {
-        let Self { id, port, cell, phase, up_since_ms } = self;
+        let Self { id, host, port, cell, phase, up_since_ms } = self;
         format!(
-            "{{\"id\":\"{id}\",\"host_port\":\"127.0.0.1:{port}\",\"locality\":\"sala-a\",\
+            "{{\"id\":\"{id}\",\"host_port\":\"{host}:{port}\",\"locality\":\"sala-a\",\
              \"flavor\":\"base-2\",\"cell\":{cell},\"phase\":\"{phase}\",\"size\":1.0,\
              \"up_since_ms\":{up_since_ms}}}"
         )
