--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in cut_answer limit_twice half_call; do
+for name in large_fleet cut_answer limit_twice half_call; do
   rustc --edition 2021 -C opt-level=2 -A dead_code -o "target/review-2/$name" "review/stands-2/$name.rs"
 done
