Nodes: a listed node has a task and a mailbox only while it is used

Cause: each listed node had a task and a mailbox (8.2 KB a node, mostly the first block of a channel of unboxed attempts), used or not; a node that was used kept up to 400 numbers of its load history, and empty maps kept their first blocks.

Change: a node's task starts with its first attempt and ends 100 ms after it has neither an attempt nor a connection. Attempts are boxed in mailboxes, equal loads stored once, nodes boxed in their tables.

--- a/crates/core/src/actor/attempts.rs
+++ b/crates/core/src/actor/attempts.rs
@@ -25,6 +25,7 @@
     /// with [`AttemptEnd::NotSent`].
     pub(super) fn send_attempt(&mut self, request: RequestId, node: NodeId, timeout: Option<Micros>) {
         let now = Instant::now();
+        self.connect_if_needed(node);
         let Some(open_request) = self.requests.get_mut(request) else { return };
         let key = AttemptKey { request, number: open_request.next_attempt_number(), node };
         let deployment = self.published.deployment();
@@ -54,6 +55,18 @@
         }
     }
 
+    /// Starts to serve the connections of a node in the endpoint list, unless a task does so already. A task
+    /// that was not needed for some time has ended.
+    fn connect_if_needed(&mut self, id: NodeId) {
+        let Some(node) = self.nodes.get(id).filter(|node| node.is_listed()) else { return };
+        if node.attempt_sender().is_some() {
+            return;
+        }
+        if let Some(sender) = self.connections.connect(&node.endpoint) {
+            self.nodes.set_attempt_sender(id, sender);
+        }
+    }
+
     /// Handles the end of an attempt: answers the request if the attempt was served, and notifies the
     /// policy.
     pub(super) fn attempt_ended(&mut self, attempt: EndedAttempt) {
@@ -113,7 +126,7 @@
         return None;
     }
     let (number, write_completion) = (attempt.number, attempt.write_completion.clone());
-    target.attempt_sender()?.try_send(attempt).ok()?;
+    target.attempt_sender()?.try_send(Box::new(attempt)).ok()?;
     Some(InFlightAttempt { number, node: target.endpoint.id.clone(), sent_at: now, write_completion })
 }
 
--- a/crates/core/src/actor/endpoint_updates.rs
+++ b/crates/core/src/actor/endpoint_updates.rs
@@ -74,8 +74,8 @@
         self.nodes.forget_expired(now);
     }
 
-    /// Merges an endpoint into the table of nodes, and starts or stops serving the node's connections.
-    /// Returns the entry for the policy; `None` if newer information about the node is already known.
+    /// Merges an endpoint into the table of nodes, and stops serving the connections to its old
+    /// address. Returns the entry for the policy; `None` if newer information about the node is already known.
     fn merge_endpoint(
         &mut self,
         mut endpoint: Endpoint,
@@ -92,9 +92,7 @@
             self.nodes.mark_unlisted(id, Instant::now());
         } else if address_changed || !node.is_listed() {
             // The task that served the old address ends by itself once its attempts have ended.
-            if let Some(sender) = self.connections.connect(&endpoint) {
-                self.nodes.mark_listed(id, sender);
-            }
+            self.nodes.mark_listed(id);
         }
         self.nodes.update(id, endpoint);
         self.nodes.refresh_entry(id, self.lease.is_expired())
--- a/crates/core/src/actor/nodes.rs
+++ b/crates/core/src/actor/nodes.rs
@@ -7,6 +7,7 @@
 //! table. Functions that walk all nodes say so in their comment.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -24,6 +25,10 @@
 /// The largest number of suspended nodes, whether listed or not.
 const MAX_SUSPENDED_NODES: usize = 1024;
 
+/// How many channels are checked whenever one is added: more than one, so that those that are closed do not
+/// accumulate.
+const CHANNELS_CHECKED_PER_CONNECT: usize = 2;
+
 /// A storage node.
 pub(super) struct Node {
     /// The latest entry of the node in the endpoint list.
@@ -49,24 +54,25 @@
 
 /// Whether a node is in the endpoint list.
 enum Listing {
-    /// In the endpoint list, with the channel for the node's attempts.
-    Listed(mpsc::Sender<Attempt>),
+    /// In the endpoint list, with the channel for the node's attempts if its connections are being served.
+    Listed(Option<mpsc::Sender<Box<Attempt>>>),
     /// Not in the endpoint list since this instant.
     Unlisted(Instant),
 }
 
 impl Node {
-    /// Returns the channel for the node's attempts; `None` if the node is not in the endpoint list.
-    pub(super) fn attempt_sender(&self) -> Option<&mpsc::Sender<Attempt>> {
+    /// Returns the channel for the node's attempts; `None` if the node is not in the endpoint list, or no task
+    /// serves its connections.
+    pub(super) fn attempt_sender(&self) -> Option<&mpsc::Sender<Box<Attempt>>> {
         match &self.listing {
-            Listing::Listed(sender) => Some(sender),
+            Listing::Listed(sender) => sender.as_ref().filter(|sender| !sender.is_closed()),
             Listing::Unlisted(_) => None,
         }
     }
 
     /// Returns whether the node is in the endpoint list.
     pub(super) fn is_listed(&self) -> bool {
-        self.attempt_sender().is_some()
+        matches!(self.listing, Listing::Listed(_))
     }
 
     /// Returns the node's state according to the endpoint list.
@@ -124,7 +130,8 @@
 /// All known nodes.
 #[derive(Default)]
 pub(super) struct NodeTable {
-    by_id: BTreeMap<NodeId, Node>,
+    /// Boxed, as half of the space in the map's own nodes may be unused.
+    by_id: BTreeMap<NodeId, Box<Node>>,
     ids_by_name: HashMap<Box<str>, NodeId>,
     /// The number that the next new node gets.
     next_id: u32,
@@ -139,6 +146,10 @@
     unlisted: BTreeSet<(Instant, NodeId)>,
     /// Nodes whose treatment may change by the passage of time, by the time of their next check.
     scheduled_checks: BTreeSet<(Instant, NodeId)>,
+    /// Nodes that may have a channel for their attempts.
+    connected: BTreeSet<NodeId>,
+    /// The node in [`Self::connected`] whose channel was checked last.
+    last_checked_channel: Option<NodeId>,
 }
 
 impl NodeTable {
@@ -182,19 +193,19 @@
             next_check: None,
         };
         self.ids_by_name.insert(endpoint.id.clone(), id);
-        self.by_id.insert(id, node);
+        self.by_id.insert(id, Box::new(node));
         self.unlisted.insert((now, id));
         id
     }
 
     /// Returns a known node.
     pub(super) fn get(&self, id: NodeId) -> Option<&Node> {
-        self.by_id.get(&id)
+        self.by_id.get(&id).map(Box::as_ref)
     }
 
     /// Returns a known node for modification.
     pub(super) fn get_mut(&mut self, id: NodeId) -> Option<&mut Node> {
-        self.by_id.get_mut(&id)
+        self.by_id.get_mut(&id).map(Box::as_mut)
     }
 
     /// Replaces the endpoint list's entry of a node, and its zone if that has changed.
@@ -207,15 +218,43 @@
         node.endpoint = endpoint;
     }
 
-    /// Records that a node is in the endpoint list, with the channel for its attempts.
-    pub(super) fn mark_listed(&mut self, id: NodeId, attempts: mpsc::Sender<Attempt>) {
+    /// Records that a node is in the endpoint list. The channel for its attempts is dropped, if there is one.
+    pub(super) fn mark_listed(&mut self, id: NodeId) {
         let Some(node) = self.by_id.get_mut(&id) else { return };
-        if let Listing::Unlisted(since) = std::mem::replace(&mut node.listing, Listing::Listed(attempts)) {
+        if let Listing::Unlisted(since) = std::mem::replace(&mut node.listing, Listing::Listed(None)) {
             self.unlisted.remove(&(since, id));
             self.listed_count += 1;
         }
     }
 
+    /// Records the channel for the attempts of a node in the endpoint list. Also drops channels of other nodes
+    /// whose tasks have ended.
+    pub(super) fn set_attempt_sender(&mut self, id: NodeId, attempts: mpsc::Sender<Box<Attempt>>) {
+        let Some(node) = self.by_id.get_mut(&id).filter(|node| node.is_listed()) else { return };
+        node.listing = Listing::Listed(Some(attempts));
+        self.connected.insert(id);
+        for _ in 0..CHANNELS_CHECKED_PER_CONNECT {
+            self.check_next_channel();
+        }
+    }
+
+    /// Drops the channel of the next node in [`Self::connected`] if its task has ended.
+    fn check_next_channel(&mut self) {
+        let after_last =
+            (self.last_checked_channel.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
+        let next = self.connected.range(after_last).next().or_else(|| self.connected.first());
+        let Some(&id) = next else { return };
+        self.last_checked_channel = Some(id);
+        let node = self.by_id.get_mut(&id);
+        if node.as_ref().is_some_and(|node| node.attempt_sender().is_some()) {
+            return;
+        }
+        self.connected.remove(&id);
+        if let Some(node) = node.filter(|node| node.is_listed()) {
+            node.listing = Listing::Listed(None);
+        }
+    }
+
     /// Records that a node is no longer in the endpoint list.
     pub(super) fn mark_unlisted(&mut self, id: NodeId, now: Instant) {
         let Some(node) = self.by_id.get_mut(&id).filter(|node| node.is_listed()) else { return };
@@ -344,7 +383,7 @@
 
     /// Returns the nodes in the endpoint list, in ascending order of their numbers. This walks all nodes.
     pub(super) fn listed(&self) -> impl Iterator<Item = (NodeId, &Node)> {
-        self.by_id.iter().map(|(id, node)| (*id, node)).filter(|(_, node)| node.is_listed())
+        self.by_id.iter().map(|(id, node)| (*id, node.as_ref())).filter(|(_, node)| node.is_listed())
     }
 
     /// Returns the numbers of all nodes, in ascending order. This walks all nodes.
--- a/crates/core/src/actor/nodes/tests.rs
+++ b/crates/core/src/actor/nodes/tests.rs
@@ -16,7 +16,7 @@
 
 fn list_node(nodes: &mut NodeTable, number: u32, zone: &str) -> NodeId {
     let id = nodes.find_or_add(&endpoint(number, zone), 1, SendGate::default);
-    nodes.mark_listed(id, mpsc::channel(1).0);
+    nodes.mark_listed(id);
     id
 }
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -112,10 +112,12 @@
     pub expired_lease_last_contact: Option<Instant>,
 }
 
-/// A function that starts to serve a node's connections, and returns the channel for the node's attempts.
+/// A function that starts to serve a node's connections, and returns the channel for the node's attempts. It
+/// is called for the first attempt at a node, and again for the next one once the channel is closed.
 /// Its second argument is the channel to which the end of each attempt is reported, with
 /// [`report_attempt_end`].
-pub type NodeConnector = Box<dyn Fn(&Endpoint, mpsc::Sender<CoreMessage>) -> mpsc::Sender<Attempt> + Send>;
+pub type NodeConnector =
+    Box<dyn Fn(&Endpoint, mpsc::Sender<CoreMessage>) -> mpsc::Sender<Box<Attempt>> + Send>;
 
 /// Reports the end of an attempt to the core. `reply` is only used with [`AttemptEnd::Served`].
 pub async fn report_attempt_end(
--- a/crates/core/tests/client_disconnects.rs
+++ b/crates/core/tests/client_disconnects.rs
@@ -22,7 +22,7 @@
 use common::{deployment, endpoint, read_request};
 
 /// Starts a core with one node, and returns it with the attempts that are sent to the node.
-async fn core_with_one_node() -> (CoreHandle, mpsc::Receiver<Attempt>) {
+async fn core_with_one_node() -> (CoreHandle, mpsc::Receiver<Box<Attempt>>) {
     let (to_node, attempts) = mpsc::channel(64);
     let deployment = Arc::new(deployment(1, 1_000_000, None));
     let core = start_core(deployment, 1, Box::new(move |_, _| to_node.clone())).unwrap();
--- a/crates/core/tests/draining_nodes.rs
+++ b/crates/core/tests/draining_nodes.rs
@@ -237,7 +237,7 @@
 /// byte.
 async fn run_connections(
     scheduler: usize,
-    mut attempts: mpsc::Receiver<Attempt>,
+    mut attempts: mpsc::Receiver<Box<Attempt>>,
     core: mpsc::Sender<CoreMessage>,
     first_bytes: FirstBytes,
     mut rng: Rng,
--- a/crates/core/tests/endpoint_update_cost.rs
+++ b/crates/core/tests/endpoint_update_cost.rs
@@ -56,8 +56,11 @@
 }
 
 /// Starts a node that serves all attempts, and sends each to `served` afterwards.
-fn serving_node(core: mpsc::Sender<CoreMessage>, served: mpsc::Sender<Attempt>) -> mpsc::Sender<Attempt> {
-    let (to_node, mut attempts) = mpsc::channel::<Attempt>(1);
+fn serving_node(
+    core: mpsc::Sender<CoreMessage>,
+    served: mpsc::Sender<Box<Attempt>>,
+) -> mpsc::Sender<Box<Attempt>> {
+    let (to_node, mut attempts) = mpsc::channel::<Box<Attempt>>(1);
     tokio::spawn(async move {
         while let Some(attempt) = attempts.recv().await {
             let reply = NodeReply::Buffered(Bytes::new());
@@ -70,7 +73,7 @@
 
 /// Starts a core with `size` nodes and an observer, and returns it with the treatment changes that are
 /// reported to the observer and the attempts that are served.
-async fn core_with_nodes(size: u32) -> (CoreHandle, TreatmentChanges, mpsc::Receiver<Attempt>) {
+async fn core_with_nodes(size: u32) -> (CoreHandle, TreatmentChanges, mpsc::Receiver<Box<Attempt>>) {
     let (served, attempts) = mpsc::channel(64);
     let mut deployment = deployment(1, 1_000_000, None);
     deployment.settings.slow_start_duration = SLOW_START.as_micros() as Micros;
@@ -147,7 +150,11 @@
 }
 
 /// Sends a request for that shard, and returns the number of the node that serves it.
-async fn serving_node_id(core: &CoreHandle, shard: u32, attempts: &mut mpsc::Receiver<Attempt>) -> NodeId {
+async fn serving_node_id(
+    core: &CoreHandle,
+    shard: u32,
+    attempts: &mut mpsc::Receiver<Box<Attempt>>,
+) -> NodeId {
     let request = read_request(&format!("call-{:?}", Instant::now()), shard);
     let answer = core.clone().call(request).await;
     assert!(matches!(answer, Ok(Answer::Served(_))), "{answer:?}");
--- a/crates/policy/src/node/admission_history.rs
+++ b/crates/policy/src/node/admission_history.rs
@@ -22,11 +22,48 @@
     /// Open sessions: the time of each volume's latest request.
     sessions: BTreeMap<VolumeId, Micros>,
     /// Peak load of each period divided by the number of sessions, as a fraction of the budget.
-    session_loads: VecDeque<f64>,
+    session_loads: LoadHistory,
     /// Sum of `session_loads`.
     load_sum: f64,
 }
 
+/// Loads of periods, in order. Most periods of a node that is seldom used are alike, so equal ones are stored
+/// once.
+#[derive(Clone, Debug, Default)]
+struct LoadHistory {
+    runs: VecDeque<LoadRun>,
+    periods: usize,
+}
+
+/// Consecutive periods with the same load.
+#[derive(Clone, Copy, Debug)]
+struct LoadRun {
+    load: f64,
+    periods: usize,
+}
+
+impl LoadHistory {
+    fn push(&mut self, load: f64) {
+        match self.runs.back_mut().filter(|last| last.load.to_bits() == load.to_bits()) {
+            Some(last) => last.periods += 1,
+            None => self.runs.push_back(LoadRun { load, periods: 1 }),
+        }
+        self.periods += 1;
+    }
+
+    /// Removes the oldest load and returns it; 0 if there is none.
+    fn pop(&mut self) -> f64 {
+        let Some(first) = self.runs.front_mut() else { return 0.0 };
+        let load = first.load;
+        first.periods -= 1;
+        if first.periods == 0 {
+            self.runs.pop_front();
+        }
+        self.periods -= 1;
+        load
+    }
+}
+
 impl AdmissionHistory {
     /// Opens the session of a request's volume, or keeps it open. Beyond [`MAX_SESSIONS`] none is opened.
     pub(crate) fn record_request(&mut self, now: Micros, volume: VolumeId) {
@@ -41,6 +78,10 @@
 
     pub(crate) fn close_idle_sessions(&mut self, now: Micros, idle_time: Micros) {
         self.sessions.retain(|_, last_request| now.saturating_sub(*last_request) < idle_time);
+        if self.sessions.is_empty() {
+            // An empty map would keep the memory of its first entries.
+            self.sessions = BTreeMap::new();
+        }
     }
 
     /// Records the peak load of a period as a fraction of the budget, and keeps the last `max_periods`
@@ -50,20 +91,20 @@
             return;
         }
         let load = peak_fraction / self.sessions.len() as f64;
-        self.session_loads.push_back(load);
+        self.session_loads.push(load);
         self.load_sum += load;
-        if self.session_loads.len() > max_periods {
-            self.load_sum -= self.session_loads.pop_front().unwrap_or(0.0);
+        if self.session_loads.periods > max_periods {
+            self.load_sum -= self.session_loads.pop();
         }
     }
 
     /// Returns whether the load with one more session of mean load stays below [`MAX_ADMITTED_LOAD`]. A node
     /// without a history has capacity.
     pub(crate) fn has_capacity_for_new_session(&self) -> bool {
-        if self.session_loads.is_empty() {
+        if self.session_loads.periods == 0 {
             return true;
         }
-        let mean_load = self.load_sum / self.session_loads.len() as f64;
+        let mean_load = self.load_sum / self.session_loads.periods as f64;
         mean_load * (self.sessions.len() as f64 + 1.0) < MAX_ADMITTED_LOAD
     }
 }
--- a/crates/policy/src/node/in_flight.rs
+++ b/crates/policy/src/node/in_flight.rs
@@ -48,6 +48,10 @@
         if let Some(units) = self.units_by_attempt.remove(key) {
             self.units = (self.units - units).max(0.0);
         }
+        if self.units_by_attempt.is_empty() {
+            // An empty map would keep the memory of its first entries.
+            self.units_by_attempt = BTreeMap::new();
+        }
     }
 
     /// Records that the node has answered an attempt sent at this time.
--- a/crates/policy/src/node/period_budget.rs
+++ b/crates/policy/src/node/period_budget.rs
@@ -87,10 +87,10 @@
     /// while this scheduler sends little. In any case it is at least that maximum, and it stays between
     /// [`MIN_BUDGET_REQUESTS`] and [`MAX_BUDGET_REQUESTS`].
     pub(crate) fn adjust(&mut self, mean_units: f64) {
-        self.recent_served_units.push_back(self.served_units);
-        if self.recent_served_units.len() > RECENT_PERIODS {
+        if self.recent_served_units.len() == RECENT_PERIODS {
             self.recent_served_units.pop_front();
         }
+        self.recent_served_units.push_back(self.served_units);
         let max_served_units = self.recent_served_units.iter().copied().fold(0.0, f64::max);
         self.is_overloaded = self.is_filled && self.late_answers > 0;
         if self.is_overloaded {
--- a/crates/policy/src/node/queue.rs
+++ b/crates/policy/src/node/queue.rs
@@ -29,6 +29,10 @@
         if self.entries.remove(entry) {
             self.units = (self.units - units).max(0.0);
         }
+        if self.entries.is_empty() {
+            // An empty set would keep the memory of its first entries.
+            self.entries = BTreeSet::new();
+        }
     }
 
     /// Returns the first entry after `after`, or the first of the queue if that is `None`.
--- a/crates/policy/src/node_table.rs
+++ b/crates/policy/src/node_table.rs
@@ -11,7 +11,8 @@
 /// Nodes by id.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct NodeTable {
-    nodes: BTreeMap<NodeId, Node>,
+    /// Boxed, as half of the space in the map's own nodes may be unused.
+    nodes: BTreeMap<NodeId, Box<Node>>,
     /// The node in service that holds each shard.
     pub(crate) shards: ShardIndex,
     out_of_service: BTreeSet<NodeId>,
@@ -32,11 +33,11 @@
     }
 
     pub(crate) fn get(&self, id: &NodeId) -> Option<&Node> {
-        self.nodes.get(id)
+        self.nodes.get(id).map(Box::as_ref)
     }
 
     pub(crate) fn get_mut(&mut self, id: &NodeId) -> Option<&mut Node> {
-        self.nodes.get_mut(id)
+        self.nodes.get_mut(id).map(Box::as_mut)
     }
 
     /// Takes every node out of service, before a complete list is applied. Returns the nodes that were in
@@ -54,7 +55,7 @@
 
     /// Applies an entry of the endpoint list, adding the node if it is not known yet.
     pub(crate) fn apply(&mut self, now: Micros, entry: &EndpointEntry, settings: &Settings) {
-        let node = self.nodes.entry(entry.node).or_insert_with(|| Node::new(now, entry, settings));
+        let node = self.nodes.entry(entry.node).or_insert_with(|| Box::new(Node::new(now, entry, settings)));
         if node.in_service {
             self.shards.remove(node.shard, entry.node);
         }
--- a/crates/scheduler/tests/memory_limit/main.rs
+++ b/crates/scheduler/tests/memory_limit/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod flood;
 mod http;
+mod large_fleet;
 mod nvme;
 mod nvme_slow_peers;
 mod upgrade;
--- a/crates/scheduler/tests/memory_limit/upgrade.rs
+++ b/crates/scheduler/tests/memory_limit/upgrade.rs
@@ -22,7 +22,7 @@
 const CROWD: usize = 300;
 
 /// Returns the memory of both processes, in kilobytes; the pages of the program count once.
-fn joint_memory_kb(old: &Program, new: &Program) -> usize {
+pub fn joint_memory_kb(old: &Program, new: &Program) -> usize {
     let (old, new) = (old.held(), new.held());
     old.resident_kb + new.resident_kb - old.file_kb.min(new.file_kb)
 }
--- a/crates/scheduler/tests/net/request_writer.rs
+++ b/crates/scheduler/tests/net/request_writer.rs
@@ -190,7 +190,8 @@
         [(0, false), (0, false), (4, false), (1, true), (5, true), (1, true), (1, true), (1, false)]
     {
         tokio::time::sleep(Duration::from_millis(pause)).await;
-        node.send(attempt(SendGate::default(), Instant::now() + TEST_TIMEOUT)).await.unwrap();
+        let attempt = attempt(SendGate::default(), Instant::now() + TEST_TIMEOUT);
+        node.send(Box::new(attempt)).await.unwrap();
         let message = ended.recv().await;
         assert!(matches!(message, Some(CoreMessage::AttemptEnded(ended)) if ended.end == AttemptEnd::Served));
         assert_eq!(reused_flags.recv().await, Some(reused), "after {pause} ms");
--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -34,6 +34,10 @@
 /// carries a request.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(2500);
 
+/// The actor of a node ends after this time without an attempt, a reply or a connection: most nodes of a large
+/// fleet are seldom used by one scheduler.
+const UNUSED_ACTOR_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How long a connection pauses after an answer before it carries another attempt. A node may send a second
 /// answer some milliseconds after the first: on a connection already in use again, it would be taken for the
 /// answer to the next request.
@@ -140,9 +144,14 @@
     }
 }
 
-/// Starts the actor of a node and returns its mailbox. The link is a tower service that carries out one
+/// Starts the actor of a node and returns its mailbox, which is closed once the node has not been used for
+/// [`UNUSED_ACTOR_TIMEOUT`]; attempts that are in it by then are still carried out. The link is a tower service that carries out one
 /// attempt on one connection.
-pub fn spawn<L, C>(link: L, pool: ConnectionPool, core: mpsc::Sender<CoreMessage>) -> mpsc::Sender<Attempt>
+pub fn spawn<L, C>(
+    link: L,
+    pool: ConnectionPool,
+    core: mpsc::Sender<CoreMessage>,
+) -> mpsc::Sender<Box<Attempt>>
 where
     L: tower::Service<LinkRequest<C>, Response = LinkResponse<C>, Error = std::convert::Infallible>
         + Send
@@ -182,11 +191,13 @@
     L::Future: Send + 'static,
     C: Connection,
 {
-    async fn run(mut self, mut attempts: mpsc::Receiver<Attempt>) {
-        // The node is in the endpoint list for as long as the mailbox has a sender.
+    async fn run(mut self, mut attempts: mpsc::Receiver<Box<Attempt>>) {
+        // The node is in the endpoint list for as long as the mailbox is open.
         let mut is_listed = true;
         while is_listed || !self.in_flight.is_empty() {
             let expiry = self.idle.front().map(|idle| idle.idle_until);
+            let is_unused = self.idle.is_empty() && self.in_flight.is_empty();
+            let unused_deadline = Instant::now() + UNUSED_ACTOR_TIMEOUT;
             tokio::select! {
                 biased;
                 Some(finished) = self.in_flight.next(), if !self.in_flight.is_empty() => {
@@ -204,11 +215,12 @@
                 }
                 () = self.evicted.notified() => self.idle.retain(|idle| idle.pool_entry.is_valid()),
                 () = remove_closed(&mut self.idle) => {}
+                () = tokio::time::sleep_until(unused_deadline), if is_unused => attempts.close(),
             }
         }
     }
 
-    fn begin(&mut self, attempt: Attempt) {
+    fn begin(&mut self, attempt: Box<Attempt>) {
         let (idle_connection, permit) = match self.take_reusable(Instant::now()) {
             Some((connection, permit)) => (Some(connection), Some(permit)),
             None => (None, self.pool.acquire(C::SOCKETS, &attempt.memory)),
@@ -217,12 +229,11 @@
             // There is no free descriptor or memory: the attempt was never sent, which says nothing about the
             // node.
             let response = LinkResponse::closed(AttemptEnd::NotSent);
-            let attempt = Box::new(attempt);
             return self.in_flight.push(Box::pin(async move { Finished::Attempt(attempt, response, None) }));
         }
         let is_new = idle_connection.is_none();
         let calling = self.link.call(LinkRequest {
-            attempt: attempt.clone(),
+            attempt: attempt.as_ref().clone(),
             idle_connection,
             dial_deadline: Instant::now() + self.pool.limits().connect_timeout,
         });
@@ -232,7 +243,7 @@
                 tokio::task::yield_now().await;
             }
             let Ok(response) = calling.await;
-            Finished::Attempt(Box::new(attempt), response, permit)
+            Finished::Attempt(attempt, response, permit)
         }));
     }
 
