Admin interface: a call without the end of its line is not carried out

Cause: read_request_line returned whatever had arrived as a line once the caller closed its side, or once it had sent more than 512 bytes.

Rejected calls are logged with their reason now (debug level).

Change: only a line with its end is a call; else the answer is "ERR line without an end" or "ERR line too long".

--- a/crates/scheduler/tests/net/admin_interface.rs
+++ b/crates/scheduler/tests/net/admin_interface.rs
@@ -61,6 +61,57 @@
     assert_eq!(run_command(address, "STATUS\r\n").await, "OK\n");
 }
 
+/// Guards against carrying out a call that arrived without the end of its line once its caller goes: the node
+/// is used, or the scheduler accepts clients, although an operator has stopped that meanwhile.
+#[rstest]
+#[case::restore("SUSPEND s0\n", "RESTORE s0", 503)]
+#[case::suspend("RESTORE s0\n", "SUSPEND s0", 200)]
+#[case::resume("PAUSE\n", "RESUME", 503)]
+#[case::pause("RESUME\n", "PAUSE", 200)]
+#[tokio::test]
+async fn a_call_without_the_end_of_its_line_is_not_carried_out(
+    #[case] complete: &str,
+    #[case] incomplete: &str,
+    #[case] expected_status: u16,
+    #[values(false, true)] reads_the_answer: bool,
+) {
+    let log = Log::default();
+    let node = http_node(0, &[NodeBehavior::Serve], &log).await;
+    let (rig, address) = rig_with_admin(&[member("s0", node, 0, "in_service", 0)], 4).await;
+    rig.until(|counters| counters.endpoint_updates == 1).await;
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(incomplete.as_bytes()).await.unwrap();
+    assert_eq!(run_command(address, complete).await, "OK\n");
+    if reads_the_answer {
+        caller.shutdown().await.unwrap();
+        let mut answer = String::new();
+        timeout(TEST_TIMEOUT, caller.read_to_string(&mut answer)).await.expect("an answer").unwrap();
+        assert_eq!(answer, "ERR line without an end\n");
+    } else {
+        drop(caller);
+        // The interface has read the end of that connection once it has answered on a later one.
+        assert_eq!(run_command(address, "STATUS\n").await, "OK\n");
+    }
+    let status = match incomplete {
+        "PAUSE" | "RESUME" => rig.ask(HEALTH_CHECK).await.0,
+        _ => status_of_read(&rig, 1).await,
+    };
+    assert_eq!(status, expected_status);
+}
+
+/// Guards against a call that is cut off at the maximum length and carried out.
+#[tokio::test]
+async fn a_call_that_is_too_long_is_not_carried_out() {
+    let (_, unused_address) = unused_address();
+    let (rig, address) = rig_with_admin(&[member("s0", unused_address, 0, "in_service", 0)], 4).await;
+    rig.until(|counters| counters.endpoint_updates == 1).await;
+    let padded = format!("PAUSE{}", " ".repeat(600));
+    for line in [padded.clone(), format!("{padded}\n")] {
+        assert_eq!(run_command(address, &line).await, "ERR line too long\n");
+    }
+    assert_eq!(rig.ask(HEALTH_CHECK).await.0, 200);
+}
+
 /// The metrics count final answers by class and kind, the attempts, and the nodes.
 #[tokio::test]
 async fn the_metrics_count_answers_and_attempts() {
--- a/crates/transport/src/admin/codec.rs
+++ b/crates/transport/src/admin/codec.rs
@@ -43,6 +43,12 @@
     /// Its first word is not the name of a request.
     #[error("unknown call")]
     UnknownRequest,
+    /// The caller closed its side before the end of the line.
+    #[error("line without an end")]
+    Unterminated,
+    /// The line has more than 512 bytes.
+    #[error("line too long")]
+    TooLong,
 }
 
 impl Request {
--- a/crates/transport/src/admin/server.rs
+++ b/crates/transport/src/admin/server.rs
@@ -8,7 +8,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
-use super::codec::{Reply, Request};
+use super::codec::{MalformedRequest, Reply, Request};
 use heathward_core::CoreHandle;
 
 /// The maximum length of a request.
@@ -45,7 +45,14 @@
 
 async fn serve_connection(mut stream: TcpStream, core: CoreHandle) {
     let Ok(Some(line)) = timeout(CALLER_TIMEOUT, read_request_line(&mut stream)).await else { return };
-    let reply = reply_to(&line, &core).await.to_string();
+    let reply = match line.and_then(|line| Request::parse(&line)) {
+        Ok(request) => reply_to(request, &core).await,
+        Err(malformed) => {
+            tracing::debug!("operator's call rejected: {malformed}");
+            Reply::Malformed(malformed)
+        }
+    };
+    let reply = reply.to_string();
     let sending = async {
         stream.write_all(reply.as_bytes()).await?;
         stream.shutdown().await
@@ -55,9 +62,9 @@
 }
 
 /// Reads the line of a request and returns it without its end; `None` if the connection fails or the caller
-/// closes its side without sending anything. A line without an end is returned as it is if the caller closes
-/// its side, or once it exceeds [`MAX_REQUEST_BYTES`]; the parser rejects invalid requests.
-async fn read_request_line(stream: &mut TcpStream) -> Option<Vec<u8>> {
+/// closes its side without sending anything. Only a complete line is a request: what arrived of another one may
+/// be a valid request of a different meaning, and its caller may be gone.
+async fn read_request_line(stream: &mut TcpStream) -> Option<Result<Vec<u8>, MalformedRequest>> {
     let mut line = Vec::with_capacity(TYPICAL_REQUEST_BYTES);
     let mut buffer = [0; MAX_REQUEST_BYTES];
     loop {
@@ -65,19 +72,18 @@
         line.extend_from_slice(&buffer[..read_bytes]);
         if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
             line.truncate(end);
-            return Some(line);
+            return Some(if end > MAX_REQUEST_BYTES { Err(MalformedRequest::TooLong) } else { Ok(line) });
         }
-        if read_bytes == 0 || line.len() > MAX_REQUEST_BYTES {
-            return (!line.is_empty()).then_some(line);
+        if line.len() > MAX_REQUEST_BYTES {
+            return Some(Err(MalformedRequest::TooLong));
+        }
+        if read_bytes == 0 {
+            return (!line.is_empty()).then_some(Err(MalformedRequest::Unterminated));
         }
     }
 }
 
-async fn reply_to(line: &[u8], core: &CoreHandle) -> Reply {
-    let request = match Request::parse(line) {
-        Ok(request) => request,
-        Err(malformed) => return Reply::Malformed(malformed),
-    };
+async fn reply_to(request: Request, core: &CoreHandle) -> Reply {
     match request {
         Request::Status if core.status().ready => Reply::Ok,
         Request::Status => Reply::NotReady,
