Replies: memory for a chunk is taken only when its client can be sent it

Cause: a chunk reserved memory as soon as its node had sent it. The system takes more for a slow reader only when a third of its send buffer is free, some 20 s at this pace, so readers kept all memory for chunks; a chunk that got none for 15 s ended its answer.

Change: the receiver of a body demands a chunk once hyper has written the one before and the system reports space; memory is reserved then. No time limit ends the wait. 128 KB are kept for replies beside what uploads hold, and neither waits behind the other.

--- a/crates/core/src/body.rs
+++ b/crates/core/src/body.rs
@@ -2,10 +2,12 @@
 //! reads.
 
 use std::fmt;
-use std::task::{ready, Context, Poll};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 
 use super::client_request_ids::ClientRequestIdGuard;
 
@@ -25,9 +27,37 @@
     }
 }
 
+/// Whether the receiver of a body waits for a chunk.
+#[derive(Debug, Default)]
+struct Demand {
+    is_raised: AtomicBool,
+    raised: Notify,
+}
+
+impl Demand {
+    fn raise(&self) {
+        if !self.is_raised.swap(true, Ordering::Relaxed) {
+            self.raised.notify_one();
+        }
+    }
+
+    fn clear(&self) {
+        self.is_raised.store(false, Ordering::Relaxed);
+    }
+
+    async fn wait(&self) {
+        while !self.is_raised.load(Ordering::Relaxed) {
+            self.raised.notified().await;
+        }
+    }
+}
+
 /// The sending half of a streamed body. If it is dropped before [`BodySender::finish`], the receiver gets
 /// [`BodyInterrupted`].
-pub struct BodySender(mpsc::Sender<BodyChunk>);
+pub struct BodySender {
+    chunks: mpsc::Sender<BodyChunk>,
+    demand: Arc<Demand>,
+}
 
 /// The receiving half of a streamed body.
 #[derive(Debug)]
@@ -35,6 +65,7 @@
     /// The part that was received before the channel was created; empty once it was taken.
     first_part: Bytes,
     chunks: mpsc::Receiver<BodyChunk>,
+    demand: Arc<Demand>,
     ended: bool,
 }
 
@@ -53,23 +84,31 @@
 /// Creates a channel for one streamed body, of which `first_part` was received already; it may be empty.
 pub fn body_channel(first_part: Bytes) -> (BodySender, BodyStream) {
     let (sender, chunks) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-    (BodySender(sender), BodyStream { first_part, chunks, ended: false })
+    let demand = Arc::<Demand>::default();
+    let sender = BodySender { chunks: sender, demand: Arc::clone(&demand) };
+    (sender, BodyStream { first_part, chunks, demand, ended: false })
 }
 
 impl BodySender {
+    /// Returns once the receiver waits for a chunk. A chunk that is sent then is taken at once, so that its
+    /// memory is not held while the receiver is not ready for it.
+    pub async fn demanded(&self) {
+        self.demand.wait().await;
+    }
+
     /// Sends a chunk once there is capacity. Returns false if the receiver was dropped.
     pub async fn send(&self, data: Bytes) -> bool {
-        self.0.send(BodyChunk::Data(data)).await.is_ok()
+        self.chunks.send(BodyChunk::Data(data)).await.is_ok()
     }
 
     /// Marks the body as complete. Returns false if the receiver was dropped.
     pub async fn finish(self) -> bool {
-        self.0.send(BodyChunk::End).await.is_ok()
+        self.chunks.send(BodyChunk::End).await.is_ok()
     }
 
     /// Returns once the receiver was dropped.
     pub async fn closed(&self) {
-        self.0.closed().await;
+        self.chunks.closed().await;
     }
 }
 
@@ -86,7 +125,11 @@
         if !self.first_part.is_empty() {
             return Poll::Ready(Some(Ok(std::mem::take(&mut self.first_part))));
         }
-        let chunk = ready!(self.chunks.poll_recv(cx));
+        let Poll::Ready(chunk) = self.chunks.poll_recv(cx) else {
+            self.demand.raise();
+            return Poll::Pending;
+        };
+        self.demand.clear();
         self.ended = !matches!(chunk, Some(BodyChunk::Data(_)));
         Poll::Ready(match chunk {
             Some(BodyChunk::Data(data)) => Some(Ok(data)),
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -20,6 +20,9 @@
 const SHARE_DIVISOR: usize = 2;
 /// The part of the limit on bodies that connections to nodes leave to them.
 const GUARANTEED_DIVISOR: usize = 8;
+/// What chunks of replies have for themselves, in bytes. They are passed on to the system at once, so that a
+/// few of them suffice for all clients, while an upload may wait for its node for seconds.
+const DOWNLOAD_BYTES: usize = 128 * 1024;
 
 /// What a reservation is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,6 +134,10 @@
         if holder == MemoryHolder::NodeConnections {
             return connections + bytes + bodies.max(guaranteed) <= self.limits.shared;
         }
+        let downloads = self.held[MemoryHolder::Downloads as usize];
+        if holder == MemoryHolder::Downloads && downloads + bytes <= DOWNLOAD_BYTES.min(guaranteed) {
+            return true;
+        }
         let fits_beside_connections = bodies + bytes <= self.limits.shared.saturating_sub(connections);
         match priority {
             Priority::Required if holder.is_stream() && !fits_beside_connections => {
@@ -159,11 +166,13 @@
 #[derive(Clone, Debug)]
 pub struct MemoryBudget(Arc<Shared>);
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Shared {
     usage: Mutex<MemoryUsage>,
-    /// Reservations for chunks of streamed bodies, and those of all others: neither wait behind the other.
-    streams: WaitQueue,
+    /// Reservations for chunks of replies, for chunks of uploads, and all others: none of them waits behind
+    /// another kind.
+    downloads: WaitQueue,
+    uploads: WaitQueue,
     others: WaitQueue,
 }
 
@@ -178,7 +187,8 @@
 
 impl Shared {
     fn notify_released(&self) {
-        self.streams.released.notify_one();
+        self.downloads.released.notify_one();
+        self.uploads.released.notify_one();
         self.others.released.notify_one();
     }
 }
@@ -193,7 +203,7 @@
     /// Creates a budget with these limits.
     pub fn new(limits: MemoryLimits) -> Self {
         let usage = Mutex::new(MemoryUsage { limits, ..MemoryUsage::default() });
-        Self(Arc::new(Shared { usage, streams: WaitQueue::default(), others: WaitQueue::default() }))
+        Self(Arc::new(Shared { usage, ..Shared::default() }))
     }
 
     /// Sets the limits. What is reserved beyond a lower limit stays reserved, and nothing more is granted
@@ -233,7 +243,11 @@
     /// Reserves `bytes` with [`Priority::Required`], and waits for them if need be, in the order of the
     /// calls.
     pub async fn reserve(&self, holder: MemoryHolder, bytes: usize) -> Reservation {
-        let queue = if holder.is_stream() { &self.0.streams } else { &self.0.others };
+        let queue = match holder {
+            MemoryHolder::Downloads => &self.0.downloads,
+            MemoryHolder::Uploads => &self.0.uploads,
+            _ => &self.0.others,
+        };
         if queue.turn.try_lock().is_ok() {
             if let Some(reservation) = self.try_reserve(holder, bytes, Priority::Required) {
                 return reservation;
--- a/crates/scheduler/tests/memory_limit/main.rs
+++ b/crates/scheduler/tests/memory_limit/main.rs
@@ -9,4 +9,5 @@
 mod large_fleet;
 mod nvme;
 mod nvme_slow_peers;
+mod slow_readers;
 mod upgrade;
--- a/crates/transport/src/http/front.rs
+++ b/crates/transport/src/http/front.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
-use super::body::AnswerBody;
+use super::body::{AnswerBody, AnswerContent};
 use super::connections::{ClientConnection, Framing, Phase};
 use super::request_body::{forward_body, BufferedBody, RequestBody};
 use super::stream::ClientStream;
@@ -55,7 +55,7 @@
         request: Request<Incoming>,
         client: &Arc<ClientConnection>,
         stream: ClientStream,
-    ) -> Response<AnswerBody> {
+    ) -> Response<AnswerContent> {
         let began_at = client.begin_request();
         let framing = client.take_framing();
         if request.uri().path() == "/healthz" && request.method() == Method::GET {
@@ -77,13 +77,13 @@
             Err(status) => self.refuse(status, "body"),
             Ok(BufferedBody::Complete(body)) => self.answer_buffered(&head, body, client).await,
             Ok(BufferedBody::Partial(first_part)) => {
-                self.answer_streamed(&head, first_part, length, request_body, client).await
+                self.answer_streamed(&head, first_part, length, request_body).await
             }
         }
     }
 
     /// Answers a health check: 200 if requests can be served here, else 503 and the reason.
-    fn health(&self) -> Response<AnswerBody> {
+    fn health(&self) -> Response<AnswerContent> {
         let (status, paused) = (self.core.status(), self.core.draining().borrow().paused);
         let reason = match status.expired_lease_last_contact {
             _ if paused => "paused by staff".to_owned(),
@@ -100,10 +100,10 @@
         head: &Parts,
         body: Bytes,
         client: &Arc<ClientConnection>,
-    ) -> Response<AnswerBody> {
+    ) -> Response<AnswerContent> {
         client.set_phase(Phase::Processing);
         match decode(&self.core.deployment(), head, RequestData::Buffered(body), Instant::now()) {
-            Ok(request) => encode(self.call_core(request).await, client),
+            Ok(request) => encode(self.call_core(request).await),
             Err(InvalidRequest(part)) => self.refuse(StatusCode::BAD_REQUEST, part),
         }
     }
@@ -115,8 +115,7 @@
         first_part: Bytes,
         length: Option<u64>,
         request_body: RequestBody,
-        client: &Arc<ClientConnection>,
-    ) -> Response<AnswerBody> {
+    ) -> Response<AnswerContent> {
         let (sender, chunks) = body_channel(first_part);
         let body = RequestData::Streamed(length, chunks);
         let request = match decode(&self.core.deployment(), head, body, Instant::now()) {
@@ -136,7 +135,7 @@
             answer = &mut calling => {
                 // The client may still be sending the body: it gets the answer, and then its connection is
                 // closed.
-                let mut answer = encode(answer, client);
+                let mut answer = encode(answer);
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 return answer;
             }
@@ -146,7 +145,7 @@
                 Ok(()) => calling.await,
             },
         };
-        encode(answer, client)
+        encode(answer)
     }
 
     async fn call_core(mut self, request: ClientRequest) -> Answer {
@@ -159,7 +158,7 @@
 
     /// Rejects a malformed request and closes its connection: what follows it can't be parsed reliably
     /// either.
-    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<AnswerBody> {
+    fn refuse(&self, status: StatusCode, part: &'static str) -> Response<AnswerContent> {
         self.core.count_malformed_request();
         closing_response(status, part)
     }
@@ -174,18 +173,16 @@
 }
 
 /// Builds the last answer on its connection.
-fn closing_response(status: StatusCode, part: &'static str) -> Response<AnswerBody> {
+fn closing_response(status: StatusCode, part: &'static str) -> Response<AnswerContent> {
     let mut response = text_response(status, part);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn encode(answer: Answer, client: &Arc<ClientConnection>) -> Response<AnswerBody> {
+fn encode(answer: Answer) -> Response<AnswerContent> {
     match answer {
         Answer::Served(NodeReply::Buffered(body)) => Response::new(buffered_body(body)),
-        Answer::Served(NodeReply::Streamed(reply)) => {
-            Response::new(AnswerBody::Streamed(reply, client.clone()))
-        }
+        Answer::Served(NodeReply::Streamed(reply)) => Response::new(AnswerContent::Streamed(reply)),
         Answer::Shed { retry_after: delay } => {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
             if let Some(value) = delay.and_then(|micros| format_retry_after(micros).parse().ok()) {
@@ -201,11 +198,11 @@
     }
 }
 
-fn buffered_body(body: Bytes) -> AnswerBody {
-    AnswerBody::Buffered((!body.is_empty()).then_some(body))
+fn buffered_body(body: Bytes) -> AnswerContent {
+    AnswerContent::Buffered((!body.is_empty()).then_some(body))
 }
 
-fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
+fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerContent> {
     let mut response = Response::new(buffered_body(text.into()));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -240,15 +237,15 @@
         let Self { front, client, stream } = self.clone();
         Box::pin(async move {
             let draining = front.core.draining();
-            let mut answer = front.answer(request, &client, stream).await;
+            let mut answer = front.answer(request, &client, stream.clone()).await;
             // The client is to use another connection or scheduler from now on.
             if draining.borrow().closes_connections() || client.closes_after_answer() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let is_streamed = matches!(answer.body(), AnswerBody::Streamed(..));
+            let is_streamed = matches!(answer.body(), AnswerContent::Streamed(_));
             let now = Instant::now();
             client.set_phase(if is_streamed { Phase::StreamingAnswer(now) } else { Phase::Idle(now) });
-            Ok(answer)
+            Ok(answer.map(|content| AnswerBody::new(content, stream)))
         })
     }
 }
--- a/crates/transport/src/http/stream.rs
+++ b/crates/transport/src/http/stream.rs
@@ -3,13 +3,14 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 
 use bytes::{Buf, BytesMut};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::ioctl_fionread;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::connections::ClientConnection;
@@ -46,11 +47,56 @@
     stream: Arc<TcpStream>,
     client: Arc<ClientConnection>,
     read_ahead: Arc<Mutex<ReadAhead>>,
+    /// A chunk of a streamed answer was passed to hyper, which has not written all of it yet.
+    holds_chunk: Arc<AtomicBool>,
 }
 
 impl ClientStream {
     pub(super) fn new(stream: TcpStream, client: Arc<ClientConnection>) -> Self {
-        Self { stream: Arc::new(stream), client, read_ahead: Arc::default() }
+        let (read_ahead, holds_chunk) = (Arc::default(), Arc::default());
+        Self { stream: Arc::new(stream), client, read_ahead, holds_chunk }
+    }
+
+    /// Returns the state of the connection.
+    pub(super) fn client(&self) -> &ClientConnection {
+        &self.client
+    }
+
+    /// Records that a chunk of a streamed answer is passed to hyper.
+    pub(super) fn begin_chunk(&self) {
+        self.holds_chunk.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns ready once the chunk before is written and the system's send buffer has space: the system says
+    /// so when a third of the buffer is free, which is more than a chunk. Also ready if the connection has
+    /// failed.
+    pub(super) fn poll_space(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.holds_chunk.load(Ordering::Relaxed) {
+            // `poll_flush` wakes the task once hyper has written the chunk.
+            return Poll::Pending;
+        }
+        while ready!(self.stream.poll_write_ready(cx)).is_ok() {
+            // The runtime only learns that there is no space from an operation that reports it.
+            let checked = self.stream.try_io(Interest::WRITABLE, || self.check_space());
+            if !checked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+                break;
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// Asks the system whether its send buffer has space.
+    ///
+    /// # Errors
+    /// [`io::ErrorKind::WouldBlock`] if it has none.
+    fn check_space(&self) -> io::Result<()> {
+        let mut descriptors = [PollFd::new(&self.stream, PollFlags::OUT)];
+        // If the system does not tell, the next write shows it.
+        let polled = poll(&mut descriptors, Some(&Timespec::default()));
+        match polled {
+            Ok(0) => Err(io::ErrorKind::WouldBlock.into()),
+            _ => Ok(()),
+        }
     }
 
     fn lock_read_ahead(&self) -> MutexGuard<'_, ReadAhead> {
@@ -173,7 +219,11 @@
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+    /// Called by hyper once it holds nothing that was not written.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.holds_chunk.swap(false, Ordering::Relaxed) {
+            cx.waker().wake_by_ref();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -33,9 +33,6 @@
 /// The most time between two chunks of a reply that is streamed to the client.
 const STREAMED_CHUNK_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The most time that a chunk of a reply waits for memory.
-const MEMORY_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// A reply of a node.
 pub(super) enum Reply {
     /// A complete reply.
@@ -80,6 +77,19 @@
     pub(super) rest: Incoming,
 }
 
+/// Why the rest of a reply is not forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ForwardingError {
+    /// The client has disconnected, or its connection was closed.
+    ClientGone,
+    /// The node sent nothing for [`STREAMED_CHUNK_TIMEOUT`].
+    Late,
+    /// The reply is not valid, or its connection has failed.
+    Broken,
+    /// The reply has more than [`MAX_BODY_BYTES`].
+    TooLong,
+}
+
 /// Why a chunk of a reply was not received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChunkError {
@@ -259,19 +269,42 @@
         let mut chunk = next_chunk;
         loop {
             forwarded_bytes += chunk.len() as u64;
-            if forwarded_bytes > MAX_BODY_BYTES || !send_chunk(&sender, chunk, &memory).await {
-                return None;
-            }
-            let deadline = Instant::now() + STREAMED_CHUNK_TIMEOUT;
-            let Some(frame) = timeout_at(deadline, self.drive(rest.frame())).await.ok()? else { break };
-            // Trailers are ignored.
-            chunk = frame.ok()?.into_data().unwrap_or_default();
+            let forwarded = self.forward_chunk(forwarded_bytes, chunk, &mut rest, &sender, &memory).await;
+            chunk = match forwarded {
+                Ok(Some(next)) => next,
+                Ok(None) => break,
+                Err(cause) => {
+                    tracing::debug!(?cause, bytes = forwarded_bytes, "reply cut off");
+                    return None;
+                }
+            };
         }
         let is_reusable = self.is_reusable().await;
         sender.finish().await;
         is_reusable.then_some(self)
     }
 
+    /// Sends a chunk, up to which the reply has `forwarded_bytes`, to the client, and receives the next one;
+    /// `None` at the end of the reply.
+    async fn forward_chunk(
+        &mut self,
+        forwarded_bytes: u64,
+        chunk: Bytes,
+        rest: &mut Incoming,
+        sender: &BodySender,
+        memory: &MemoryBudget,
+    ) -> Result<Option<Bytes>, ForwardingError> {
+        if forwarded_bytes > MAX_BODY_BYTES {
+            return Err(ForwardingError::TooLong);
+        }
+        send_chunk(sender, chunk, memory).await?;
+        let receiving = timeout_at(Instant::now() + STREAMED_CHUNK_TIMEOUT, self.drive(rest.frame()));
+        let Some(frame) = receiving.await.map_err(|_| ForwardingError::Late)? else { return Ok(None) };
+        let frame = frame.map_err(|_| ForwardingError::Broken)?;
+        // Trailers are ignored.
+        Ok(Some(frame.into_data().unwrap_or_default()))
+    }
+
     /// Whether the connection can carry another request: false if it has ended, or if bytes were received
     /// after the last reply.
     pub(super) async fn is_reusable(&mut self) -> bool {
@@ -279,19 +312,29 @@
     }
 }
 
-/// Sends a chunk of a reply to its client once there is memory for it. Returns false if the receiver was
-/// dropped, or no memory was released for as long as a client may read nothing.
-async fn send_chunk(sender: &BodySender, chunk: Bytes, memory: &MemoryBudget) -> bool {
+/// Sends a chunk of a reply to its client once the client's connection has space for it and there is memory.
+/// Until then the chunk stays in the memory of the connection to the node, so that clients that read slowly
+/// hold none of what others need.
+///
+/// # Errors
+/// [`ForwardingError::ClientGone`] if the receiver was dropped.
+async fn send_chunk(sender: &BodySender, chunk: Bytes, memory: &MemoryBudget) -> Result<(), ForwardingError> {
     if chunk.is_empty() {
-        return true;
+        return Ok(());
     }
-    let reserving = memory.reserve(MemoryHolder::Downloads, READ_BUFFER_BYTES.max(chunk.len()));
+    let reserving = async {
+        sender.demanded().await;
+        memory.reserve(MemoryHolder::Downloads, READ_BUFFER_BYTES.max(chunk.len())).await
+    };
     let reservation = tokio::select! {
-        reservation = timeout_at(Instant::now() + MEMORY_TIMEOUT, reserving) => reservation,
-        () = sender.closed() => return false,
+        biased;
+        () = sender.closed() => return Err(ForwardingError::ClientGone),
+        reservation = reserving => reservation,
     };
-    match reservation {
-        Ok(reservation) => sender.send(reservation.attach(chunk)).await,
-        Err(_) => false,
+    let is_sent = sender.send(reservation.attach(chunk)).await;
+    if is_sent {
+        Ok(())
+    } else {
+        Err(ForwardingError::ClientGone)
     }
 }
