HTTP front: a connection is idle only once the end of its answer was sent

Cause: a connection counted as idle once hyper had the last chunk, or a buffered answer, in its own buffer. The system takes that up to 20 s later; an idle connection ends before, and hyper's buffer with it.

The debug line of a connection that is given up names its phase.

Change: the phases SendingAnswer and FlushingAnswer last until hyper calls poll_flush with an empty buffer. They are not evicted, end only if the system takes nothing for 30 s, and hold up the close at a shutdown.

--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -33,3 +33,4 @@
 mod slow_answers;
 mod slow_uploads;
 mod support;
+mod unread_answers;
--- a/crates/transport/src/http/body.rs
+++ b/crates/transport/src/http/body.rs
@@ -52,7 +52,7 @@
                     stream.client().set_phase(Phase::Processing);
                     return Poll::Pending;
                 };
-                stream.client().set_phase(Phase::StreamingAnswer(Instant::now()));
+                stream.client().set_phase(Phase::SendingAnswer(Instant::now()));
                 if matches!(next, Some(Ok(_))) {
                     stream.begin_chunk();
                 }
@@ -78,9 +78,8 @@
 }
 
 impl Drop for AnswerBody {
+    /// hyper drops the body once it holds the rest of it, which the system may take much later.
     fn drop(&mut self) {
-        if let AnswerContent::Streamed(_) = self.content {
-            self.stream.client().set_phase(Phase::Idle(Instant::now()));
-        }
+        self.stream.client().record_answer_end();
     }
 }
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -194,12 +194,16 @@
         if client.phase() == Phase::ForwardingBody && poll_left(cx, &mut leaving_check, stream).is_ready() {
             return Poll::Ready(ConnectionEvent::ClientDisconnected);
         }
-        let is_processing = matches!(client.phase(), Phase::Processing | Phase::StreamingAnswer(_));
+        let is_flushing = matches!(client.phase(), Phase::FlushingAnswer(_));
+        let is_processing =
+            is_flushing || matches!(client.phase(), Phase::Processing | Phase::SendingAnswer(_));
         if is_processing && stream.poll_disconnected(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::ClientDisconnected);
         }
         // A connection on which nothing was received yet is not closed: its first request may be on its way.
-        let can_stop = !retention.last_request && !matches!(client.phase(), Phase::Connected(_));
+        // Nor is one that holds the end of an answer: hyper would drop it.
+        let is_new = matches!(client.phase(), Phase::Connected(_));
+        let can_stop = !retention.last_request && !is_new && !is_flushing;
         if can_stop && stop_requested.as_mut().poll(cx).is_ready() {
             return Poll::Ready(ConnectionEvent::ShuttingDown);
         }
--- a/crates/transport/src/http/connections.rs
+++ b/crates/transport/src/http/connections.rs
@@ -28,7 +28,7 @@
 const SLOW_REQUEST_RANK: u8 = 3;
 /// Rank of a connection that has been idle for less than [`CROWDED_IDLE_TIMEOUT`].
 const RECENTLY_IDLE_RANK: u8 = 4;
-/// A client that reads nothing of a streamed answer for this long is taken as disconnected.
+/// A client for which the system takes nothing of an answer for this long is taken as disconnected.
 const STALLED_CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
 /// The time that a client has to read the last answer on its connection and to close it.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,8 +58,10 @@
     Processing,
     /// A chunk of a streamed body waits for the node to accept it.
     ForwardingBody,
-    /// A streamed answer is being sent; the client last read some of it at that time.
-    StreamingAnswer(Instant),
+    /// An answer is being sent; the client last read some of it at that time.
+    SendingAnswer(Instant),
+    /// An answer is complete, and the system has not taken all of it; the client last read some at that time.
+    FlushingAnswer(Instant),
     /// Between requests.
     Idle(Instant),
     /// The last answer was written; the client has time to read it.
@@ -75,7 +77,7 @@
             // `RequestBody` enforces the deadline and answers; this is only a fallback.
             Self::ReceivingBody { deadline, .. } => Some(deadline + LINGER_TIMEOUT),
             Self::Processing | Self::ForwardingBody => None,
-            Self::StreamingAnswer(since) => Some(since + STALLED_CLIENT_TIMEOUT),
+            Self::SendingAnswer(since) | Self::FlushingAnswer(since) => Some(since + STALLED_CLIENT_TIMEOUT),
             Self::Idle(since) => Some(since + CROWDED_IDLE_TIMEOUT),
             Self::Lingering(since) => Some(since + LINGER_TIMEOUT),
         }
@@ -108,7 +110,9 @@
             // Evicted when many clients send one request and stay connected: a new client whose connection is
             // closed has failed, while the client of an idle connection can use another one.
             Self::Idle(since) => (RECENTLY_IDLE_RANK, since, MIN_EVICTION_AGE),
-            Self::Processing | Self::ForwardingBody | Self::StreamingAnswer(_) => return None,
+            Self::Processing | Self::ForwardingBody | Self::SendingAnswer(_) | Self::FlushingAnswer(_) => {
+                return None
+            }
         };
         (time_since(since) >= min_age).then_some((rank, since))
     }
@@ -194,6 +198,27 @@
         *lock(&self.phase) = phase;
     }
 
+    /// Records that the system has taken some of an answer.
+    pub fn record_sent(&self) {
+        if let Phase::SendingAnswer(since) | Phase::FlushingAnswer(since) = &mut *lock(&self.phase) {
+            *since = Instant::now();
+        }
+    }
+
+    /// Records that all data of an answer was passed to hyper.
+    pub fn record_answer_end(&self) {
+        *lock(&self.phase) = Phase::FlushingAnswer(Instant::now());
+    }
+
+    /// Records that the system has taken all that was passed to hyper. If that was the end of an answer, the
+    /// connection is idle from now on.
+    pub fn record_flushed(&self) {
+        let mut phase = lock(&self.phase);
+        if matches!(*phase, Phase::FlushingAnswer(_)) {
+            *phase = Phase::Idle(Instant::now());
+        }
+    }
+
     /// Makes the current request the last one on this connection.
     pub fn close_after_answer(&self) {
         self.closes_after_answer.store(true, Ordering::Relaxed);
@@ -234,7 +259,8 @@
             | Phase::ReceivingBody { .. }
             | Phase::Processing
             | Phase::ForwardingBody
-            | Phase::StreamingAnswer(_)
+            | Phase::SendingAnswer(_)
+            | Phase::FlushingAnswer(_)
             | Phase::Lingering(_) => {}
         }
     }
--- a/crates/transport/src/http/front.rs
+++ b/crates/transport/src/http/front.rs
@@ -242,9 +242,7 @@
             if draining.borrow().closes_connections() || client.closes_after_answer() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let is_streamed = matches!(answer.body(), AnswerContent::Streamed(_));
-            let now = Instant::now();
-            client.set_phase(if is_streamed { Phase::StreamingAnswer(now) } else { Phase::Idle(now) });
+            client.set_phase(Phase::SendingAnswer(Instant::now()));
             Ok(answer.map(|content| AnswerBody::new(content, stream)))
         })
     }
--- a/crates/transport/src/http/stream.rs
+++ b/crates/transport/src/http/stream.rs
@@ -195,7 +195,10 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    self.client.record_sent();
+                    return Poll::Ready(result);
+                }
             }
         }
     }
@@ -209,7 +212,10 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write_vectored(bufs) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    self.client.record_sent();
+                    return Poll::Ready(result);
+                }
             }
         }
     }
@@ -224,6 +230,7 @@
         if self.holds_chunk.swap(false, Ordering::Relaxed) {
             cx.waker().wake_by_ref();
         }
+        self.client.record_flushed();
         Poll::Ready(Ok(()))
     }
 
