--- a/crates/core/src/actor/endpoint_updates.rs
+++ b/crates/core/src/actor/endpoint_updates.rs
@@ -74,8 +74,8 @@
         self.nodes.forget_expired(now);
     }
 
-    /// Merges an endpoint into the table of nodes, and stops serving the connections to its old
-    /// address. Returns the entry for the policy; `None` if newer information about the node is already known.
+    /// Merges an endpoint into the table of nodes, and stops serving the connections to its old address.
+    /// Returns the entry for the policy; `None` if newer information about the node is already known.
     fn merge_endpoint(
         &mut self,
         mut endpoint: Endpoint,
--- a/crates/core/src/actor/node_connections.rs
+++ b/crates/core/src/actor/node_connections.rs
@@ -6,8 +6,8 @@
 use crate::{Attempt, Endpoint};
 
 /// Starts tasks that serve the connections of nodes. The tasks belong to `connect_node`; the actor neither
-/// aborts nor joins them. Each ends once the channel for its attempts is closed and its attempts have ended; it
-/// closes the channel itself when it is not needed any more.
+/// aborts nor joins them. Each ends once the channel for its attempts is closed and its attempts have ended;
+/// it closes the channel itself when it is not needed any more.
 pub(super) struct NodeConnections {
     connect_node: NodeConnector,
     /// The channel to which the ends of attempts are reported. It is weak, so that the actor does not keep
--- a/crates/core/src/actor/nodes.rs
+++ b/crates/core/src/actor/nodes.rs
@@ -61,8 +61,8 @@
 }
 
 impl Node {
-    /// Returns the channel for the node's attempts; `None` if the node is not in the endpoint list, or no task
-    /// serves its connections.
+    /// Returns the channel for the node's attempts; `None` if the node is not in the endpoint list, or no
+    /// task serves its connections.
     pub(super) fn attempt_sender(&self) -> Option<&mpsc::Sender<Box<Attempt>>> {
         match &self.listing {
             Listing::Listed(sender) => sender.as_ref().filter(|sender| !sender.is_closed()),
@@ -227,8 +227,8 @@
         }
     }
 
-    /// Records the channel for the attempts of a node in the endpoint list. Also drops channels of other nodes
-    /// whose tasks have ended.
+    /// Records the channel for the attempts of a node in the endpoint list. Also drops channels of other
+    /// nodes whose tasks have ended.
     pub(super) fn set_attempt_sender(&mut self, id: NodeId, attempts: mpsc::Sender<Box<Attempt>>) {
         let Some(node) = self.by_id.get_mut(&id).filter(|node| node.is_listed()) else { return };
         node.listing = Listing::Listed(Some(attempts));
--- a/crates/scheduler/tests/memory_limit/slow_readers.rs
+++ b/crates/scheduler/tests/memory_limit/slow_readers.rs
@@ -5,7 +5,9 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
+use heathward_core::OperatorCommand;
 use heathward_fakes::*;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -14,6 +16,7 @@
 use crate::crowd::MAX_SOCKETS;
 use crate::fixture::*;
 use crate::http::shard;
+use crate::upgrade::joint_memory_kb;
 
 /// Clients that read slowly: as many as the debug build has memory for.
 const READERS: usize = 240;
@@ -34,6 +37,8 @@
 /// The time between two of those clients, and how many there are.
 const OTHER_INTERVAL: Duration = Duration::from_millis(500);
 const OTHERS: usize = 40;
+/// When something happens beside the readers: all of them have begun.
+const OPERATION_DELAY: Duration = Duration::from_secs(4);
 /// An answer may not be held back for longer.
 const MAX_HELD_BACK: Duration = Duration::from_secs(2);
 
@@ -90,28 +95,82 @@
     began_at.elapsed()
 }
 
-/// Guards against slow readers that hold all memory for chunks while the system takes no more for them: their
-/// answers and those of clients that read at once were cut off after 15 s.
-#[tokio::test]
-async fn slow_readers_get_their_answers_and_hold_up_no_others() {
-    let _turn = turn().await;
-    let (instance, program) = start_with_sockets(serve_long_answers, MAX_SOCKETS).await;
-    let (listen, mut readers) = (instance.listen, JoinSet::new());
+/// Starts the clients that read slowly.
+fn start_readers(listen: SocketAddr) -> JoinSet<Result<(), String>> {
+    let mut readers = JoinSet::new();
     for call in 0..READERS {
         readers.spawn(async move {
             sleep(ARRIVAL_INTERVAL * call as u32).await;
             read_slowly(listen, call).await
         });
     }
+    readers
+}
+
+/// Asserts that no client that reads slowly has lost its answer.
+async fn assert_all_read(readers: JoinSet<Result<(), String>>) {
+    let failures: Vec<_> = readers.join_all().await.into_iter().filter_map(Result::err).collect();
+    assert!(failures.is_empty(), "{} of {READERS}: {:?}", failures.len(), failures.first());
+}
+
+/// Guards against slow readers that hold all memory for chunks while the system takes no more for them: their
+/// answers and those of clients that read at once were cut off after 15 s.
+#[tokio::test]
+async fn slow_readers_get_their_answers_and_hold_up_no_others() {
+    let _turn = turn().await;
+    let (instance, program) = start_with_sockets(serve_long_answers, MAX_SOCKETS).await;
+    let (listen, readers) = (instance.listen, start_readers(instance.listen));
     let mut slowest = Duration::ZERO;
     for other in 0..OTHERS {
         sleep(OTHER_INTERVAL).await;
         slowest = slowest.max(read_at_once(listen, READERS + other).await);
     }
-    let ended = readers.join_all().await;
+    assert_all_read(readers).await;
     assert_within_limit(&program).await;
-    let failures: Vec<_> = ended.into_iter().filter_map(Result::err).collect();
-    assert!(failures.is_empty(), "{} of {READERS}: {:?}", failures.len(), failures.first());
     println!("{slowest:?} at most for an answer that is read at once");
     assert!(slowest <= MAX_HELD_BACK, "{slowest:?}");
 }
+
+/// What happens beside slow readers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Operation {
+    /// The configuration is read again, and an operator drains the clients.
+    ReloadAndPause,
+    /// Another process takes over, and both share the limit.
+    Upgrade,
+}
+
+/// Guards against slow readers that lose their answers, or memory beyond the limit, when the limits on memory
+/// are divided anew or clients are drained.
+#[rstest]
+#[tokio::test]
+async fn slow_readers_get_their_answers_beside(
+    #[values(Operation::ReloadAndPause, Operation::Upgrade)] operation: Operation,
+) {
+    let _turn = turn().await;
+    let (instance, mut program) = start_with_sockets(serve_long_answers, MAX_SOCKETS).await;
+    let readers = start_readers(instance.listen);
+    sleep(OPERATION_DELAY).await;
+    let mut new = None;
+    match operation {
+        Operation::ReloadAndPause => {
+            program.signal("-HUP");
+            program.until("configuration reloaded");
+            program.command(OperatorCommand::Pause).await;
+        }
+        Operation::Upgrade => {
+            new = Some(instance.start());
+            program.until("peer process: serving");
+        }
+    }
+    let mut peak_kb = 0;
+    for other in 0..OTHERS {
+        sleep(OTHER_INTERVAL).await;
+        read_at_once(instance.listen, READERS + other).await;
+        peak_kb = peak_kb.max(new.as_ref().map_or(0, |new| joint_memory_kb(&program, new)));
+    }
+    assert_all_read(readers).await;
+    println!("{peak_kb} kB at most in two processes");
+    assert!(peak_kb <= MEMORY_MB * 1024, "over {MEMORY_MB} MB together: {peak_kb} kB");
+    assert_within_limit(&program).await;
+}
--- a/crates/transport/src/admin/server.rs
+++ b/crates/transport/src/admin/server.rs
@@ -62,8 +62,8 @@
 }
 
 /// Reads the line of a request and returns it without its end; `None` if the connection fails or the caller
-/// closes its side without sending anything. Only a complete line is a request: what arrived of another one may
-/// be a valid request of a different meaning, and its caller may be gone.
+/// closes its side without sending anything. Only a complete line is a request: what arrived of another one
+/// may be a valid request of a different meaning, and its caller may be gone.
 async fn read_request_line(stream: &mut TcpStream) -> Option<Result<Vec<u8>, MalformedRequest>> {
     let mut line = Vec::with_capacity(TYPICAL_REQUEST_BYTES);
     let mut buffer = [0; MAX_REQUEST_BYTES];
--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -34,8 +34,8 @@
 /// carries a request.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(2500);
 
-/// The actor of a node ends after this time without an attempt, a reply or a connection: most nodes of a large
-/// fleet are seldom used by one scheduler.
+/// The actor of a node ends after this time without an attempt, a reply or a connection: most nodes of a
+/// large fleet are seldom used by one scheduler.
 const UNUSED_ACTOR_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How long a connection pauses after an answer before it carries another attempt. A node may send a second
@@ -145,8 +145,8 @@
 }
 
 /// Starts the actor of a node and returns its mailbox, which is closed once the node has not been used for
-/// [`UNUSED_ACTOR_TIMEOUT`]; attempts that are in it by then are still carried out. The link is a tower service that carries out one
-/// attempt on one connection.
+/// [`UNUSED_ACTOR_TIMEOUT`]; attempts that are in it by then are still carried out. The link is a tower
+/// service that carries out one attempt on one connection.
 pub fn spawn<L, C>(
     link: L,
     pool: ConnectionPool,
