--- a/crates/scheduler/tests/net/unread_answers.rs
+++ b/crates/scheduler/tests/net/unread_answers.rs
@@ -1,6 +1,9 @@
 //! Answers whose clients read slowly, when something would end an idle connection.
 
 use std::net::SocketAddr;
+use std::process::Command;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 
 use heathward_core::OperatorCommand;
 use heathward_transport::http::{self, ConnectionTable, Front};
@@ -12,6 +15,8 @@
 
 use heathward_fakes::*;
 
+use crate::support::write_config;
+
 /// The size that is set for the buffers of the system, which is the least that it grants.
 const SYSTEM_BUFFER_BYTES: u32 = 4096;
 /// The client pauses when this much of the answer is left: more than the system buffers, and less than the
@@ -115,3 +120,49 @@
     }
     assert!(received.starts_with(b"HTTP/1.1 200") && received[end..].iter().all(|byte| *byte == b'x'));
 }
+
+/// How much of a long answer a node may have sent while its client reads nothing, in bytes: what the system
+/// buffers on both sides.
+const MAX_BUFFERED_BYTES: usize = 1_500_000;
+/// Nothing more is sent if this time passes without a change.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+
+/// Guards against a reply that is not read from its node for 20 s at a time, and then may count as late: the
+/// system buffered megabytes for its client, and reported space once a third of them was read.
+#[tokio::test]
+async fn the_system_buffers_little_of_an_answer_that_is_not_read() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(SYSTEM_BUFFER_BYTES).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(16).unwrap();
+    let address = listener.local_addr().unwrap();
+    let sent = Arc::<AtomicUsize>::default();
+    let counter = sent.clone();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_message(&mut stream).await.unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 16000000\r\n\r\n").await.unwrap();
+        while let Ok(size) = stream.write(&[b'x'; 4096]).await {
+            counter.fetch_add(size, Ordering::Relaxed);
+        }
+    });
+    let members = member("s0", address, 0, "in_service", 0);
+    let config = write_config("unread-answer", &config_text("127.0.0.1:0", "127.0.0.1:1", &members));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
+    command.env("GW_CONFIG", config);
+    let program = Program::start(command);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SYSTEM_BUFFER_BYTES).unwrap();
+    let mut client = socket.connect(program.listen).await.unwrap();
+    client.write_all(request("consulta", 1, 0, 1000, "").as_bytes()).await.unwrap();
+    let mut before = 0;
+    let buffered = loop {
+        sleep(SETTLING_TIME).await;
+        match sent.load(Ordering::Relaxed) {
+            bytes if bytes == before && bytes > 0 => break bytes,
+            bytes => before = bytes,
+        }
+    };
+    println!("{buffered} bytes");
+    assert!(buffered <= MAX_BUFFERED_BYTES, "{buffered} bytes");
+}
