Send buffers: only those of HTTP clients are limited

Need: the fault that the limit mends is one of streamed replies, and NVMe hosts get 64 kB at most with a command. A smaller buffer there would only hold up other commands of a queue.

Change: the limit is set when the HTTP front begins to accept, not on all listening sockets.

--- a/crates/scheduler/src/fronts.rs
+++ b/crates/scheduler/src/fronts.rs
@@ -86,6 +86,7 @@
     /// Returns the operating system's error if no descriptors are left; the previous tasks then keep running.
     pub fn accept(&mut self, max_nvme_connections: usize) -> io::Result<()> {
         let mut accept_tasks = JoinSet::new();
+        sockets::limit_send_buffers(&self.http_socket);
         let listener = sockets::listener(&self.http_socket)?;
         let front = Front::new(self.core.clone());
         accept_tasks.spawn(http::serve(listener, front, self.connections.clone(), self.closing.subscribe()));
--- a/crates/scheduler/src/sockets.rs
+++ b/crates/scheduler/src/sockets.rs
@@ -42,13 +42,17 @@
     }
 }
 
+/// Limits the send buffer of the connections that a listening socket accepts to [`SEND_BUFFER_BYTES`].
+pub fn limit_send_buffers(socket: &OwnedFd) {
+    // If the system does not limit the buffer, long replies are read from their nodes in larger bursts.
+    let _ = set_socket_send_buffer_size(socket, SEND_BUFFER_BYTES);
+}
+
 /// Returns a listener on a duplicate of the socket; the socket itself stays open when the listener is
-/// dropped. The connections that it accepts have a send buffer of [`SEND_BUFFER_BYTES`].
+/// dropped.
 ///
 /// # Errors
 /// Returns the operating system's error if no descriptors are left.
 pub fn listener(socket: &OwnedFd) -> io::Result<TcpListener> {
-    // If the system does not limit the buffer, long replies are read from their nodes in larger bursts.
-    let _ = set_socket_send_buffer_size(socket, SEND_BUFFER_BYTES);
     TcpListener::from_std(socket.try_clone()?.into())
 }
