Nodes: the page of spawn names its time and no private item

Need: the documentation did not build, a link to a private constant.

Change: the time itself, 0.1 s.

Result: the documentation builds without warnings.

--- a/crates/transport/src/node/mod.rs
+++ b/crates/transport/src/node/mod.rs
@@ -144,8 +144,8 @@
     }
 }
 
-/// Starts the actor of a node and returns its mailbox, which is closed once the node has not been used for
-/// [`UNUSED_ACTOR_TIMEOUT`]; attempts that are in it by then are still carried out. The link is a tower
+/// Starts the actor of a node and returns its mailbox, which is closed once the node was not used for 0.1 s;
+/// attempts that are in it by then are still carried out. The link is a tower
 /// service that carries out one attempt on one connection.
 pub fn spawn<L, C>(
     link: L,
