Memory tests: uploads leave an eighth of the limit to replies

Cause: copies_leave_half_of_the_limit_to_streams_and_do_not_hold_them_up expected that a reply gets nothing once uploads hold all that is left to streams.

Change: the test asserts as much as before: a further byte of an upload is refused beside the 50 that uploads hold, replies get 12 (an eighth of the limit of 100), and not one more.

--- a/crates/core/src/memory/tests.rs
+++ b/crates/core/src/memory/tests.rs
@@ -112,10 +112,13 @@
     let mut command = Box::pin(budget.reserve(MemoryHolder::NvmeCommands, 10));
     assert!(command.as_mut().now_or_never().is_none());
     let chunk = budget.reserve(MemoryHolder::Uploads, 50).now_or_never().expect("half is for streams");
+    assert!(budget.reserve(MemoryHolder::Uploads, 1).now_or_never().is_none());
+    // Uploads that wait for their nodes leave an eighth of the limit to replies, and no more.
+    let reply = budget.reserve(MemoryHolder::Downloads, 12).now_or_never().expect("12 are for replies");
     assert!(budget.reserve(MemoryHolder::Downloads, 1).now_or_never().is_none());
     drop(copies);
     timeout(Duration::from_secs(1), command).await.expect("memory was released");
-    drop(chunk);
+    drop((chunk, reply));
 }
 
 #[tokio::test]
