Nodes: the log line of a reply that is cut off tells why its node was silent

Need: "reply cut off cause=Late" says that nothing came for 10 s. It does not tell a node that has stopped from one whose system waits to retransmit what was dropped here, or from a lost window update.

Change: a connection to a node records since when all that had arrived was read, and for how long before that there were unread bytes (ReadClock). The line has both as silence and backlog, and the system's count of segments that it dropped at their receiver (TCPRcvQDrop). No decision changes.

Tests of the crate: 48 of 48 pass.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod admin;
 pub mod backoff;
 pub mod discovery;
+mod dropped_segments;
 pub mod handover;
 pub mod http;
 pub mod node;
 pub mod nvme;
+mod read_clock;
 
 /// Memory that a connection of a client needs for its buffers and its task, in bytes.
 pub const CLIENT_CONNECTION_BYTES: usize = 24 * 1024;
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -20,7 +20,9 @@
 use super::super::{outlasts_attempt, Connection, Flag, TrackedStream, WriteProgress};
 use super::body::OutgoingBody;
 use super::reply_pace::{ReplyDeadlines, ReplyPace};
+use crate::dropped_segments::dropped_segments;
 use crate::http::{headers, MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::read_clock::ReadClock;
 use crate::READ_BUFFER_BYTES;
 use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation, ReservedBuffer};
 use heathward_core::{Attempt, BodySender, MAX_BUFFERED_BODY_BYTES};
@@ -102,6 +104,7 @@
     sender: http1::SendRequest<OutgoingBody>,
     driver: Pin<Box<Driver>>,
     pub(super) written: Arc<WriteProgress>,
+    read_clock: Arc<ReadClock>,
     /// Set while a reply is received that may outlast its attempt.
     pub(super) receiving_long_reply: Flag,
     ended: bool,
@@ -125,12 +128,15 @@
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Arc::new(WriteProgress::default());
-        let io = TokioIo::new(TrackedStream::new(stream, written.clone()));
+        let stream = TrackedStream::new(stream, written.clone());
+        let read_clock = stream.read_clock();
+        let io = TokioIo::new(stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) = builder.handshake(io).await.ok()?;
         let receiving_long_reply = Flag::default();
-        Some(Self { sender, driver: Box::pin(driver), written, receiving_long_reply, ended: false })
+        let driver = Box::pin(driver);
+        Some(Self { sender, driver, written, read_clock, receiving_long_reply, ended: false })
     }
 
     /// Drives the connection until `operation` on it is done.
@@ -274,7 +280,7 @@
                 Ok(Some(next)) => next,
                 Ok(None) => break,
                 Err(cause) => {
-                    tracing::debug!(?cause, bytes = forwarded_bytes, "reply cut off");
+                    self.log_cut_off(cause, forwarded_bytes);
                     return None;
                 }
             };
@@ -297,6 +303,7 @@
         if forwarded_bytes > MAX_BODY_BYTES {
             return Err(ForwardingError::TooLong);
         }
+        self.read_clock.record_filled();
         send_chunk(sender, chunk, memory).await?;
         let receiving = timeout_at(Instant::now() + STREAMED_CHUNK_TIMEOUT, self.drive(rest.frame()));
         let Some(frame) = receiving.await.map_err(|_| ForwardingError::Late)? else { return Ok(None) };
@@ -305,6 +312,20 @@
         Ok(Some(frame.into_data().unwrap_or_default()))
     }
 
+    /// Logs why the rest of a reply is not forwarded. A node that has stopped is told from one whose system
+    /// waits to retransmit by the backlog before its silence and by the segments that were dropped here.
+    fn log_cut_off(&self, cause: ForwardingError, forwarded_bytes: u64) {
+        let silence = self.read_clock.silence();
+        tracing::debug!(
+            ?cause,
+            bytes = forwarded_bytes,
+            silence = ?silence.map(|silence| silence.since.elapsed()),
+            backlog = ?silence.map(|silence| silence.backlog),
+            dropped_segments = dropped_segments(),
+            "reply cut off"
+        );
+    }
+
     /// Whether the connection can carry another request: false if it has ended, or if bytes were received
     /// after the last reply.
     pub(super) async fn is_reusable(&mut self) -> bool {
--- a/crates/transport/src/node/tracked_stream.rs
+++ b/crates/transport/src/node/tracked_stream.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::read_clock::ReadClock;
 use crate::READ_LIMIT_BYTES;
 use heathward_core::Attempt;
 
@@ -168,17 +169,23 @@
     unread.is_err_and(|error| error == rustix::io::Errno::AGAIN)
 }
 
-/// A TCP stream that records its writes in a [`WriteProgress`].
+/// A TCP stream that records its writes in a [`WriteProgress`] and its reads in a [`ReadClock`].
 #[derive(Debug)]
 pub struct TrackedStream {
     stream: TcpStream,
     written: Arc<WriteProgress>,
+    read_clock: Arc<ReadClock>,
 }
 
 impl TrackedStream {
     /// Wraps `stream`; the bytes that it accepts are recorded in `written`.
     pub fn new(stream: TcpStream, written: Arc<WriteProgress>) -> Self {
-        Self { stream, written }
+        Self { stream, written, read_clock: Arc::default() }
+    }
+
+    /// Returns the clock that records the reads.
+    pub(super) fn read_clock(&self) -> Arc<ReadClock> {
+        Arc::clone(&self.read_clock)
     }
 }
 
@@ -186,7 +193,11 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let limit = buf.remaining().min(READ_LIMIT_BYTES);
         let read = loop {
-            ready!(self.stream.poll_read_ready(cx))?;
+            let Poll::Ready(ready) = self.stream.poll_read_ready(cx) else {
+                self.read_clock.record_empty();
+                return Poll::Pending;
+            };
+            ready?;
             match self.stream.try_read(buf.initialize_unfilled_to(limit)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => break result,
@@ -195,6 +206,7 @@
         if !matches!(read, Ok(1..)) {
             self.written.broken.store(true, Ordering::Relaxed);
         }
+        self.read_clock.record_filled();
         buf.advance(*read.as_ref().unwrap_or(&0));
         Poll::Ready(read.map(|_| ()))
     }
