Connections: the system's receive buffer is limited to 192 KB, which it doubles

Cause: the system sizes a receive buffer by what was read at first. The connection to a node of such a reply had 1.6 MB unread, which is read in 25 s and more at this pace. Above its mark of pressure (tcp_mem) the system drops what arrives for a connection with more than its share; the node's system retransmits at doubling intervals, and its next try came later than the 10 s after which a node counts as late.

Change: connections to nodes, HTTP and NVMe, and to discovery are opened with a limited receive buffer, and the listening sockets of both fronts hand the limit on to what they accept: uploads wait for their nodes in the same buffer. The limits of both directions are in one place (socket_buffers). The admin interface reads 512 bytes of a caller, so its buffer never grows; it stays. rustix is a dependency of the scheduler's tests only, as before.

--- a/crates/scheduler/src/fronts.rs
+++ b/crates/scheduler/src/fronts.rs
@@ -9,6 +9,7 @@
 use heathward_core::CoreHandle;
 use heathward_transport::http::{self, ConnectionTable, Front};
 use heathward_transport::nvme::{self, Subsystem};
+use heathward_transport::socket_buffers::{limit_receive_buffers, limit_send_buffers};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -86,11 +87,13 @@
     /// Returns the operating system's error if no descriptors are left; the previous tasks then keep running.
     pub fn accept(&mut self, max_nvme_connections: usize) -> io::Result<()> {
         let mut accept_tasks = JoinSet::new();
-        sockets::limit_send_buffers(&self.http_socket);
+        limit_send_buffers(&self.http_socket);
+        limit_receive_buffers(&self.http_socket);
         let listener = sockets::listener(&self.http_socket)?;
         let front = Front::new(self.core.clone());
         accept_tasks.spawn(http::serve(listener, front, self.connections.clone(), self.closing.subscribe()));
         if let Some(NvmeFront { socket, subsystem }) = &self.nvme {
+            limit_receive_buffers(socket);
             let listener = sockets::listener(socket)?;
             accept_tasks.spawn(nvme::serve(
                 listener,
--- a/crates/scheduler/src/sockets.rs
+++ b/crates/scheduler/src/sockets.rs
@@ -4,16 +4,10 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 
-use rustix::net::sockopt::set_socket_send_buffer_size;
 use tokio::net::{TcpListener, TcpSocket};
 
 /// The maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
-/// The size that is requested for the system's send buffer of a client's connection, in bytes; the system
-/// doubles it for its own data, and reports space once a third of it is free. A client that reads 64 kB a
-/// second frees that within seconds, so that its reply is read from the node without long breaks.
-const SEND_BUFFER_BYTES: usize = 192 * 1024;
-
 /// Opens a listening socket. Another process may listen at the same address, so that a start never fails
 /// because the previous process is still there; the system then divides new connections among both.
 ///
@@ -42,12 +36,6 @@
     }
 }
 
-/// Limits the send buffer of the connections that a listening socket accepts to [`SEND_BUFFER_BYTES`].
-pub fn limit_send_buffers(socket: &OwnedFd) {
-    // If the system does not limit the buffer, long replies are read from their nodes in larger bursts.
-    let _ = set_socket_send_buffer_size(socket, SEND_BUFFER_BYTES);
-}
-
 /// Returns a listener on a duplicate of the socket; the socket itself stays open when the listener is
 /// dropped.
 ///
--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -25,6 +25,7 @@
 mod nvme;
 mod parsers;
 mod process;
+mod receive_buffers;
 mod rejected_requests;
 mod repeated_ids;
 mod request_writer;
--- a/crates/transport/src/discovery/call.rs
+++ b/crates/transport/src/discovery/call.rs
@@ -14,13 +14,13 @@
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::events::{CallProgress, ListRequest, ResponseHead, ResponseStatus};
 use super::stream_splitter::StreamSplitter;
+use crate::socket_buffers::connect;
 
 /// The path of the endpoint list.
 const LIST_PATH: &str = "/v1/servers";
@@ -119,8 +119,7 @@
     request: ListRequest,
     reader_progress: &ReaderProgress,
 ) -> Option<(Incoming, impl Future<Output = ()> + Send + 'static)> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let stream = connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let mut connection = Box::pin(connection);
     let request = Request::get(path_and_query(request)).header(HOST, address.to_string());
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod nvme;
 mod read_clock;
+pub mod socket_buffers;
 
 /// Memory that a connection of a client needs for its buffers and its task, in bytes.
 pub const CLIENT_CONNECTION_BYTES: usize = 24 * 1024;
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -14,7 +14,6 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
 use super::super::{outlasts_attempt, Connection, Flag, TrackedStream, WriteProgress};
@@ -23,6 +22,7 @@
 use crate::dropped_segments::dropped_segments;
 use crate::http::{headers, MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::read_clock::ReadClock;
+use crate::socket_buffers::connect;
 use crate::READ_BUFFER_BYTES;
 use heathward_core::memory::{MemoryBudget, MemoryHolder, Reservation, ReservedBuffer};
 use heathward_core::{Attempt, BodySender, MAX_BUFFERED_BODY_BYTES};
@@ -125,8 +125,7 @@
 
 impl HttpConnection {
     pub(super) async fn open(address: SocketAddr) -> Option<Self> {
-        let stream = TcpStream::connect(address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = connect(address).await.ok()?;
         let written = Arc::new(WriteProgress::default());
         let stream = TrackedStream::new(stream, written.clone());
         let read_clock = stream.read_clock();
--- a/crates/transport/src/nvme/initiator.rs
+++ b/crates/transport/src/nvme/initiator.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::net::TcpStream;
 use tokio::time::{sleep_until, Instant};
 
 use super::command::{BlockRange, Body, Command, Completion, Connect, ConnectData, Sgl, Status};
@@ -14,6 +13,7 @@
 use super::pdu_stream::{PduStream, StreamError};
 use super::received_data::ReceivedData;
 use crate::node::{outlasts_attempt, Connection, Flag};
+use crate::socket_buffers;
 use heathward_core::memory::Reservation;
 use heathward_core::Attempt;
 use heathward_policy::AttemptEnd;
@@ -273,7 +273,7 @@
 
 /// Opens a connection for a queue; returns it with the most data that one PDU to it may carry, in bytes.
 async fn open_queue(address: SocketAddr) -> Result<(PduStream, usize), StreamError> {
-    let mut wire = PduStream::new(TcpStream::connect(address).await?)?;
+    let mut wire = PduStream::new(socket_buffers::connect(address).await?)?;
     wire.send(&[Pdu::IcReq { pfv: 0, hpda: 0, digests: 0, max_r2t: 0 }]).await?;
     match wire.next().await? {
         Pdu::IcResp { pfv: 0, cpda, digests: 0, max_h2c } if cpda <= 31 && max_h2c >= 4096 => {
