Nodes: a node that was held back may be silent for as long before its reply is cut off

The limit on receive buffers makes the system drop less; where it is short of memory altogether, or a message is lost on the way, a node's system still has to retransmit.

Cause: a streamed reply was given up after 10 s without a byte, also when its node could not send for long before, as its client was slow. The system of such a node tries again at intervals that double, so that its next try may be as long after the last as that was after the first. The 10 s counted against the node what the scheduler and the system did.

Change: a node is late after 10 s and, in addition, the time for which there always were unread bytes before its silence, at most 120 s, the longest interval between two tries. A node that was not held back is given up after 10 s as before.

--- a/crates/scheduler/tests/net/main.rs
+++ b/crates/scheduler/tests/net/main.rs
@@ -15,6 +15,7 @@
 mod forwarding;
 mod fragmented_requests;
 mod handover;
+mod held_back_peers;
 mod incomplete_transfers;
 mod large_bodies;
 mod large_fleet;
--- a/crates/scheduler/tests/net/receive_buffers.rs
+++ b/crates/scheduler/tests/net/receive_buffers.rs
@@ -1,7 +1,6 @@
 //! How much the system may receive for connections of the scheduler that are read slowly.
 
 use std::net::SocketAddr;
-use std::process::Command;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -10,7 +9,7 @@
 
 use heathward_fakes::*;
 
-use crate::support::write_config;
+use crate::support::start_before;
 
 /// The length of a body, in bytes.
 const BODY_BYTES: usize = 32_000_000;
@@ -32,15 +31,6 @@
     (listener, address)
 }
 
-/// Starts the program before one node.
-fn start_before(node: SocketAddr, name: &str) -> Program {
-    let members = member("s0", node, 0, "in_service", 0);
-    let config = write_config(name, &config_text("127.0.0.1:0", "127.0.0.1:1", &members));
-    let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
-    command.env("GW_CONFIG", config);
-    Program::start(command)
-}
-
 /// Reads this many bytes as fast as they arrive.
 async fn read_bytes(stream: &mut (impl AsyncReadExt + Unpin), bytes: usize) {
     let read = tokio::io::copy(&mut stream.take(bytes as u64), &mut tokio::io::sink()).await.unwrap();
--- a/crates/transport/src/node/http/connection.rs
+++ b/crates/transport/src/node/http/connection.rs
@@ -32,7 +32,8 @@
 
 /// The most time between two chunks of a reply whose body is discarded.
 const DISCARDED_CHUNK_TIMEOUT: Duration = Duration::from_millis(50);
-/// The most time between two chunks of a reply that is streamed to the client.
+/// The most time between two chunks of a reply that is streamed to the client, if its node was not held back
+/// before.
 const STREAMED_CHUNK_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A reply of a node.
@@ -84,7 +85,7 @@
 enum ForwardingError {
     /// The client has disconnected, or its connection was closed.
     ClientGone,
-    /// The node sent nothing for [`STREAMED_CHUNK_TIMEOUT`].
+    /// The node sent nothing for [`STREAMED_CHUNK_TIMEOUT`] and the time for which it was held back.
     Late,
     /// The reply is not valid, or its connection has failed.
     Broken,
@@ -304,8 +305,9 @@
         }
         self.read_clock.record_filled();
         send_chunk(sender, chunk, memory).await?;
-        let receiving = timeout_at(Instant::now() + STREAMED_CHUNK_TIMEOUT, self.drive(rest.frame()));
-        let Some(frame) = receiving.await.map_err(|_| ForwardingError::Late)? else { return Ok(None) };
+        let read_clock = Arc::clone(&self.read_clock);
+        let receiving = read_clock.while_in_time(STREAMED_CHUNK_TIMEOUT, self.drive(rest.frame()));
+        let Some(frame) = receiving.await.ok_or(ForwardingError::Late)? else { return Ok(None) };
         let frame = frame.map_err(|_| ForwardingError::Broken)?;
         // Trailers are ignored.
         Ok(Some(frame.into_data().unwrap_or_default()))
