Uploads: a client that was held back may be silent for as long before it counts as late

What callers saw: an upload whose node had read nothing for some seconds was answered with 408, though its client would have gone on.

Cause: a body is late 2.5 s after its last byte. The time for which a chunk waited for the node was taken off, but not the silence that follows: the client's system could not send meanwhile, and tries again at intervals that double.

Change: the connection of a client has a ReadClock like that of a node. Once all that had arrived is read, the client may be silent for as long as it was held back, in addition to its 2.5 s; the times by which it counts as behind its pace, and by which its connection may be evicted in a crowd, move by as much. A client that was not held back is treated as before.

Result: a_client_that_was_held_back_may_be_silent_for_as_long (the node reads nothing for 5 s, then the client is silent for 6 s) was answered with 408 before, now 200 with all 12,500,000 bytes.

--- a/crates/scheduler/tests/net/held_back_peers.rs
+++ b/crates/scheduler/tests/net/held_back_peers.rs
@@ -29,6 +29,17 @@
 /// The end of a reply or of an answer arrives within this time.
 const END_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// The part of an upload that its client has written before it is silent, in bytes: more than the system
+/// buffers for a node that reads nothing.
+const UPLOAD_PART_BYTES: usize = 12_000_000;
+/// The length of the upload, in bytes.
+const UPLOAD_BYTES: usize = 12_500_000;
+/// How long the node reads nothing of the upload.
+const UPLOAD_HOLD: Duration = Duration::from_secs(5);
+/// How long the client is silent after that: longer than one that was not held back may be, and no longer than
+/// one that was.
+const UPLOAD_SILENCE: Duration = Duration::from_secs(6);
+
 /// Answers one request with a part of a reply, and with the rest of it [`REPLY_SILENCE`] after `resumed`.
 async fn pause_in_reply(listener: TcpListener, resumed: oneshot::Receiver<()>) {
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -93,3 +104,27 @@
     let waited = asked_at.elapsed();
     assert!(waited >= MAX_PAUSE && waited <= MAX_PAUSE + TOLERANCE, "{waited:?}");
 }
+
+/// Guards against an upload that is answered with 408 although its client has not stopped: the client's system
+/// could not send, as the node did not read, and waits as long for its next attempt.
+#[tokio::test]
+async fn a_client_that_was_held_back_may_be_silent_for_as_long() {
+    let (listener, address) = listen().await;
+    let node = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        sleep(UPLOAD_HOLD).await;
+        let (_, _, body) = read_message(&mut stream).await.unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
+        body.len()
+    });
+    let program = start_before(address, "held-back-client");
+    let mut client = TcpStream::connect(program.listen).await.unwrap();
+    let head = request("pedido", 1, 0, 30_000, "");
+    let head = head.replace("Content-Length: 0", &format!("Content-Length: {UPLOAD_BYTES}"));
+    client.write_all(head.as_bytes()).await.unwrap();
+    client.write_all(&vec![b'x'; UPLOAD_PART_BYTES]).await.unwrap();
+    sleep(UPLOAD_SILENCE).await;
+    client.write_all(&vec![b'x'; UPLOAD_BYTES - UPLOAD_PART_BYTES]).await.unwrap();
+    assert_eq!(answer(&mut client).await.0, 200);
+    assert_eq!(node.await.unwrap(), UPLOAD_BYTES);
+}
--- a/crates/transport/src/http/request_body.rs
+++ b/crates/transport/src/http/request_body.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::StatusCode;
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -15,6 +15,7 @@
 use super::stream::ClientStream;
 use super::upload_clock::UploadClock;
 use super::MAX_BODY_BYTES;
+use crate::read_clock::ReadClock;
 use crate::READ_BUFFER_BYTES;
 use heathward_core::memory::{MemoryBudget, MemoryHolder, ReservedBuffer};
 use heathward_core::{AbandonCause, BodySender, Upload, MAX_BUFFERED_BODY_BYTES};
@@ -41,7 +42,8 @@
 /// The body of a request that is being received.
 pub(super) struct RequestBody {
     body: Incoming,
-    /// When the request began, moved later by the time for which chunks waited for the node.
+    /// When the request began, moved later by the time for which chunks waited for the node, and for which
+    /// the client was silent because of that.
     began_at: Instant,
     /// Since when the next chunk is waited for.
     waiting_since: Instant,
@@ -49,6 +51,7 @@
     /// A chunk that was received but is not in the buffered part.
     pending_chunk: Option<Bytes>,
     client: Arc<ClientConnection>,
+    read_clock: Arc<ReadClock>,
     clock: UploadClock,
 }
 
@@ -60,6 +63,7 @@
         client: Arc<ClientConnection>,
         stream: ClientStream,
     ) -> Self {
+        let read_clock = stream.read_clock();
         let clock = UploadClock::new(stream, body.size_hint().exact(), began_at);
         Self {
             body,
@@ -68,6 +72,7 @@
             received_bytes: 0,
             pending_chunk: None,
             client,
+            read_clock,
             clock,
         }
     }
@@ -112,31 +117,43 @@
         self.began_at + Duration::from_millis(self.received_bytes / bytes_per_ms)
     }
 
+    /// Receives the next frame; `None` if it is late.
+    async fn next_frame(&mut self) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let deadline = self.received_at(MIN_BODY_BYTES_PER_MS).min(self.waiting_since) + REQUEST_TIMEOUT;
+        let behind_since = self.received_at(PACE_BYTES_PER_MS).min(self.waiting_since);
+        let phase = |excused| Phase::ReceivingBody {
+            behind_since: behind_since + excused,
+            deadline: deadline + excused,
+        };
+        self.client.set_phase(phase(Duration::ZERO));
+        let mut frame = self.body.frame();
+        if let Ok(frame) = timeout(READ_TIME, &mut frame).await {
+            return Some(frame);
+        }
+        // Everything that had arrived is read now, so it is known for how long the client was held back.
+        let silent_since = Instant::now();
+        let excused = self.read_clock.excused_silence();
+        self.client.set_phase(phase(excused));
+        let frame = timeout_at(deadline + excused, frame).await.ok();
+        self.clock.record_wait();
+        self.began_at += silent_since.elapsed().min(excused);
+        frame
+    }
+
     /// Receives the next chunk; `None` at the end of the body. Each chunk is due [`REQUEST_TIMEOUT`] after
     /// the one before it, or after a client that sends at the minimum rate from the beginning of the request
-    /// has sent the bytes before it, whichever is earlier.
+    /// has sent the bytes before it, whichever is earlier. A client that was held back before may be silent
+    /// for as long as that in addition.
     ///
     /// # Errors
     /// The status of the answer to a chunk that is late or broken, or a body that is too long.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, StatusCode> {
         loop {
-            let deadline = self.received_at(MIN_BODY_BYTES_PER_MS).min(self.waiting_since) + REQUEST_TIMEOUT;
-            let behind_since = self.received_at(PACE_BYTES_PER_MS).min(self.waiting_since);
-            self.client.set_phase(Phase::ReceivingBody { behind_since, deadline });
-            let mut frame = self.body.frame();
-            let frame = match timeout(READ_TIME, &mut frame).await {
-                Ok(frame) => Ok(frame),
-                Err(_) => {
-                    let frame = timeout_at(deadline, frame).await;
-                    self.clock.record_wait();
-                    frame
-                }
-            };
-            match frame {
-                Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
-                Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
-                Ok(None) => return Ok(None),
-                Ok(Some(Ok(frame))) => {
+            match self.next_frame().await {
+                None => return Err(StatusCode::REQUEST_TIMEOUT),
+                Some(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
+                Some(None) => return Ok(None),
+                Some(Some(Ok(frame))) => {
                     // Trailers are ignored.
                     let Ok(chunk) = frame.into_data() else { continue };
                     self.received_bytes += chunk.len() as u64;
@@ -178,6 +195,7 @@
     let limits = WaitLimits { chunk_timeout, time_budget };
     while let Some(chunk) = request_body.next_unbuffered_chunk().await? {
         request_body.client.set_phase(Phase::ForwardingBody);
+        request_body.read_clock.record_filled();
         let handed_over_at = Instant::now();
         if let Err(cause) = request_body.hand_over(chunk, &sender, limits, memory).await {
             tracing::debug!(?cause, bytes = request_body.received_bytes, "upload abandoned");
--- a/crates/transport/src/http/stream.rs
+++ b/crates/transport/src/http/stream.rs
@@ -15,6 +15,7 @@
 
 use super::connections::ClientConnection;
 use super::MAX_HEAD_BYTES;
+use crate::read_clock::ReadClock;
 use crate::READ_LIMIT_BYTES;
 
 /// The most bytes that are read at a time while a request is being processed.
@@ -47,14 +48,25 @@
     stream: Arc<TcpStream>,
     client: Arc<ClientConnection>,
     read_ahead: Arc<Mutex<ReadAhead>>,
+    read_clock: Arc<ReadClock>,
     /// A chunk of a streamed answer was passed to hyper, which has not written all of it yet.
     holds_chunk: Arc<AtomicBool>,
 }
 
 impl ClientStream {
     pub(super) fn new(stream: TcpStream, client: Arc<ClientConnection>) -> Self {
-        let (read_ahead, holds_chunk) = (Arc::default(), Arc::default());
-        Self { stream: Arc::new(stream), client, read_ahead, holds_chunk }
+        Self {
+            stream: Arc::new(stream),
+            client,
+            read_ahead: Arc::default(),
+            read_clock: Arc::default(),
+            holds_chunk: Arc::default(),
+        }
+    }
+
+    /// Returns the clock that records the reads of the HTTP parser.
+    pub(super) fn read_clock(&self) -> Arc<ReadClock> {
+        Arc::clone(&self.read_clock)
     }
 
     /// Returns the state of the connection.
@@ -170,6 +182,7 @@
             }
             let Poll::Ready(ready) = self.stream.poll_read_ready(cx) else {
                 read_ahead.reads_in_turn = 0;
+                self.read_clock.record_empty();
                 return Poll::Pending;
             };
             ready?;
@@ -183,6 +196,7 @@
             }
         }
         if buf.filled().len() > filled_before {
+            self.read_clock.record_filled();
             self.client.record_received(&buf.filled()[filled_before..]);
         }
         Poll::Ready(Ok(()))
--- a/crates/transport/src/read_clock.rs
+++ b/crates/transport/src/read_clock.rs
@@ -67,7 +67,7 @@
     /// Returns for how long the peer may be silent because it was held back. The system of a peer that could
     /// not send tries again at intervals that double, so the next try may be as long after the last one as
     /// that was after the first.
-    fn excused_silence(&self) -> Duration {
+    pub fn excused_silence(&self) -> Duration {
         self.silence().map_or(Duration::ZERO, |silence| silence.backlog.min(MAX_RETRANSMISSION_INTERVAL))
     }
 
