Incidents: dropped segments, and peers that count as late after they were held back

A held-back node was tested in a calm process only.

The test of a held-back node also runs beside PAUSE and a reload.

--- a/crates/scheduler/tests/net/held_back_peers.rs
+++ b/crates/scheduler/tests/net/held_back_peers.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use heathward_core::OperatorCommand;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -74,17 +76,35 @@
     timeout(END_TIMEOUT, reading).await.expect("the end of the answer")
 }
 
+/// What happens while a node is held back.
+#[derive(Clone, Copy, Debug)]
+enum Disruption {
+    None,
+    /// An operator drains the clients.
+    Pause,
+    /// The configuration is read again.
+    Reload,
+}
+
 /// Guards against a reply that is cut off after 10 s although its node has not stopped: the node's system could
 /// not send for longer than that, as its client was slow, and waits as long for its next attempt.
+#[rstest]
 #[tokio::test]
-async fn a_node_that_was_held_back_may_be_silent_for_as_long() {
+async fn a_node_that_was_held_back_may_be_silent_for_as_long(
+    #[values(Disruption::None, Disruption::Pause, Disruption::Reload)] disruption: Disruption,
+) {
     let (listener, address) = listen().await;
     let (resume, resumed) = oneshot::channel();
     tokio::spawn(pause_in_reply(listener, resumed));
-    let program = start_before(address, "held-back-node");
+    let program = start_before(address, &format!("held-back-node-{disruption:?}"));
     let mut client = TcpStream::connect(program.listen).await.unwrap();
     client.write_all(request("consulta", 1, 0, 1000, "").as_bytes()).await.unwrap();
     sleep(REPLY_HOLD).await;
+    match disruption {
+        Disruption::None => {}
+        Disruption::Pause => program.command(OperatorCommand::Pause).await,
+        Disruption::Reload => program.signal("-HUP"),
+    }
     resume.send(()).unwrap();
     assert_eq!(read_body(&mut client).await, REPLY_BYTES);
 }
--- a/crates/scheduler/tests/net/support.rs
+++ b/crates/scheduler/tests/net/support.rs
@@ -64,12 +64,12 @@
     write_end
 }
 
-/// Starts the program before one node, with the configuration in a file of this name.
+/// Starts the program before one node, with an admin address and the configuration in a file of this name.
 pub fn start_before(node: SocketAddr, name: &str) -> Program {
     let members = member("s0", node, 0, "in_service", 0);
     let config = write_config(name, &config_text("127.0.0.1:0", "127.0.0.1:1", &members));
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathward"));
-    command.env("GW_CONFIG", config);
+    command.env("GW_CONFIG", config).env("GW_OPS", "127.0.0.1:0");
     Program::start(command)
 }
 
