--- a/crates/transport/src/node/tracked_stream.rs
+++ b/crates/transport/src/node/tracked_stream.rs
@@ -169,7 +169,7 @@
     unread.is_err_and(|error| error == rustix::io::Errno::AGAIN)
 }
 
-/// A TCP stream that records its writes in a [`WriteProgress`] and its reads in a [`ReadClock`].
+/// A TCP stream that records its writes in a [`WriteProgress`] and its reads in a clock.
 #[derive(Debug)]
 pub struct TrackedStream {
     stream: TcpStream,
