--- a/crates/scheduler/tests/net/held_back_peers.rs
+++ b/crates/scheduler/tests/net/held_back_peers.rs
@@ -38,8 +38,8 @@
 const UPLOAD_BYTES: usize = 12_500_000;
 /// How long the node reads nothing of the upload.
 const UPLOAD_HOLD: Duration = Duration::from_secs(5);
-/// How long the client is silent after that: longer than one that was not held back may be, and no longer than
-/// one that was.
+/// How long the client is silent after that: longer than one that was not held back may be, and no longer
+/// than one that was.
 const UPLOAD_SILENCE: Duration = Duration::from_secs(6);
 
 /// Answers one request with a part of a reply, and with the rest of it [`REPLY_SILENCE`] after `resumed`.
@@ -86,8 +86,8 @@
     Reload,
 }
 
-/// Guards against a reply that is cut off after 10 s although its node has not stopped: the node's system could
-/// not send for longer than that, as its client was slow, and waits as long for its next attempt.
+/// Guards against a reply that is cut off after 10 s although its node has not stopped: the node's system
+/// could not send for longer than that, as its client was slow, and waits as long for its next attempt.
 #[rstest]
 #[tokio::test]
 async fn a_node_that_was_held_back_may_be_silent_for_as_long(
@@ -109,7 +109,8 @@
     assert_eq!(read_body(&mut client).await, REPLY_BYTES);
 }
 
-/// Guards against a node that stops in its reply and is waited for without an end, as if it had been held back.
+/// Guards against a node that stops in its reply and is waited for without an end, as if it had been held
+/// back.
 #[tokio::test]
 async fn a_node_that_was_not_held_back_is_given_up_in_time() {
     let (listener, address) = listen().await;
@@ -125,8 +126,8 @@
     assert!(waited >= MAX_PAUSE && waited <= MAX_PAUSE + TOLERANCE, "{waited:?}");
 }
 
-/// Guards against an upload that is answered with 408 although its client has not stopped: the client's system
-/// could not send, as the node did not read, and waits as long for its next attempt.
+/// Guards against an upload that is answered with 408 although its client has not stopped: the client's
+/// system could not send, as the node did not read, and waits as long for its next attempt.
 #[tokio::test]
 async fn a_client_that_was_held_back_may_be_silent_for_as_long() {
     let (listener, address) = listen().await;
--- a/crates/transport/src/socket_buffers.rs
+++ b/crates/transport/src/socket_buffers.rs
@@ -7,10 +7,11 @@
 use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// The size that is requested for the system's receive buffer of a connection, in bytes; the system doubles it
-/// for its own data. It would grow to megabytes itself, but drops what it holds for a connection that is not
-/// read when it is short of memory, and the sender's system waits longer for each retransmission. The window
-/// of a buffer below some segments, of 64 KB on loopback, would open only once it is empty.
+/// The size that is requested for the system's receive buffer of a connection, in bytes; the system
+/// doubles it for its own data. It would grow to megabytes itself, but drops what it holds for a
+/// connection that is not read when it is short of memory, and the sender's system waits longer for each
+/// retransmission. The window of a buffer below some segments, of 64 KB on loopback, would open only once
+/// it is empty.
 const RECEIVE_BUFFER_BYTES: u32 = 192 * 1024;
 /// The size that is requested for the system's send buffer of a client's connection, in bytes; the system
 /// doubles it for its own data, and reports space once a third of it is free. A client that reads 64 kB a
--- a/crates/transport/src/socket_buffers/tests.rs
+++ b/crates/transport/src/socket_buffers/tests.rs
@@ -3,8 +3,8 @@
 use rustix::net::sockopt::{socket_recv_buffer_size, socket_send_buffer_size};
 use tokio::net::TcpListener;
 
-/// Guards against a limit that stays with the listening socket: the system hands it on to the connections that
-/// are accepted from it.
+/// Guards against a limit that stays with the listening socket: the system hands it on to the connections
+/// that are accepted from it.
 #[tokio::test]
 async fn accepted_and_opened_connections_have_limited_buffers() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
